--- a/apps/guavafieldd/daemon.cpp
+++ b/apps/guavafieldd/daemon.cpp
@@ -22,6 +22,7 @@
     , m_io(static_cast<int>(m_settings.host.threads))
     , m_signals(m_io, SIGTERM, SIGINT)
     , m_platformServices(makePlatformServices())
+    , m_machineServices(makeMachineServices())
     , m_path(std::make_shared<RequestPath>(RequestPathDependencies{m_io.get_executor(), m_settings, m_clock, m_counters, m_configuration, makeHooks()}))
     , m_operators(std::make_shared<OperatorServer>(OperatorServerDependencies{
           m_io.get_executor(), m_settings, m_counters, [this] { return unreadyReasons(); }, [this] { return m_path->formatGauges(); }}))
@@ -32,20 +33,38 @@
 
 std::unique_ptr<PlatformServices> Daemon::makePlatformServices()
 {
-    if (m_settings.platform.address.empty()) {
+    if (m_settings.platform.address.empty() || m_settings.platform.kind != PlatformKind::Own) {
         return nullptr;
     }
     return std::make_unique<PlatformServices>(
         PlatformServicesDependencies{m_io.get_executor(), m_settings, m_clock, m_counters, m_configuration, m_incarnation});
 }
 
+std::unique_ptr<MachineServices> Daemon::makeMachineServices()
+{
+    if (m_settings.platform.address.empty() || m_settings.platform.kind != PlatformKind::Machines) {
+        return nullptr;
+    }
+    return std::make_unique<MachineServices>(
+        MachineServicesDependencies{m_io.get_executor(), m_settings, m_clock, m_counters, m_configuration, m_incarnation, [this](auto configuration) {
+                                        applyConfiguration(std::move(configuration));
+                                    }});
+}
+
 PathHooks Daemon::makeHooks()
 {
+    if (m_machineServices) {
+        return m_machineServices->pathHooks();
+    }
     return m_platformServices ? m_platformServices->pathHooks() : PathHooks{};
 }
 
 void Daemon::addServices()
 {
+    if (m_machineServices) {
+        m_machineServices->attach(m_path);
+        addService(m_machineServices->service());
+    }
     if (!m_platformServices) {
         return;
     }
@@ -61,7 +80,7 @@
 void Daemon::announcePorts() const
 {
     std::cout << "caller_port=" << m_path->endpoint().port() << " operator_port=" << m_operators->endpoint().port()
-              << " peer_port=" << (m_peerServices ? m_peerServices->port() : 0) << std::endl;
+              << " peer_port=" << (m_peerServices ? m_peerServices->port() : m_machineServices ? m_machineServices->port() : 0) << std::endl;
 }
 
 void Daemon::addOperatorHandlers()
--- a/apps/guavafieldd/daemon.hpp
+++ b/apps/guavafieldd/daemon.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "apps/guavafieldd/daemon_service.hpp"
+#include "apps/guavafieldd/machine_services.hpp"
 #include "apps/guavafieldd/peer_services.hpp"
 #include "apps/guavafieldd/platform_services.hpp"
 
@@ -52,6 +53,7 @@
 
 private:
     [[nodiscard]] std::unique_ptr<PlatformServices> makePlatformServices();
+    [[nodiscard]] std::unique_ptr<MachineServices> makeMachineServices();
     [[nodiscard]] PathHooks makeHooks();
     // The one place at which the daemon's services are put together.
     void addServices();
@@ -73,11 +75,13 @@
     Incarnation m_incarnation{0};
     boost::asio::io_context m_io;
     boost::asio::signal_set m_signals;
-    // Empty if the settings name no platform.
+    // Empty unless the settings name the product's own platform.
     std::unique_ptr<PlatformServices> m_platformServices;
+    // Empty unless the settings name the machines' platform.
+    std::unique_ptr<MachineServices> m_machineServices;
     std::shared_ptr<RequestPath> m_path;
     std::shared_ptr<OperatorServer> m_operators;
-    // Empty if the settings name no platform.
+    // Empty unless the settings name the product's own platform.
     std::unique_ptr<PeerServices> m_peerServices;
     std::vector<DaemonService> m_services;
     std::atomic<bool> m_stopping{false};
--- /dev/null
+++ b/apps/guavafieldd/machine_services.cpp
@@ -0,0 +1,267 @@
+// Wiring of the services on the machines' platform.
+#include "apps/guavafieldd/machine_services.hpp"
+
+#include "platform/directory_codec.hpp"
+#include "platform/duties.hpp"
+#include "platform/names.hpp"
+#include "platform/request_dialect.hpp"
+#include "platform/store.hpp"
+
+#include <guavafield/transport/durable/sleep.hpp>
+#include <guavafield/transport/log/log.hpp>
+#include <guavafield/transport/peer/endpoints.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace guavafield {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+constexpr Milliseconds reportInterval{200};
+// Broken requests are repeated to peers for this long, in case a report was lost.
+constexpr Milliseconds brokenRepeated{2'000};
+constexpr std::size_t maxBrokenInReport = 8;
+constexpr std::size_t maxBrokenPeers = 4'096;
+
+PlatformClientSettings clientSettings(Milliseconds connectTimeout, bool resetOnClose)
+{
+    PlatformClientSettings settings;
+    settings.connectTimeout = connectTimeout;
+    settings.resetOnClose = resetOnClose;
+    return settings;
+}
+
+constexpr Milliseconds storeConnectTimeout{300};
+constexpr Milliseconds dutyConnectTimeout{300};
+
+} // namespace internal
+
+MachineServices::MachineServices(MachineServicesDependencies dependencies)
+    : m_dependencies(std::move(dependencies))
+    , m_store(m_dependencies.executor,
+              m_dependencies.settings.platform.address,
+              m_dependencies.settings.platform.port,
+              m_dependencies.counters,
+              internal::clientSettings(internal::storeConnectTimeout, false))
+    , m_dutyClient(m_dependencies.executor,
+                   m_dependencies.settings.platform.duties.address,
+                   m_dependencies.settings.platform.duties.port,
+                   m_dependencies.counters,
+                   internal::clientSettings(internal::dutyConnectTimeout, true))
+    , m_peers(makePeers())
+    , m_directory(makeDirectory())
+    , m_duties(m_dependencies.settings.platform.duties.address.empty() ? nullptr : makeDuties())
+{
+}
+
+std::unique_ptr<PeerService> MachineServices::makePeers()
+{
+    const auto &settings = m_dependencies.settings;
+    PeerServiceSettings result;
+    result.membership.id = settings.host.id;
+    result.membership.dataCentre = settings.host.dataCentre;
+    result.membership.incarnation = m_dependencies.incarnation;
+    result.membership.seed = m_dependencies.incarnation;
+    result.listenAddress = settings.listen.address;
+    result.port = settings.listen.peerPort;
+    result.fleetSecret = settings.host.fleetSecret;
+    for (const auto &it : settings.peers.seeds) {
+        result.seeds.push_back(toPeerAddress(asio::ip::make_address(it.address), it.port));
+    }
+    PeerHooks hooks;
+    hooks.onMember = [this](const Member &) { onMember(); };
+    hooks.onReport = [this](const Member &from, const HostReport &report) { onReport(from, report); };
+    hooks.onCrash = [this](const CrashRecord &record) {
+        m_path->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onCrashRecord(record, now); });
+    };
+    hooks.revisionInForce = [this] { return m_dependencies.configuration.load()->revision; };
+    hooks.crashRecords = [this] {
+        return m_path->driver().withScheduler([](RequestScheduler &scheduler, SteadyTime now) { return scheduler.crashRecords(now); });
+    };
+    hooks.rpc.changes = [this](Revision after) { return m_directory->format(DirectoryTable::Upstreams, after); };
+    hooks.rpc.snapshot = [this] { return m_directory->format(DirectoryTable::Document, 0); };
+    hooks.rpc.status = [this] { return std::to_string(m_dependencies.configuration.load()->revision); };
+    return std::make_unique<PeerService>(m_dependencies.executor, std::move(result), std::move(hooks), m_dependencies.clock, m_dependencies.counters);
+}
+
+std::shared_ptr<DirectoryService> MachineServices::makeDirectory()
+{
+    DirectoryDependencies dependencies{m_dependencies.executor,
+                                       m_dependencies.clock,
+                                       m_dependencies.settings.host.id,
+                                       platform::storeFeed(m_store),
+                                       {std::string(platform::names::operatorTable), std::string(platform::names::serverTable)},
+                                       platform::directoryCodec(KeyHasher(m_dependencies.settings.host.fleetSecret)),
+                                       m_dependencies.apply,
+                                       [this](SteadyTime at) { m_path->configurationConfirmed(at); },
+                                       [this] { sendReport(); },
+                                       [this](PeerAddress peer, DirectoryTable table, RowVersion after) { return fetchTable(peer, table, after); }};
+    return std::make_shared<DirectoryService>(std::move(dependencies));
+}
+
+std::shared_ptr<DutyService> MachineServices::makeDuties()
+{
+    const auto &settings = m_dependencies.settings;
+    DutySettings result;
+    result.self = LeaseHolder{settings.host.id, m_dependencies.incarnation};
+    result.holderGap = settings.platform.holderGap;
+    result.windowLength = std::chrono::seconds{settings.platform.usageWindowSeconds};
+    DutyDependencies dependencies{m_dependencies.executor,
+                                  m_bootClock,
+                                  m_dependencies.counters,
+                                  platform::storeAccess(m_store),
+                                  platform::dutyCalls(m_dutyClient),
+                                  [this] { return m_dependencies.configuration.load(); }};
+    return std::make_shared<DutyService>(std::move(dependencies), std::move(result));
+}
+
+PathHooks MachineServices::pathHooks()
+{
+    PathHooks hooks;
+    hooks.forward = std::make_shared<const ForwardDialect>(platform::requestDialect());
+    hooks.started = [this](const TeamId &team) {
+        if (m_duties) {
+            m_duties->onStarted(team);
+        }
+    };
+    return hooks;
+}
+
+DaemonService MachineServices::service()
+{
+    DaemonService result;
+    result.name = "machines";
+    result.start = [this] { start(); };
+    result.unreadyReason = [this] { return unreadyReason(); };
+    result.announceStop = [this]() -> asio::awaitable<void> {
+        if (m_duties) {
+            m_duties->stop();
+        }
+        co_return;
+    };
+    result.stop = [this]() -> asio::awaitable<void> {
+        // The last counts of usage.
+        sendReport();
+        co_await sleepFor(internal::reportInterval);
+        m_peers->leave();
+        m_stopped = true;
+        m_directory->stop();
+        co_await sleepFor(Milliseconds{10});
+        m_peers->stop();
+    };
+    return result;
+}
+
+void MachineServices::start()
+{
+    m_peers->start();
+    m_directory->start();
+    if (m_duties) {
+        m_duties->start();
+    }
+    asio::co_spawn(
+        m_dependencies.executor, [this] { return reportLoop(); }, asio::detached);
+}
+
+std::optional<std::string> MachineServices::unreadyReason() const
+{
+    if (!m_directory->known(DirectoryTable::Upstreams)) {
+        return "the upstreams are not known yet";
+    }
+    return std::nullopt;
+}
+
+asio::awaitable<Outcome<std::string>> MachineServices::fetchTable(PeerAddress peer, DirectoryTable table, RowVersion after)
+{
+    const auto method = table == DirectoryTable::Upstreams ? PeerMethod::Changes : PeerMethod::Snapshot;
+    auto outcome = co_await m_peers->asyncCall(peer, method, after, asio::use_awaitable);
+    co_return outcome;
+}
+
+asio::awaitable<void> MachineServices::reportLoop()
+{
+    while (!m_stopped) {
+        sendReport();
+        co_await sleepFor(internal::reportInterval);
+    }
+}
+
+HostReport MachineServices::makeReport()
+{
+    const auto now = m_dependencies.clock.now();
+    HostReport report;
+    report.wall = m_dependencies.clock.wallNow();
+    if (m_directory->known(DirectoryTable::Document)) {
+        report.document = m_directory->knowledge(DirectoryTable::Document);
+    }
+    if (m_directory->known(DirectoryTable::Upstreams)) {
+        report.upstreams = m_directory->knowledge(DirectoryTable::Upstreams);
+    }
+    m_path->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) {
+        report.work = scheduler.localWork();
+        for (const auto &it : scheduler.takeCrashes()) {
+            m_broken.push_back({BrokenRequest{++m_lastBroken, it}, now});
+        }
+    });
+    while (!m_broken.empty() && (now - m_broken.front().at > internal::brokenRepeated || m_broken.size() > internal::maxBrokenInReport)) {
+        m_broken.pop_front();
+    }
+    for (const auto &it : m_broken) {
+        report.broken.push_back(it.request);
+    }
+    if (m_duties) {
+        m_duties->onOwnTime(report.wall);
+        report.windows = m_duties->ownCounts();
+    }
+    return report;
+}
+
+void MachineServices::sendReport()
+{
+    m_peers->sendReport(makeReport());
+}
+
+void MachineServices::onReport(const Member &from, const HostReport &report)
+{
+    m_directory->onReport(from, report);
+    if (m_duties) {
+        m_duties->onReport(from.id, from.incarnation, report);
+    }
+    if (m_peerBroken.size() > internal::maxBrokenPeers) {
+        m_peerBroken.clear();
+    }
+    auto &last = m_peerBroken[from.id + "/" + std::to_string(from.incarnation)];
+    m_path->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
+        scheduler.onPeerWork(from.id, report.work, now);
+        for (const auto &it : report.broken) {
+            if (it.number > last) {
+                last = it.number;
+                scheduler.onPeerCrash(it.fingerprint, now);
+            }
+        }
+    });
+}
+
+void MachineServices::onMember()
+{
+    if (!m_duties) {
+        return;
+    }
+    std::vector<HostId> candidates{m_dependencies.settings.host.id};
+    for (const auto &it : m_peers->members()) {
+        if (it.state == MemberState::Alive) {
+            candidates.push_back(it.id);
+        }
+    }
+    m_duties->setCandidates(candidates);
+}
+
+} // namespace guavafield
--- /dev/null
+++ b/apps/guavafieldd/machine_services.hpp
@@ -0,0 +1,92 @@
+// The daemon's services on the machines' platform: configuration and upstreams from its tables, reports between hosts, and the fleet's duties.
+#pragma once
+
+#include "apps/guavafieldd/daemon_service.hpp"
+
+#include <guavafield/protocol/settings/daemon_settings.hpp>
+#include <guavafield/state/clock.hpp>
+#include <guavafield/state/counters.hpp>
+#include <guavafield/state/snapshot_cell.hpp>
+#include <guavafield/transport/fleet/directory_service.hpp>
+#include <guavafield/transport/fleet/duty_service.hpp>
+#include <guavafield/transport/http/request_path.hpp>
+#include <guavafield/transport/peer/peer_service.hpp>
+#include <guavafield/transport/platform/platform_client.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+namespace guavafield {
+
+/*! @brief What the services are made of; the references outlive them. The executor runs on one thread. */
+struct MachineServicesDependencies
+{
+    boost::asio::any_io_executor executor;
+    const DaemonSettings &settings;
+    const Clock &clock;
+    Counters &counters;
+    SnapshotCell<Configuration> &configuration;
+    Incarnation incarnation{0};
+    // Puts a configuration in force.
+    std::function<void(std::shared_ptr<const Configuration>)> apply;
+};
+
+/*! @brief Puts the services together; made only if the settings name the machines' platform. */
+class MachineServices
+{
+public:
+    /*! @brief Binds the peer port; throws boost::system::system_error if it cannot be used. */
+    explicit MachineServices(MachineServicesDependencies dependencies);
+
+    [[nodiscard]] PathHooks pathHooks();
+    /*! @brief Connects the services to the request path; before start. */
+    void attach(std::shared_ptr<RequestPath> path)
+    {
+        m_path = std::move(path);
+    }
+    [[nodiscard]] DaemonService service();
+    [[nodiscard]] std::uint16_t port() const noexcept
+    {
+        return m_peers->port();
+    }
+
+private:
+    // A broken request and when it was seen.
+    struct Broken
+    {
+        BrokenRequest request;
+        SteadyTime at{};
+    };
+
+    [[nodiscard]] std::shared_ptr<DirectoryService> makeDirectory();
+    [[nodiscard]] std::shared_ptr<DutyService> makeDuties();
+    [[nodiscard]] std::unique_ptr<PeerService> makePeers();
+    [[nodiscard]] boost::asio::awaitable<Outcome<std::string>> fetchTable(PeerAddress peer, DirectoryTable table, RowVersion after);
+    [[nodiscard]] boost::asio::awaitable<void> reportLoop();
+    [[nodiscard]] HostReport makeReport();
+    void sendReport();
+    void onReport(const Member &from, const HostReport &report);
+    void onMember();
+    void start();
+    [[nodiscard]] std::optional<std::string> unreadyReason() const;
+
+    MachineServicesDependencies m_dependencies;
+    BootClock m_bootClock;
+    PlatformClient m_store;
+    PlatformClient m_dutyClient;
+    std::shared_ptr<RequestPath> m_path;
+    std::unique_ptr<PeerService> m_peers;
+    std::shared_ptr<DirectoryService> m_directory;
+    std::shared_ptr<DutyService> m_duties;
+    std::deque<Broken> m_broken;
+    std::uint64_t m_lastBroken{0};
+    // Number of the last broken request that each life of a peer told.
+    StringMap<std::uint64_t> m_peerBroken;
+    bool m_stopped{false};
+};
+
+} // namespace guavafield
--- a/apps/guavafieldd/platform_services.cpp
+++ b/apps/guavafieldd/platform_services.cpp
@@ -81,7 +81,10 @@
 
 PathHooks PlatformServices::pathHooks()
 {
-    return PathHooks{m_usage->sink(), m_once->gate()};
+    PathHooks hooks;
+    hooks.usage = m_usage->sink();
+    hooks.once = m_once->gate();
+    return hooks;
 }
 
 void PlatformServices::attach(std::shared_ptr<RequestPath> path)
--- /dev/null
+++ b/src/guavafield/coordination/fleet/fleet_directory.cpp
@@ -0,0 +1,132 @@
+// Decoding of changed rows and the grace for entries that lapsed in an outage.
+#include <guavafield/coordination/fleet/fleet_directory.hpp>
+
+#include <algorithm>
+
+namespace guavafield {
+
+namespace internal {
+
+// Without a confirmation for this long, entries may have lapsed because nobody could write them.
+constexpr Milliseconds outageLength{1'200};
+// A living upstream has written its entry again by this time after an outage.
+constexpr Milliseconds lapseGrace{2'500};
+
+} // namespace internal
+
+std::shared_ptr<const Configuration> FleetDirectory::update(const TableMirror &document, const TableMirror &upstreams, SteadyTime now)
+{
+    const bool documentChanged = updateDocument(document);
+    const bool upstreamsChanged = updateUpstreams(upstreams, now);
+    if (m_document.revision == 0 || !(documentChanged || upstreamsChanged)) {
+        return nullptr;
+    }
+    auto result = std::make_shared<Configuration>(m_document);
+    for (const auto &[id, known] : m_upstreams) {
+        if (known.upstream && result->pools.contains(known.upstream->pool)) {
+            result->upstreams.emplace(id, *known.upstream);
+        }
+    }
+    return result;
+}
+
+bool FleetDirectory::updateDocument(const TableMirror &mirror)
+{
+    bool changed = false;
+    for (const auto &row : mirror.rows()) {
+        if (row.key != m_codec.documentKey || row.version <= m_documentVersion) {
+            continue;
+        }
+        m_documentVersion = row.version;
+        auto decoded = capture([&] { return m_codec.document(*row.value); });
+        if (!decoded) {
+            m_faults.push_back({row.key, row.version, std::move(decoded.error)});
+        } else if (decoded.value->revision >= m_document.revision) {
+            m_document = std::move(*decoded.value);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+void FleetDirectory::noticeOutage(const TableMirror &mirror, SteadyTime now)
+{
+    if (m_lastConfirmed && mirror.confirmed() && *mirror.confirmed() - *m_lastConfirmed > internal::outageLength) {
+        m_restored = now;
+    }
+    m_lastConfirmed = mirror.confirmed();
+}
+
+bool FleetDirectory::updateUpstreams(const TableMirror &mirror, SteadyTime now)
+{
+    noticeOutage(mirror, now);
+    bool changed = false;
+    const auto rows = mirror.rows();
+    for (const auto &row : rows) {
+        changed |= takeEntry(row, now);
+    }
+    for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
+        auto &known = it->second;
+        const auto row = std::ranges::lower_bound(rows, it->first, {}, &MirroredRow::key);
+        if (row != rows.end() && row->key == it->first) {
+            known.goneAt.reset();
+            ++it;
+            continue;
+        }
+        const bool mayReturn = known.upstream && !known.upstream->leaving && m_restored && now - *m_restored < internal::lapseGrace;
+        if (!known.goneAt) {
+            known.goneAt = mayReturn ? *m_restored + internal::lapseGrace : now;
+        }
+        if (now >= *known.goneAt) {
+            changed |= known.upstream.has_value();
+            it = m_upstreams.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return changed;
+}
+
+bool FleetDirectory::takeEntry(const MirroredRow &row, SteadyTime now)
+{
+    auto &known = m_upstreams[row.key];
+    if (known.version >= row.version) {
+        return false;
+    }
+    known.version = row.version;
+    auto decoded = capture([&] { return m_codec.upstream(row.key, *row.value); });
+    if (!decoded) {
+        m_faults.push_back({row.key, row.version, std::move(decoded.error)});
+        const bool used = known.upstream.has_value();
+        known.upstream.reset();
+        return used;
+    }
+    auto upstream = std::move(decoded.value->upstream);
+    if (decoded.value->leavesIn) {
+        upstream.leavesAt = now + *decoded.value->leavesIn;
+    }
+    if (known.upstream && known.upstream->leavesAt && upstream.leavesAt) {
+        upstream.leavesAt = std::min(*known.upstream->leavesAt, *upstream.leavesAt);
+    }
+    const bool changed = known.upstream != upstream;
+    known.upstream = std::move(upstream);
+    return changed;
+}
+
+std::optional<SteadyTime> FleetDirectory::nextWakeup() const
+{
+    std::optional<SteadyTime> result;
+    for (const auto &[id, known] : m_upstreams) {
+        if (known.goneAt && (!result || *known.goneAt < *result)) {
+            result = known.goneAt;
+        }
+    }
+    return result;
+}
+
+std::vector<DirectoryFault> FleetDirectory::takeFaults()
+{
+    return std::exchange(m_faults, {});
+}
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/coordination/fleet/host_report.hpp
@@ -0,0 +1,58 @@
+// What each host tells all others several times a second.
+#pragma once
+
+#include <guavafield/coordination/fleet/table_mirror.hpp>
+#include <guavafield/coordination/request/placement.hpp>
+#include <guavafield/state/types.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace guavafield {
+
+/*! @brief Requests of one team that upstreams began to run in one billing window. */
+struct TeamCount
+{
+    // teamKey() of the team.
+    std::uint64_t team{0};
+    std::uint32_t requests{0};
+};
+
+/*! @brief A host's counts of one billing window so far; later reports of it have all of the earlier ones. */
+struct WindowCounts
+{
+    // Number of the window since the start of 1970.
+    std::uint64_t window{0};
+    std::vector<TeamCount> teams;
+};
+
+/*! @brief A request whose connection to an upstream broke before the answer began. */
+struct BrokenRequest
+{
+    // Rises with each such request of the host's life.
+    std::uint64_t number{0};
+    Digest fingerprint{};
+};
+
+/*! @brief One report. */
+struct HostReport
+{
+    // The sender's time of day.
+    WallTime wall{};
+    // Of the operators' document and of the upstreams, as far as known.
+    std::optional<TableKnowledge> document;
+    std::optional<TableKnowledge> upstreams;
+    std::vector<PeerWork> work;
+    std::vector<WindowCounts> windows;
+    // Those of the last few seconds.
+    std::vector<BrokenRequest> broken;
+};
+
+/*! @brief Returns the number by which hosts name a team to each other. */
+[[nodiscard]] inline std::uint64_t teamKey(std::string_view team) noexcept
+{
+    return workKey(team);
+}
+
+} // namespace guavafield
--- a/src/guavafield/coordination/lease/lease_keeper.cpp
+++ b/src/guavafield/coordination/lease/lease_keeper.cpp
@@ -231,7 +231,7 @@
 LeaseAction LeaseKeeper::takeOver(SteadyTime now)
 {
     auto record = m_record;
-    if (record.holder) {
+    if (record.holder && m_settings.recordsUnreleased) {
         record.unreleased.push_back(*record.holder);
     }
     record.holder = m_settings.self;
--- a/src/guavafield/coordination/lease/lease_keeper.hpp
+++ b/src/guavafield/coordination/lease/lease_keeper.hpp
@@ -23,6 +23,8 @@
     Milliseconds renewEvery{3'000};
     // Delay after a failed operation; also the interval of reads of the list of hosts while it is needed.
     Milliseconds retryEvery{1'000};
+    // Whether earlier holders are kept on record until they have released; needed for SendRule::HolderAndReleased.
+    bool recordsUnreleased{true};
     // Extra wait per rank, so that a lapse is followed by one attempt and not by one of each host.
     Milliseconds staggerStep{500};
 };
--- a/src/guavafield/coordination/membership/membership_messages.cpp
+++ b/src/guavafield/coordination/membership/membership_messages.cpp
@@ -171,6 +171,7 @@
         handleSyncReply(message, now);
         break;
     case PeerMessageKind::Notice:
+    case PeerMessageKind::Report:
     case PeerMessageKind::Count:
         break;
     }
--- a/src/guavafield/coordination/membership/peer_message.hpp
+++ b/src/guavafield/coordination/membership/peer_message.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <guavafield/coordination/configuration/revision_knowledge.hpp>
+#include <guavafield/coordination/fleet/host_report.hpp>
 #include <guavafield/coordination/membership/member.hpp>
 #include <guavafield/coordination/request/request_info.hpp>
 #include <guavafield/state/types.hpp>
@@ -24,6 +25,8 @@
     SyncReply,
     // Carries urgent news and is not answered.
     Notice,
+    // Carries a HostReport to all hosts and is not answered.
+    Report,
     // not a kind
     Count,
 };
@@ -59,10 +62,14 @@
     std::vector<DemandReport> demand;
     // SyncRequest: members after this id are wanted. SyncReply: where to go on; empty at the end.
     HostId cursor;
+    // Only of a Report.
+    std::optional<HostReport> report;
 };
 
 /*! @brief Largest datagram, with its authentication code. */
 inline constexpr std::size_t maxDatagramBytes = 480;
+/*! @brief Largest Report; fits into one packet of the usual size. */
+inline constexpr std::size_t maxReportBytes = 1'380;
 
 /*! @brief Returns an upper bound of the encoded size of a part of a message. */
 [[nodiscard]] std::size_t encodedBound(const Member &member) noexcept;
--- /dev/null
+++ b/src/guavafield/coordination/order/fleet_plan.cpp
@@ -0,0 +1,95 @@
+// The plan and its orders.
+#include <guavafield/coordination/order/fleet_plan.hpp>
+
+#include <algorithm>
+
+namespace guavafield {
+
+namespace internal {
+
+constexpr std::uint32_t durablePerDataCentre = 1;
+constexpr std::uint32_t cheapPerDataCentre = 4;
+constexpr Milliseconds retryAfterFailure{1'000};
+constexpr Milliseconds retryAfterShortage{2'000};
+// An order whose upstreams have not come by then, boot time included, is given again.
+constexpr Milliseconds repeatAfter{3'000};
+
+} // namespace internal
+
+bool FleetPlan::unavailable(const Key &key, SteadyTime now) const
+{
+    const auto it = m_ordered.find(key);
+    return it != m_ordered.end() && now < it->second.unavailableUntil;
+}
+
+std::vector<FleetSize> FleetPlan::plan(const UpstreamPool &pool, const Configuration &configuration, SteadyTime now) const
+{
+    const auto &limits = *pool.scaling;
+    std::map<DataCentreId, FleetCounts> present;
+    for (const auto &[dataCentre, price] : limits.prices) {
+        present[dataCentre];
+    }
+    for (const auto &[id, it] : configuration.upstreams) {
+        if (it.pool == pool.id && !it.leaving) {
+            auto &counts = present[it.dataCentre];
+            ++(it.kind == UpstreamKind::Cheap ? counts.cheap : counts.durable);
+        }
+    }
+    std::vector<FleetSize> result;
+    for (const auto &[dataCentre, counts] : present) {
+        const bool shortage = unavailable({pool.id, dataCentre, UpstreamKind::Cheap}, now);
+        const auto durable = std::clamp(internal::durablePerDataCentre, limits.least, limits.most);
+        const auto cheap = std::min(internal::cheapPerDataCentre, limits.most - durable);
+        if (!shortage) {
+            result.push_back({pool.id, dataCentre, UpstreamKind::Cheap, cheap});
+        }
+        // Durable upstreams go only when the cheap ones that take their place have come.
+        const bool replaced = counts.cheap >= cheap || counts.durable <= durable;
+        result.push_back({pool.id, dataCentre, UpstreamKind::Durable, replaced ? durable : counts.durable});
+    }
+    return result;
+}
+
+std::optional<FleetSize> FleetPlan::next(const Configuration &configuration, SteadyTime now)
+{
+    for (const auto &[id, pool] : configuration.pools) {
+        if (!pool.scaling) {
+            continue;
+        }
+        for (const auto &wanted : plan(pool, configuration, now)) {
+            auto &ordered = m_ordered[{wanted.pool, wanted.dataCentre, wanted.kind}];
+            if (now < ordered.notBefore) {
+                continue;
+            }
+            const auto present = static_cast<std::uint32_t>(std::ranges::count_if(configuration.upstreams, [&](const auto &it) {
+                return it.second.pool == wanted.pool && it.second.dataCentre == wanted.dataCentre && it.second.kind == wanted.kind && !it.second.leaving;
+            }));
+            const bool due = ordered.count != wanted.count || present < wanted.count;
+            if (due && (ordered.count || present != wanted.count)) {
+                return wanted;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+void FleetPlan::onOutcome(const FleetSize &order, OrderOutcome outcome, SteadyTime now)
+{
+    auto &ordered = m_ordered[{order.pool, order.dataCentre, order.kind}];
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        ordered.count = order.count;
+        // Long enough for the upstreams to boot and to write their entries.
+        ordered.notBefore = now + 2 * internal::repeatAfter;
+        break;
+    case OrderOutcome::Unavailable:
+        ordered.unavailableUntil = now + internal::retryAfterShortage;
+        ordered.notBefore = now + internal::retryAfterShortage;
+        break;
+    case OrderOutcome::Failed:
+        ordered.notBefore = now + internal::retryAfterFailure;
+        break;
+    }
+}
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/coordination/order/fleet_plan.hpp
@@ -0,0 +1,72 @@
+// How many upstreams of a pool each data centre should have.
+#pragma once
+
+#include <guavafield/state/configuration.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace guavafield {
+
+/*! @brief An order for the number of upstreams of one kind. */
+struct FleetSize
+{
+    PoolId pool;
+    DataCentreId dataCentre;
+    UpstreamKind kind{UpstreamKind::Durable};
+    std::uint32_t count{0};
+
+    friend auto operator<=>(const FleetSize &, const FleetSize &) = default;
+};
+
+/*! @brief Upstreams of a pool in one data centre that take work or will. */
+struct FleetCounts
+{
+    std::uint32_t durable{0};
+    std::uint32_t cheap{0};
+};
+
+/*! @brief Answer to an order. */
+enum class OrderOutcome : std::uint8_t {
+    Accepted,
+    // None of this kind is to be had at the moment.
+    Unavailable,
+    // Not accepted, or the answer was lost; the same order may be given again.
+    Failed,
+};
+
+/*!
+ * @brief Plans the fleet of all pools that can be ordered, and remembers what was ordered.
+ *
+ * Each data centre keeps a few durable upstreams, which stay when the cheap ones of a data centre are reclaimed at once; cheap ones do the
+ * bulk of the work. Not safe for several threads.
+ */
+class FleetPlan
+{
+public:
+    /*! @brief Returns the next order; empty if the fleet is as planned. */
+    [[nodiscard]] std::optional<FleetSize> next(const Configuration &configuration, SteadyTime now);
+    void onOutcome(const FleetSize &order, OrderOutcome outcome, SteadyTime now);
+
+private:
+    struct Ordered
+    {
+        std::optional<std::uint32_t> count;
+        SteadyTime notBefore{};
+        // None were to be had until then, as far as known.
+        SteadyTime unavailableUntil{};
+    };
+
+    using Key = std::tuple<PoolId, DataCentreId, UpstreamKind>;
+
+    [[nodiscard]] std::vector<FleetSize> plan(const UpstreamPool &pool, const Configuration &configuration, SteadyTime now) const;
+    [[nodiscard]] bool unavailable(const Key &key, SteadyTime now) const;
+
+    std::map<Key, Ordered> m_ordered;
+};
+
+} // namespace guavafield
--- a/src/guavafield/coordination/request/fwd.hpp
+++ b/src/guavafield/coordination/request/fwd.hpp
@@ -6,6 +6,7 @@
 class RequestScheduler;
 struct CrashRecord;
 struct LoadReport;
+struct PeerWork;
 struct RequestInfo;
 struct TeamDemand;
 
--- /dev/null
+++ b/src/guavafield/coordination/request/placement.cpp
@@ -0,0 +1,222 @@
+// Placement of requests at upstreams that queue by themselves.
+#include <guavafield/coordination/request/placement.hpp>
+
+#include <guavafield/coordination/request/decaying_sum.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace guavafield {
+
+namespace internal {
+
+constexpr double initialTokensPerSecond = 50'000;
+constexpr double leastTokensPerSecond = 2'000;
+constexpr double mostTokensPerSecond = 1'000'000;
+constexpr double initialServiceSeconds = 0.02;
+constexpr double initialMeanTokens = 2'000;
+constexpr double learningWeight = 0.05;
+// Network and the engine's own steps before the first token; no sign of its reading speed.
+constexpr double firstTokenOverheadSeconds = 0.03;
+// Prompts that are shorter say little about the reading speed.
+constexpr double leastTokensToLearn = 1'000;
+// An upstream owns prefixes from the start, but is taken to hold them only when the fleet has had time to use it.
+constexpr Milliseconds settleTime{10'000};
+// Reading a prefix again displaces other work and is charged for; both count as this multiple of the reading time.
+constexpr double rereadFactor = 4;
+// The same for copying it from another engine.
+constexpr double fetchFactor = 1.2;
+constexpr double fetchSetupSeconds = 0.01;
+// Prefixes below this size are read again rather than copied.
+constexpr double leastTokensToFetch = 1'000;
+// Part of a prefix that an owner is expected to lack when this host has not sent it there itself.
+constexpr double unconfirmedPart = 0.15;
+// Traffic between data centres is charged for.
+constexpr double remoteSeconds = 0.004;
+constexpr double fullSeconds = 0.5;
+// Each running request slows the others a little.
+constexpr double runningSeconds = 0.002;
+constexpr double failureSeconds = 0.3;
+constexpr double slownessWeight = 0.2;
+constexpr double slownessHalfLifeSeconds = 5;
+constexpr double largestSlowness = 8;
+// Reported queues are believed for about this long.
+constexpr double reportHalfLifeSeconds = 0.5;
+
+std::uint64_t mix(std::uint64_t value) noexcept
+{
+    value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9ULL;
+    value = (value ^ (value >> 27U)) * 0x94D049BB133111EBULL;
+    return value ^ (value >> 31U);
+}
+
+bool tried(const RequestEntry &entry, const UpstreamState &upstream)
+{
+    return std::ranges::find(entry.tried, upstream.idHash) != entry.tried.end();
+}
+
+bool trialDue(const UpstreamState &upstream, SteadyTime now)
+{
+    return upstream.downSince && upstream.outlier.trialDue(now) && !upstream.leaving() && upstream.outstanding() == 0;
+}
+
+// Latencies go back to normal when nothing is measured, so that a slow upstream is tried again.
+double slownessOf(const UpstreamState &upstream, SteadyTime now)
+{
+    const double age = secondsBetween(upstream.slownessAt, now);
+    return 1 + (upstream.slowness - 1) * std::exp2(-age / slownessHalfLifeSeconds);
+}
+
+} // namespace internal
+
+// FNV-1a; the same on all hosts, unlike std::hash.
+std::uint64_t workKey(std::string_view id) noexcept
+{
+    std::uint64_t hash = 0xCBF29CE484222325ULL;
+    for (const char it : id) {
+        hash = (hash ^ static_cast<unsigned char>(it)) * 0x100000001B3ULL;
+    }
+    return hash ^ (hash >> 29U);
+}
+
+std::uint64_t rendezvousWeight(std::uint64_t prefix, std::uint64_t upstream) noexcept
+{
+    return internal::mix(prefix ^ internal::mix(upstream));
+}
+
+Placement::Placement(DataCentreId localDataCentre, std::optional<EngineFacts> engine)
+    : m_local(std::move(localDataCentre))
+    , m_engine(engine)
+    , m_tokensPerSecond(internal::initialTokensPerSecond)
+    , m_serviceSeconds(internal::initialServiceSeconds)
+    , m_meanTokens(internal::initialMeanTokens)
+{
+}
+
+Placement::Prefix Placement::findPrefix(const PoolUpstreams &upstreams, const RequestEntry &entry, SteadyTime now) const
+{
+    Prefix prefix;
+    if (!m_engine || entry.info.prefixHashes.empty() || entry.info.prefixTokens.empty()) {
+        return prefix;
+    }
+    prefix.hash = entry.info.prefixHashes.back();
+    prefix.tokens = entry.info.prefixTokens.back();
+    std::uint64_t ownerWeight = 0;
+    std::uint64_t holderWeight = 0;
+    upstreams.forEach([&](const UpstreamState &it) {
+        const auto weight = rendezvousWeight(prefix.hash, it.idHash);
+        if (it.usable() && (prefix.owner == nullptr || weight > ownerWeight)) {
+            prefix.owner = &it;
+            ownerWeight = weight;
+        }
+        const bool settled = !it.downSince && now - it.addedAt >= internal::settleTime;
+        if (settled && (prefix.holder == nullptr || weight > holderWeight)) {
+            prefix.holder = &it;
+            holderWeight = weight;
+        }
+    });
+    if (prefix.holder == nullptr) {
+        prefix.holder = prefix.owner;
+    }
+    return prefix;
+}
+
+double Placement::heldTokens(const UpstreamState &upstream, const PrefixIndex &prefixes, const RequestEntry &entry)
+{
+    const auto &hashes = entry.info.prefixHashes;
+    const auto &tokens = entry.info.prefixTokens;
+    for (std::size_t n = std::min(hashes.size(), tokens.size()); n > 0; --n) {
+        const auto &holders = prefixes.holders(hashes[n - 1]);
+        if (std::ranges::find(holders, &upstream) != holders.end()) {
+            return tokens[n - 1];
+        }
+    }
+    return 0;
+}
+
+double Placement::waitSeconds(const UpstreamState &upstream, const RequestEntry &entry, SteadyTime now) const
+{
+    const double running = upstream.outstanding() + upstream.peerRunning;
+    const double slots = std::max(1U, upstream.upstream.slots);
+    if (!m_engine) {
+        const double queued = std::max(0.0, running + 1 - slots);
+        return m_serviceSeconds * (queued / slots + internal::fullSeconds * running / slots);
+    }
+    double tokens = upstream.peerWaitingTokens;
+    double waiting = upstream.peerWaitingTokens / m_meanTokens;
+    for (const auto *it : upstream.running) {
+        if (!it->started() && it->info.enginePriority <= entry.info.enginePriority) {
+            tokens += it->readTokens;
+            ++waiting;
+        }
+    }
+    if (upstream.reportTime) {
+        const double believed = std::exp2(-secondsBetween(*upstream.reportTime, now) / internal::reportHalfLifeSeconds);
+        tokens += std::max(0.0, upstream.report.waiting - waiting) * m_meanTokens * believed;
+    }
+    const double full = running >= slots ? internal::fullSeconds * (1 + running - slots) : 0;
+    return tokens / m_tokensPerSecond + full + internal::runningSeconds * running;
+}
+
+Placed Placement::choose(const PoolUpstreams &upstreams, const PrefixIndex &prefixes, const RequestEntry &entry, SteadyTime now) const
+{
+    const auto prefix = findPrefix(upstreams, entry, now);
+    const bool mayTry = entry.info.repeatable && !entry.started();
+    const double prompt = entry.info.promptTokens;
+    Placed best;
+    double leastCost = std::numeric_limits<double>::infinity();
+    upstreams.forEach([&](UpstreamState &it) {
+        const bool trial = mayTry && internal::trialDue(it, now);
+        if ((!it.usable() && !trial) || internal::tried(entry, it)) {
+            return;
+        }
+        const double confirmed = heldTokens(it, prefixes, entry);
+        const double held = &it == prefix.holder ? std::max(confirmed, prefix.tokens) : confirmed;
+        const double missing = prefix.tokens - held;
+        const bool fetch = prefix.holder != nullptr && prefix.holder != &it && missing >= internal::leastTokensToFetch;
+        Placed placed{&it, fetch ? prefix.holder : nullptr, 0, 0};
+        placed.tokens = std::max(0.0, prompt - prefix.tokens) + (fetch ? 0 : missing);
+        placed.tokens += &it == prefix.holder ? internal::unconfirmedPart * (held - confirmed) : 0;
+        double penalty = 0;
+        double copy = 0;
+        if (fetch) {
+            copy = internal::fetchSetupSeconds + missing * static_cast<double>(m_engine->bytesPerToken) * 8 / (m_engine->linkMegabitsPerSecond * 1e6);
+            // A new owner will need the prefix in any case.
+            penalty = &it == prefix.owner ? 0 : internal::fetchFactor * missing / m_tokensPerSecond;
+        } else {
+            penalty = internal::rereadFactor * missing / m_tokensPerSecond;
+        }
+        placed.seconds = (waitSeconds(it, entry, now) + placed.tokens / m_tokensPerSecond) * internal::slownessOf(it, now) + copy;
+        placed.seconds += m_engine ? internal::firstTokenOverheadSeconds : m_serviceSeconds;
+        const double remote = it.upstream.dataCentre == m_local ? 0 : internal::remoteSeconds;
+        const double cost = placed.seconds + penalty + remote + internal::failureSeconds * it.failures.valueAt(now);
+        if (trial || cost < leastCost) {
+            best = placed;
+            leastCost = trial ? -1 : cost;
+        }
+    });
+    return best;
+}
+
+void Placement::onFirstToken(const RequestEntry &entry, UpstreamState &upstream, double seconds, SteadyTime now)
+{
+    const auto learn = [](double &value, double sample) { value += internal::learningWeight * (sample - value); };
+    if (entry.expectedSeconds > 0) {
+        const double ratio = std::clamp(seconds / entry.expectedSeconds, 0.25, internal::largestSlowness);
+        const double before = internal::slownessOf(upstream, now);
+        upstream.slowness = std::max(1.0, before + internal::slownessWeight * (ratio - before));
+        upstream.slownessAt = now;
+    }
+    if (!m_engine) {
+        learn(m_serviceSeconds, seconds);
+        return;
+    }
+    learn(m_meanTokens, std::max(1.0, entry.readTokens));
+    const double reading = seconds - internal::firstTokenOverheadSeconds;
+    if (entry.dispatchedIdle && entry.readTokens >= internal::leastTokensToLearn && reading > 0) {
+        learn(m_tokensPerSecond, std::clamp(entry.readTokens / reading, internal::leastTokensPerSecond, internal::mostTokensPerSecond));
+    }
+}
+
+} // namespace guavafield
--- a/src/guavafield/coordination/request/pool.hpp
+++ b/src/guavafield/coordination/request/pool.hpp
@@ -2,11 +2,14 @@
 #pragma once
 
 #include <guavafield/coordination/request/decaying_sum.hpp>
+#include <guavafield/coordination/request/placement.hpp>
 #include <guavafield/coordination/request/pool_queue.hpp>
 #include <guavafield/coordination/request/router.hpp>
 
 #include <array>
+#include <optional>
 #include <set>
+#include <tuple>
 
 namespace guavafield {
 
@@ -22,10 +25,29 @@
     double meanWork{0};
 };
 
+/*! @brief Order by engine priority, then by submission. */
+struct ByEnginePriority
+{
+    [[nodiscard]] bool operator()(const RequestEntry *left, const RequestEntry *right) const noexcept
+    {
+        return std::tie(left->info.enginePriority, left->sequence) < std::tie(right->info.enginePriority, right->sequence);
+    }
+};
+
+/*! @brief What a pool has whose upstreams queue by themselves: requests leave at once and wait here only while no upstream takes them. */
+struct SelfQueueing
+{
+    UpstreamPool facts;
+    Placement placement;
+    std::set<RequestEntry *, ByEnginePriority> waiting;
+};
+
 /*! @brief One pool. */
 struct Pool
 {
     Model model;
+    // Empty if this host queues for the upstreams.
+    std::optional<SelfQueueing> selfQueueing;
     PoolQueue queue;
     PoolUpstreams upstreams;
     // This host's part of the slots of the usable upstreams.
@@ -47,7 +69,7 @@
         for (const auto &it : tiers) {
             running += it.running;
         }
-        return running == 0 && queue.size() == 0 && suspects.empty();
+        return running == 0 && queue.size() == 0 && suspects.empty() && (!selfQueueing || selfQueueing->waiting.empty());
     }
 };
 
--- a/src/guavafield/coordination/request/request_entry.hpp
+++ b/src/guavafield/coordination/request/request_entry.hpp
@@ -67,6 +67,17 @@
     // Why the last attempt failed; the reason for a refusal if no upstream comes back.
     std::optional<ResultCode> lastFailure{};
 
+    // For pools whose upstreams queue by themselves.
+    // Attempts that an upstream may have run.
+    std::uint32_t attemptsRun{0};
+    // Hashes of the ids of the upstreams that were tried.
+    std::vector<std::uint64_t> tried;
+    // Prompt tokens that the upstream of the running attempt reads, and the expected time to the first token.
+    double readTokens{0};
+    double expectedSeconds{0};
+    // Nothing else waited there when the running attempt was sent.
+    bool dispatchedIdle{false};
+
     /*! @brief Whether tokens have arrived, so that the caller may have bytes. */
     [[nodiscard]] bool started() const noexcept
     {
--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -36,6 +36,12 @@
     std::vector<std::uint64_t> prefixHashes;
     // Digest of team and body, keyed by the fleet secret.
     Digest fingerprint{};
+    // Tokens of each prefix of prefixHashes, rising; empty if they are not known.
+    std::vector<std::uint32_t> prefixTokens;
+    // For engines that queue by priority themselves; 0 is the highest.
+    std::uint8_t enginePriority{0};
+    // Upstreams that the request may run on; 0 leaves the bound to the scheduler.
+    std::uint32_t maxAttempts{0};
 };
 
 /*! @brief The request waits for an upstream. */
@@ -62,6 +68,10 @@
     std::uint8_t enginePriority{0};
     // 1 for the first attempt.
     std::uint32_t attempt{1};
+    // Engine from which the upstream should copy the prefix; empty if it need not.
+    UpstreamId fetchFrom{};
+    // Expected time to the first token.
+    Milliseconds expected{0};
 };
 
 /*! @brief Refuse a request that waits in the queue. */
@@ -102,6 +112,8 @@
     bool upstreamCrashed{false};
     // Bytes have gone to the caller.
     bool answerStarted{false};
+    // The upstream said, or it is certain otherwise, that it did not run the request and will not.
+    bool notExecuted{false};
 };
 /*! @brief The caller went away or its key was withdrawn. */
 struct AttemptAbandoned
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -79,6 +79,26 @@
     return m_impl->demand().busiest(limit, now);
 }
 
+void RequestScheduler::onPeerWork(std::string_view host, std::span<const PeerWork> work, SteadyTime now)
+{
+    m_impl->onPeerWork(host, work, now);
+}
+
+std::vector<PeerWork> RequestScheduler::localWork() const
+{
+    return m_impl->localWork();
+}
+
+void RequestScheduler::onPeerCrash(const Digest &fingerprint, SteadyTime now)
+{
+    m_impl->onBrokenConnection(fingerprint, now);
+}
+
+std::vector<Digest> RequestScheduler::takeCrashes()
+{
+    return m_impl->takeCrashes();
+}
+
 void RequestScheduler::onCrashRecord(const CrashRecord &record, SteadyTime now)
 {
     m_impl->crashes().quarantine(record.fingerprint, record.remaining, now);
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -1,6 +1,7 @@
 // The decisions on a request: admission, order of service, routing, retries and preemption, over values and a passed-in time.
 #pragma once
 
+#include <guavafield/coordination/request/placement.hpp>
 #include <guavafield/coordination/request/request_info.hpp>
 #include <guavafield/state/configuration.hpp>
 
@@ -23,6 +24,7 @@
     std::uint64_t seed{1};
 };
 
+
 /*!
  * @brief Decides which request runs next and where.
  *
@@ -76,6 +78,16 @@
     /*! @brief Returns this host's busiest teams, busiest first. */
     [[nodiscard]] std::vector<TeamDemand> localDemand(std::size_t limit, SteadyTime now) const;
 
+    /*! @brief Replaces what a peer told of its work at upstreams of self-queueing pools. */
+    void onPeerWork(std::string_view host, std::span<const PeerWork> work, SteadyTime now);
+    /*! @brief Returns this host's work at upstreams of self-queueing pools, for its peers. */
+    [[nodiscard]] std::vector<PeerWork> localWork() const;
+
+    /*! @brief A peer saw a request of this fingerprint break the connection to an upstream of a self-queueing pool. */
+    void onPeerCrash(const Digest &fingerprint, SteadyTime now);
+    /*! @brief Returns the fingerprints that did so on this host since the last call. */
+    [[nodiscard]] std::vector<Digest> takeCrashes();
+
     void onCrashRecord(const CrashRecord &record, SteadyTime now);
     /*! @brief Returns the crash records in force, newest first. */
     [[nodiscard]] std::vector<CrashRecord> crashRecords(SteadyTime now) const;
--- a/src/guavafield/coordination/request/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler_attempts.cpp
@@ -62,7 +62,9 @@
         // The caller has part of the answer; a late end is better than none.
         entry.latestStart = SteadyTime::max();
     }
-    if (entry.suspect) {
+    if (pool.selfQueueing) {
+        pool.selfQueueing->waiting.insert(&entry);
+    } else if (entry.suspect) {
         pool.suspects.insert(&entry);
     } else {
         pool.queue.tier(entry.info.tier).push(entry);
@@ -85,6 +87,8 @@
     }
     if (ran) {
         leaveRunning(entry);
+    } else if (auto &selfQueueing = poolOf(entry).selfQueueing) {
+        selfQueueing->waiting.erase(&entry);
     } else if (poolOf(entry).suspects.erase(&entry) == 0) {
         poolOf(entry).queue.tier(entry.info.tier).remove(entry);
     }
@@ -94,7 +98,7 @@
 
 void RequestScheduler::Impl::planHedge(RequestEntry &entry, SteadyTime now)
 {
-    if (entry.info.tier > internal::lowestHedgedTier || entry.started() || entry.suspect || !entry.info.repeatable) {
+    if (poolOf(entry).selfQueueing || entry.info.tier > internal::lowestHedgedTier || entry.started() || entry.suspect || !entry.info.repeatable) {
         return;
     }
     const double target = std::chrono::duration<double>(entry.info.firstTokenTarget).count();
@@ -125,6 +129,9 @@
             continue;
         }
         it.upstream->onAlive();
+        if (auto &selfQueueing = poolOf(*entry).selfQueueing) {
+            selfQueueing->placement.onFirstToken(*entry, *it.upstream, secondsBetween(it.dispatched, now), now);
+        }
         if (!entry->started()) {
             m_times.onFirstToken(entry->info, secondsBetween(it.dispatched, now), now);
             m_times.lengths(entry->info).onStarted();
@@ -173,7 +180,7 @@
         return RetryQueued{};
     }
     if (const auto *failure = std::get_if<AttemptFailed>(&end)) {
-        return onFailure(*entry, *state, *failure, now);
+        return poolOf(*entry).selfQueueing ? onSelfQueueingFailure(*entry, *state, *failure, now) : onFailure(*entry, *state, *failure, now);
     }
     m_times.onEnded(entry->info, entry->deliveredTokens, now);
     m_crashes.clear(entry->info.fingerprint);
@@ -246,7 +253,9 @@
 AttemptVerdict RequestScheduler::Impl::retry(RequestEntry &entry, const AttemptFailed &failure, bool free, SteadyTime now)
 {
     const bool started = entry.started() || failure.answerStarted;
-    const bool possible = (started ? entry.info.resumable : entry.info.repeatable) && entry.attemptsMade < internal::maxAttempts;
+    const bool allowed = started ? entry.info.resumable : entry.info.repeatable || failure.notExecuted;
+    const bool runsLeft = entry.info.maxAttempts == 0 || entry.attemptsRun < entry.info.maxAttempts;
+    const bool possible = allowed && runsLeft && entry.attemptsMade < internal::maxAttempts;
     if (!possible) {
         erase(entry, now);
         return m_admission.refusal(failure.code, 1);
--- a/src/guavafield/coordination/request/scheduler_checks.cpp
+++ b/src/guavafield/coordination/request/scheduler_checks.cpp
@@ -23,8 +23,12 @@
     }
     m_nextCheck = now + internal::checkInterval;
     for (const auto &[model, pool] : m_pools) {
-        checkOutliers(pool, now);
+        // Engines that queue by themselves differ in speed by the prompts they read, so their token times are not compared.
+        if (!pool.selfQueueing) {
+            checkOutliers(pool, now);
+        }
     }
+    sumPeerWork(now);
     for (auto &[id, upstream] : m_upstreams) {
         upstream.adaptLimit(now);
     }
@@ -100,7 +104,7 @@
 void RequestScheduler::Impl::dropRemovedUpstreams()
 {
     for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
-        if (it->second.upstream.models.empty() && it->second.running.empty()) {
+        if (it->second.upstream.models.empty() && it->second.upstream.pool.empty() && it->second.running.empty()) {
             m_router.prefixes().removeAll(it->second);
             for (auto &[id, entry] : m_requests) {
                 entry->home = entry->home == &it->second ? nullptr : entry->home;
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler_core.cpp
@@ -11,14 +11,15 @@
 // Wake-up while requests wait; the top tier's preemption is decided at this interval.
 constexpr Milliseconds waitingWakeup{20};
 
-/*! @brief FNV-1a; the same on all hosts, unlike std::hash. */
-std::uint64_t hashOf(std::string_view text) noexcept
+// Names of the pools that an upstream belongs to.
+std::vector<std::string> poolsOf(const Upstream &upstream)
 {
-    std::uint64_t hash = 0xCBF29CE484222325ULL;
-    for (const char it : text) {
-        hash = (hash ^ static_cast<unsigned char>(it)) * 0x100000001B3ULL;
-    }
-    return hash ^ (hash >> 29U);
+    return upstream.pool.empty() ? upstream.models : std::vector<std::string>{upstream.pool};
+}
+
+bool servesPool(const Upstream &upstream) noexcept
+{
+    return !upstream.models.empty() || !upstream.pool.empty();
 }
 
 } // namespace internal
@@ -40,22 +41,25 @@
     return it != m_upstreams.end() ? &it->second : nullptr;
 }
 
-void RequestScheduler::Impl::applyConfiguration(const Configuration &configuration, SteadyTime /*now*/)
+void RequestScheduler::Impl::applyConfiguration(const Configuration &configuration, SteadyTime now)
 {
+    // Self-queueing pools use the upstreams of all data centres, the others those of their own.
+    const auto used = [&](const Upstream &it) { return !it.pool.empty() || (it.dataCentre == m_settings.dataCentre && !it.models.empty()); };
     for (auto &[id, upstream] : m_upstreams) {
         const auto it = configuration.upstreams.find(id);
-        const bool kept = it != configuration.upstreams.end() && it->second.dataCentre == m_settings.dataCentre && !it->second.models.empty();
-        if (!kept) {
+        if (it == configuration.upstreams.end() || !used(it->second)) {
             // Gets nothing new; the state goes once the attempts have ended.
             upstream.upstream.leaving = true;
             upstream.upstream.models.clear();
+            upstream.upstream.pool.clear();
         }
     }
     for (const auto &[id, upstream] : configuration.upstreams) {
-        if (upstream.dataCentre == m_settings.dataCentre && !upstream.models.empty()) {
-            configureUpstream(upstream);
+        if (used(upstream)) {
+            configureUpstream(upstream, now);
         }
     }
+    configureSelfQueueing(configuration);
     rebuildPools(configuration);
     std::set<std::string, std::less<>> teams;
     for (const auto &it : configuration.teams) {
@@ -71,11 +75,24 @@
     refreshSlots();
 }
 
-void RequestScheduler::Impl::configureUpstream(const Upstream &upstream)
+void RequestScheduler::Impl::configureUpstream(const Upstream &upstream, SteadyTime now)
 {
-    auto &state = m_upstreams[upstream.id];
+    const auto [it, added] = m_upstreams.try_emplace(upstream.id);
+    auto &state = it->second;
+    const bool restarted = !added && state.upstream.incarnation != upstream.incarnation;
+    if (restarted) {
+        m_router.prefixes().removeAll(state);
+        state.onAlive();
+        state.slowness = 1;
+    }
+    if (added || restarted) {
+        state.addedAt = now;
+    }
     state.upstream = upstream;
-    state.idHash = internal::hashOf(upstream.id);
+    state.idHash = workKey(upstream.id);
+    if (!upstream.pool.empty()) {
+        state.leavesAt = upstream.leavesAt;
+    }
     configureLimit(state);
 }
 
@@ -88,7 +105,7 @@
 
 void RequestScheduler::Impl::rebuildPools(const Configuration &configuration)
 {
-    std::erase_if(m_pools, [&](const auto &it) { return it.second.idle() && !configuration.models.contains(it.first); });
+    std::erase_if(m_pools, [&](const auto &it) { return it.second.idle() && !configuration.models.contains(it.first) && !configuration.pools.contains(it.first); });
     for (auto &[id, pool] : m_pools) {
         pool.upstreams = {};
     }
@@ -96,7 +113,7 @@
         m_pools[id].model = model;
     }
     for (auto &[id, upstream] : m_upstreams) {
-        for (const auto &model : upstream.upstream.models) {
+        for (const auto &model : internal::poolsOf(upstream.upstream)) {
             auto &list = upstream.upstream.kind == UpstreamKind::Cheap ? m_pools[model].upstreams.cheap : m_pools[model].upstreams.durable;
             list.push_back(&upstream);
         }
@@ -138,6 +155,9 @@
     entry->submitted = now;
     entry->deadline = now + entry->info.totalTarget;
     entry->suspect = m_crashes.suspected(entry->info.fingerprint, now);
+    if (pool->second.selfQueueing) {
+        return submitSelfQueueing(pool->second, std::move(entry), now);
+    }
     m_admission.estimate(*entry, pool->second.model);
     m_retries.onRequest(entry->info.className, now);
     if (const auto refusal = m_admission.check(pool->second, *entry, now)) {
@@ -222,7 +242,7 @@
 {
     std::size_t count = 0;
     for (const auto &[model, pool] : m_pools) {
-        count += pool.queue.size() + pool.suspects.size();
+        count += pool.queue.size() + pool.suspects.size() + (pool.selfQueueing ? pool.selfQueueing->waiting.size() : 0);
     }
     return count;
 }
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -34,6 +34,11 @@
     void onLoadReport(std::string_view upstream, const LoadReport &report, SteadyTime now);
     void onCacheEvents(std::string_view upstream, std::span<const CacheEvent> events);
     void onUpstreamLeaving(std::string_view upstream, Milliseconds notice, SteadyTime now);
+    void onPeerWork(std::string_view host, std::span<const PeerWork> work, SteadyTime now);
+    [[nodiscard]] std::vector<PeerWork> localWork() const;
+    [[nodiscard]] std::vector<Digest> takeCrashes();
+    // Counts a broken connection against a request and returns whether it is refused from now on.
+    bool onBrokenConnection(const Digest &fingerprint, SteadyTime now);
     void onPeerDemand(std::string_view host, std::span<const TeamDemand> demand, Milliseconds age, SteadyTime now);
 
     [[nodiscard]] const DemandLedger &demand() const noexcept
@@ -51,7 +56,7 @@
     using HedgeTimer = std::tuple<SteadyTime, std::uint64_t, RequestEntry *>;
 
     // configuration, in scheduler_core.cpp
-    void configureUpstream(const Upstream &upstream);
+    void configureUpstream(const Upstream &upstream, SteadyTime now);
     void rebuildPools(const Configuration &configuration);
     void configureLimit(UpstreamState &upstream) const;
     void refreshSlots();
@@ -70,6 +75,14 @@
     [[nodiscard]] bool finishesIn(const RequestEntry &entry, double seconds);
     void dropRemovedUpstreams();
 
+    // pools whose upstreams queue by themselves, in scheduler_self_queueing.cpp
+    void configureSelfQueueing(const Configuration &configuration);
+    [[nodiscard]] Admission submitSelfQueueing(Pool &pool, std::unique_ptr<RequestEntry> entry, SteadyTime now);
+    void dispatchSelfQueueing(Pool &pool, SteadyTime now);
+    void place(Pool &pool, RequestEntry &entry, const Placed &placed, SteadyTime now);
+    [[nodiscard]] AttemptVerdict onSelfQueueingFailure(RequestEntry &entry, UpstreamState &upstream, const AttemptFailed &failure, SteadyTime now);
+    void sumPeerWork(SteadyTime now);
+
     // dispatch, in scheduler_dispatch.cpp
     void shedExpired(SteadyTime now);
     void shed(RequestEntry &entry);
@@ -113,6 +126,16 @@
     StringMap<Pool> m_pools;
     StringMap<std::unique_ptr<RequestEntry>> m_requests;
     std::set<HedgeTimer> m_hedges;
+    struct PeerWorkReport
+    {
+        std::vector<PeerWork> work;
+        SteadyTime at{};
+    };
+
+    // Latest report of each peer.
+    StringMap<PeerWorkReport> m_peerWork;
+    // Broken connections that the peers have not been told of.
+    std::vector<Digest> m_newCrashes;
     std::uint64_t m_nextSequence{0};
     std::uint64_t m_nextDispatch{0};
     SteadyTime m_lastStep{};
--- a/src/guavafield/coordination/request/scheduler_dispatch.cpp
+++ b/src/guavafield/coordination/request/scheduler_dispatch.cpp
@@ -30,6 +30,9 @@
         dispatchSuspects(pool, now);
     }
     dispatchQueues(now);
+    for (auto &[model, pool] : m_pools) {
+        dispatchSelfQueueing(pool, now);
+    }
     hedgeDue(now);
     return std::exchange(m_actions, {});
 }
--- /dev/null
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -0,0 +1,173 @@
+// Pools whose upstreams queue by priority themselves: requests leave this host at once, for the upstream that placement chooses.
+#include <guavafield/coordination/request/scheduler_core.hpp>
+
+#include <algorithm>
+
+namespace guavafield {
+
+namespace internal {
+
+// A request that no upstream takes waits for this part of its target before it is refused.
+constexpr double waitingPart = 0.125;
+// A request is refused for the wait ahead only when it would use up this part of the time that is left.
+constexpr double hopelessPart = 0.95;
+constexpr double refusedRetrySeconds = 0.3;
+constexpr std::uint32_t failuresBeforeDown = 3;
+// A request is refused after it was on so many broken connections; the first may be another request's doing.
+constexpr std::uint32_t brokenConnectionsBeforeQuarantine = 2;
+// A peer that was not heard for this long has died or is cut off; its work is unknown.
+constexpr Milliseconds peerWorkHolds{1'500};
+
+} // namespace internal
+
+void RequestScheduler::Impl::configureSelfQueueing(const Configuration &configuration)
+{
+    for (const auto &[id, facts] : configuration.pools) {
+        auto &pool = m_pools[id];
+        pool.model.id = id;
+        if (!pool.selfQueueing || pool.selfQueueing->facts.engine != facts.engine) {
+            auto waiting = pool.selfQueueing ? std::move(pool.selfQueueing->waiting) : decltype(pool.selfQueueing->waiting)();
+            pool.selfQueueing.emplace(SelfQueueing{facts, Placement(m_settings.dataCentre, facts.engine), std::move(waiting)});
+        }
+        pool.selfQueueing->facts = facts;
+    }
+}
+
+Admission RequestScheduler::Impl::submitSelfQueueing(Pool &pool, std::unique_ptr<RequestEntry> entry, SteadyTime now)
+{
+    entry->suspect = false;
+    entry->latestStart = now + std::chrono::duration_cast<Milliseconds>(entry->info.firstTokenTarget * internal::waitingPart);
+    m_retries.onRequest(entry->info.className, now);
+    entry->queued = true;
+    pool.selfQueueing->waiting.insert(entry.get());
+    auto id = entry->info.id;
+    m_requests.emplace(std::move(id), std::move(entry));
+    return Queued{};
+}
+
+void RequestScheduler::Impl::dispatchSelfQueueing(Pool &pool, SteadyTime now)
+{
+    if (!pool.selfQueueing) {
+        return;
+    }
+    const auto waiting = pool.selfQueueing->waiting;
+    for (auto *entry : waiting) {
+        const auto placed = pool.selfQueueing->placement.choose(pool.upstreams, m_router.prefixes(), *entry, now);
+        const double left = secondsBetween(now, entry->deadline);
+        const bool hopeless = placed.upstream != nullptr && !entry->started() && placed.seconds > internal::hopelessPart * left;
+        if (placed.upstream != nullptr && !hopeless) {
+            place(pool, *entry, placed, now);
+        } else if (hopeless || now >= entry->latestStart) {
+            const auto code = hopeless ? ResultCode::FirstTokenTargetUnreachable : entry->lastFailure.value_or(ResultCode::NoUpstream);
+            pool.selfQueueing->waiting.erase(entry);
+            m_actions.emplace_back(ShedAction{entry->info.id, m_admission.refusal(code, internal::refusedRetrySeconds)});
+            m_requests.erase(m_requests.find(entry->info.id));
+        }
+    }
+}
+
+void RequestScheduler::Impl::place(Pool &pool, RequestEntry &entry, const Placed &placed, SteadyTime now)
+{
+    auto &upstream = *placed.upstream;
+    pool.selfQueueing->waiting.erase(&entry);
+    entry.queued = false;
+    entry.readTokens = placed.tokens;
+    entry.expectedSeconds = placed.seconds;
+    entry.dispatchedIdle = upstream.outstanding() == 0 && upstream.peerRunning < 1;
+    entry.tried.push_back(upstream.idHash);
+    entry.dispatchSequence = ++m_nextDispatch;
+    ++pool.tiers[entry.info.tier].running;
+    pool.dispatches.add(1, now);
+    startAttempt(entry, upstream, now);
+    DispatchAction action{entry.info.id, upstream.upstream.id, entry.info.enginePriority, entry.attemptsMade};
+    action.fetchFrom = placed.fetchFrom != nullptr ? placed.fetchFrom->upstream.id : UpstreamId();
+    action.expected = std::chrono::duration_cast<Milliseconds>(Seconds(placed.seconds));
+    m_actions.emplace_back(std::move(action));
+}
+
+AttemptVerdict
+RequestScheduler::Impl::onSelfQueueingFailure(RequestEntry &entry, UpstreamState &upstream, const AttemptFailed &failure, SteadyTime now)
+{
+    upstream.failures.add(1, now);
+    const bool unreachable = failure.reason == RetryReason::ConnectFailed;
+    const bool trial = upstream.downSince && upstream.outlier.trialDue(now);
+    if (trial) {
+        upstream.outlier.eject(now);
+    } else if (!upstream.downSince && (unreachable || (!failure.notExecuted && ++upstream.failuresInRow >= internal::failuresBeforeDown))) {
+        upstream.markDown(now);
+        m_router.prefixes().removeAll(upstream);
+    }
+    entry.attemptsRun += failure.notExecuted ? 0 : 1;
+    endAttempt(entry, upstream, now);
+    if (failure.upstreamCrashed && !entry.started()) {
+        m_newCrashes.push_back(entry.info.fingerprint);
+        if (onBrokenConnection(entry.info.fingerprint, now)) {
+            erase(entry, now);
+            return Refused{ResultCode::CrashSuspectRefused, CrashRegister::retention};
+        }
+    }
+    if (!entry.attempts.empty()) {
+        return RetryQueued{};
+    }
+    entry.latestStart = now + std::chrono::duration_cast<Milliseconds>(entry.info.firstTokenTarget * internal::waitingPart);
+    return retry(entry, failure, unreachable, now);
+}
+
+bool RequestScheduler::Impl::onBrokenConnection(const Digest &fingerprint, SteadyTime now)
+{
+    if (m_crashes.onLoneCrash(fingerprint, now) < internal::brokenConnectionsBeforeQuarantine) {
+        return false;
+    }
+    m_crashes.quarantine(fingerprint, CrashRegister::retention, now);
+    return true;
+}
+
+std::vector<Digest> RequestScheduler::Impl::takeCrashes()
+{
+    return std::exchange(m_newCrashes, {});
+}
+
+void RequestScheduler::Impl::onPeerWork(std::string_view host, std::span<const PeerWork> work, SteadyTime now)
+{
+    auto &report = m_peerWork[std::string(host)];
+    report.work.assign(work.begin(), work.end());
+    report.at = now;
+    sumPeerWork(now);
+}
+
+void RequestScheduler::Impl::sumPeerWork(SteadyTime now)
+{
+    std::erase_if(m_peerWork, [now](const auto &it) { return now - it.second.at > internal::peerWorkHolds; });
+    std::map<std::uint64_t, UpstreamState *> byKey;
+    for (auto &[id, upstream] : m_upstreams) {
+        upstream.peerWaitingTokens = 0;
+        upstream.peerRunning = 0;
+        byKey[upstream.idHash] = &upstream;
+    }
+    for (const auto &[host, report] : m_peerWork) {
+        for (const auto &work : report.work) {
+            if (const auto it = byKey.find(work.upstream); it != byKey.end()) {
+                it->second->peerWaitingTokens += work.waitingTokens;
+                it->second->peerRunning += work.running;
+            }
+        }
+    }
+}
+
+std::vector<PeerWork> RequestScheduler::Impl::localWork() const
+{
+    std::vector<PeerWork> result;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream.upstream.pool.empty() || upstream.running.empty()) {
+            continue;
+        }
+        PeerWork work{upstream.idHash, 0, upstream.outstanding()};
+        for (const auto *it : upstream.running) {
+            work.waitingTokens += it->started() ? 0 : static_cast<std::uint32_t>(it->readTokens);
+        }
+        result.push_back(work);
+    }
+    return result;
+}
+
+} // namespace guavafield
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <guavafield/coordination/request/concurrency_limit.hpp>
+#include <guavafield/coordination/request/decaying_sum.hpp>
 #include <guavafield/coordination/request/outlier_detector.hpp>
 #include <guavafield/coordination/request/request_entry.hpp>
 #include <guavafield/state/configuration.hpp>
@@ -42,6 +43,18 @@
     // Own attempts over time, oldest first, to subtract them from reports.
     std::deque<std::pair<SteadyTime, std::uint32_t>> history;
 
+    // For upstreams of pools that queue by themselves.
+    // When this life of the upstream was first seen.
+    SteadyTime addedAt{};
+    // Work of other hosts, by their latest messages.
+    double peerWaitingTokens{0};
+    double peerRunning{0};
+    // Attempts that failed lately.
+    DecayingSum failures{3};
+    // Time to the first token over what was expected, at least 1; fades since slownessAt.
+    double slowness{1};
+    SteadyTime slownessAt{};
+
     [[nodiscard]] std::uint32_t outstanding() const noexcept
     {
         return static_cast<std::uint32_t>(running.size());
--- /dev/null
+++ b/src/guavafield/coordination/usage/window_ledger.cpp
@@ -0,0 +1,95 @@
+// Counts by window, host and team.
+#include <guavafield/coordination/usage/window_ledger.hpp>
+
+#include <algorithm>
+
+namespace guavafield {
+
+namespace internal {
+
+constexpr std::string_view ownHost;
+// Windows that are kept, so that a new reporter can still report what the one before it did not.
+constexpr std::size_t keptWindows = 16;
+// Earlier windows whose own counts are repeated to peers, in case a report was lost.
+constexpr std::uint64_t repeatedWindows = 3;
+
+} // namespace internal
+
+BillingWindow WindowLedger::windowAt(WallTime time) const noexcept
+{
+    return static_cast<BillingWindow>(time.time_since_epoch() / m_length);
+}
+
+WallTime WindowLedger::endOf(BillingWindow window) const noexcept
+{
+    return WallTime{m_length * static_cast<std::int64_t>(window + 1)};
+}
+
+WindowLedger::HostCounts &WindowLedger::countsOf(BillingWindow window, std::string_view host)
+{
+    m_first = m_first == 0 ? window : std::min(m_first, window);
+    auto &result = m_windows[window].try_emplace(std::string(host)).first->second;
+    while (m_windows.size() > internal::keptWindows && m_windows.begin()->first != window) {
+        m_windows.erase(m_windows.begin());
+    }
+    return result;
+}
+
+void WindowLedger::count(const TeamId &team, WallTime time)
+{
+    ++countsOf(windowAt(time), internal::ownHost)[teamKey(team)];
+}
+
+void WindowLedger::onReport(std::string_view host, std::span<const WindowCounts> windows)
+{
+    for (const auto &it : windows) {
+        if (it.teams.empty()) {
+            continue;
+        }
+        auto &counts = countsOf(it.window, host);
+        for (const auto &team : it.teams) {
+            auto &known = counts[team.team];
+            known = std::max(known, team.requests);
+        }
+    }
+}
+
+std::vector<WindowCounts> WindowLedger::ownCounts(WallTime time, std::uint64_t turn) const
+{
+    const auto present = windowAt(time);
+    std::vector<WindowCounts> result;
+    for (const auto window : {present, present - 1 - turn % internal::repeatedWindows}) {
+        const auto it = m_windows.find(window);
+        const auto own = it == m_windows.end() ? StringMap<HostCounts>::const_iterator{} : it->second.find(internal::ownHost);
+        if (it == m_windows.end() || own == it->second.end()) {
+            continue;
+        }
+        auto &counts = result.emplace_back(WindowCounts{window, {}});
+        for (const auto &[team, requests] : own->second) {
+            counts.teams.push_back({team, requests});
+        }
+    }
+    return result;
+}
+
+TeamCounts WindowLedger::totals(BillingWindow window, std::span<const TeamId> teams) const
+{
+    TeamCounts result;
+    const auto it = m_windows.find(window);
+    if (it == m_windows.end()) {
+        return result;
+    }
+    for (const auto &team : teams) {
+        std::uint64_t sum = 0;
+        for (const auto &[host, counts] : it->second) {
+            const auto count = counts.find(teamKey(team));
+            sum += count == counts.end() ? 0 : count->second;
+        }
+        if (sum > 0) {
+            result[team] = sum;
+        }
+    }
+    return result;
+}
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/coordination/usage/window_reporter.cpp
@@ -0,0 +1,49 @@
+// State of the windows that are due.
+#include <guavafield/coordination/usage/window_reporter.hpp>
+
+#include <algorithm>
+
+namespace guavafield {
+
+std::optional<DueWindow> WindowReporter::due(const WindowLedger &ledger, WallTime now) const
+{
+    if (ledger.firstWindow() == 0) {
+        return std::nullopt;
+    }
+    const auto first = std::max(ledger.firstWindow(), ledger.windowAt(now - m_settings.giveUp));
+    for (auto window = first; ledger.endOf(window) + m_settings.settle <= now; ++window) {
+        const auto it = m_windows.find(window);
+        if (it == m_windows.end()) {
+            return DueWindow{window, std::nullopt};
+        }
+        if (!it->second.reported && now >= it->second.notBefore) {
+            return DueWindow{window, it->second.sealed};
+        }
+    }
+    return std::nullopt;
+}
+
+void WindowReporter::onSealed(BillingWindow window, TeamCounts figures)
+{
+    auto &state = m_windows[window];
+    if (!state.sealed) {
+        state.sealed = std::move(figures);
+    }
+    state.notBefore = {};
+    constexpr std::size_t keptStates = 64;
+    while (m_windows.size() > keptStates) {
+        m_windows.erase(m_windows.begin());
+    }
+}
+
+void WindowReporter::onReported(BillingWindow window)
+{
+    m_windows[window].reported = true;
+}
+
+void WindowReporter::onFailed(BillingWindow window, WallTime now)
+{
+    m_windows[window].notBefore = now + m_settings.retryEvery;
+}
+
+} // namespace guavafield
--- a/src/guavafield/protocol/chat/error_body.cpp
+++ b/src/guavafield/protocol/chat/error_body.cpp
@@ -68,4 +68,13 @@
     return static_cast<unsigned>(std::max<Milliseconds::rep>(1, (delay.count() + 999) / 1000));
 }
 
+std::string fractionalSeconds(Milliseconds delay)
+{
+    constexpr Milliseconds::rep perSecond = 1'000;
+    const auto total = std::max<Milliseconds::rep>(delay.count(), 0);
+    auto fraction = std::to_string(total % perSecond);
+    fraction.insert(0, 3 - fraction.size(), '0');
+    return std::to_string(total / perSecond) + "." + fraction;
+}
+
 } // namespace guavafield
--- a/src/guavafield/protocol/chat/error_body.hpp
+++ b/src/guavafield/protocol/chat/error_body.hpp
@@ -30,5 +30,7 @@
 [[nodiscard]] std::string errorName(ResultCode code);
 /*! @brief Returns the value of a Retry-After header: whole seconds, rounded up, at least 1. */
 [[nodiscard]] unsigned retryAfterSeconds(Milliseconds delay) noexcept;
+/*! @brief Returns the value of a Retry-After header for callers that take fractions of seconds, e.g. "0.250". */
+[[nodiscard]] std::string fractionalSeconds(Milliseconds delay);
 
 } // namespace guavafield
--- a/src/guavafield/protocol/peer/peer.capnp
+++ b/src/guavafield/protocol/peer/peer.capnp
@@ -53,6 +53,44 @@
   crashes @15 :List(CrashRecord);
   demand @16 :List(DemandReport);
   cursor @17 :Text;
+  report @18 :HostReport;
+}
+
+struct TableKnowledge {
+  known @0 :Bool;
+  ageMs @1 :UInt32;
+  content @2 :UInt64;
+  complete @3 :UInt64;
+}
+
+struct UpstreamWork {
+  upstream @0 :UInt64;
+  waitingTokens @1 :UInt32;
+  running @2 :UInt32;
+}
+
+struct TeamCount {
+  team @0 :UInt64;
+  requests @1 :UInt32;
+}
+
+struct WindowCounts {
+  window @0 :UInt64;
+  teams @1 :List(TeamCount);
+}
+
+struct BrokenRequest {
+  number @0 :UInt64;
+  fingerprint @1 :Data;
+}
+
+struct HostReport {
+  wallMicroseconds @0 :Int64;
+  document @1 :TableKnowledge;
+  upstreams @2 :TableKnowledge;
+  work @3 :List(UpstreamWork);
+  windows @4 :List(WindowCounts);
+  broken @5 :List(BrokenRequest);
 }
 
 # The only capability of a new connection. Both sides prove that they know the fleet secret.
--- a/src/guavafield/protocol/peer/peer.capnp.h
+++ b/src/guavafield/protocol/peer/peer.capnp.h
@@ -24,6 +24,12 @@
 CAPNP_DECLARE_SCHEMA(ed73b1dd8fddcda4);
 CAPNP_DECLARE_SCHEMA(e3be6ae8eff8e2f0);
 CAPNP_DECLARE_SCHEMA(eb5e526428614b80);
+CAPNP_DECLARE_SCHEMA(90f150eb0fa00b0b);
+CAPNP_DECLARE_SCHEMA(d879a72f4ddd244a);
+CAPNP_DECLARE_SCHEMA(8445350e9e7aaadf);
+CAPNP_DECLARE_SCHEMA(94a5b0fdbc3ef217);
+CAPNP_DECLARE_SCHEMA(e04ec931ccf94a03);
+CAPNP_DECLARE_SCHEMA(d3542986f6c278a7);
 CAPNP_DECLARE_SCHEMA(f36d4245383ee8d0);
 CAPNP_DECLARE_SCHEMA(d3b2f460316e976f);
 CAPNP_DECLARE_SCHEMA(f29d4133ed7759e0);
@@ -111,7 +117,97 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eb5e526428614b80, 8, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(eb5e526428614b80, 8, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TableKnowledge {
+  TableKnowledge() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(90f150eb0fa00b0b, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UpstreamWork {
+  UpstreamWork() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d879a72f4ddd244a, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TeamCount {
+  TeamCount() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8445350e9e7aaadf, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct WindowCounts {
+  WindowCounts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(94a5b0fdbc3ef217, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct BrokenRequest {
+  BrokenRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e04ec931ccf94a03, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HostReport {
+  HostReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -767,6 +863,9 @@
   inline bool hasCursor() const;
   inline  ::capnp::Text::Reader getCursor() const;
 
+  inline bool hasReport() const;
+  inline  ::guavafield::wire::HostReport::Reader getReport() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -874,6 +973,13 @@
   inline void adoptCursor(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownCursor();
 
+  inline bool hasReport();
+  inline  ::guavafield::wire::HostReport::Builder getReport();
+  inline void setReport( ::guavafield::wire::HostReport::Reader value);
+  inline  ::guavafield::wire::HostReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::guavafield::wire::HostReport>&& value);
+  inline ::capnp::Orphan< ::guavafield::wire::HostReport> disownReport();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -893,6 +999,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::guavafield::wire::Member::Pipeline getSelf();
+  inline  ::guavafield::wire::HostReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -901,68 +1008,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Gate::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Gate Calls;
-  typedef Gate Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::guavafield::wire::Gate::ChallengeParams,  ::guavafield::wire::Gate::ChallengeResults> challengeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::guavafield::wire::Gate::OpenParams,  ::guavafield::wire::Gate::OpenResults> openRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Gate::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Gate Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::guavafield::wire::Gate::ChallengeParams ChallengeParams;
-  typedef  ::guavafield::wire::Gate::ChallengeResults ChallengeResults;
-  typedef ::capnp::CallContext<ChallengeParams, ChallengeResults> ChallengeContext;
-  virtual ::kj::Promise<void> challenge(ChallengeContext context);
-  typedef  ::guavafield::wire::Gate::OpenParams OpenParams;
-  typedef  ::guavafield::wire::Gate::OpenResults OpenResults;
-  typedef ::capnp::CallContext<OpenParams, OpenResults> OpenContext;
-  virtual ::kj::Promise<void> open(OpenContext context);
-
-  inline  ::guavafield::wire::Gate::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::guavafield::wire::Gate>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Gate::ChallengeParams::Reader {
+class TableKnowledge::Reader {
 public:
-  typedef ChallengeParams Reads;
+  typedef TableKnowledge Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -977,8 +1025,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasClientNonce() const;
-  inline  ::capnp::Data::Reader getClientNonce() const;
+  inline bool getKnown() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline  ::uint64_t getContent() const;
+
+  inline  ::uint64_t getComplete() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -992,9 +1045,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::ChallengeParams::Builder {
+class TableKnowledge::Builder {
 public:
-  typedef ChallengeParams Builds;
+  typedef TableKnowledge Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1008,12 +1061,17 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasClientNonce();
-  inline  ::capnp::Data::Builder getClientNonce();
-  inline void setClientNonce( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initClientNonce(unsigned int size);
-  inline void adoptClientNonce(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownClientNonce();
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline  ::uint64_t getContent();
+  inline void setContent( ::uint64_t value);
+
+  inline  ::uint64_t getComplete();
+  inline void setComplete( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1025,9 +1083,9 @@
 };
 
 #if !CAPNP_LITE
-class Gate::ChallengeParams::Pipeline {
+class TableKnowledge::Pipeline {
 public:
-  typedef ChallengeParams Pipelines;
+  typedef TableKnowledge Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1041,9 +1099,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gate::ChallengeResults::Reader {
+class UpstreamWork::Reader {
 public:
-  typedef ChallengeResults Reads;
+  typedef UpstreamWork Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1058,11 +1116,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasServerNonce() const;
-  inline  ::capnp::Data::Reader getServerNonce() const;
+  inline  ::uint64_t getUpstream() const;
 
-  inline bool hasProof() const;
-  inline  ::capnp::Data::Reader getProof() const;
+  inline  ::uint32_t getWaitingTokens() const;
+
+  inline  ::uint32_t getRunning() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1076,9 +1134,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::ChallengeResults::Builder {
+class UpstreamWork::Builder {
 public:
-  typedef ChallengeResults Builds;
+  typedef UpstreamWork Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1092,19 +1150,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasServerNonce();
-  inline  ::capnp::Data::Builder getServerNonce();
-  inline void setServerNonce( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initServerNonce(unsigned int size);
-  inline void adoptServerNonce(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownServerNonce();
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
 
-  inline bool hasProof();
-  inline  ::capnp::Data::Builder getProof();
-  inline void setProof( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initProof(unsigned int size);
-  inline void adoptProof(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownProof();
+  inline  ::uint32_t getWaitingTokens();
+  inline void setWaitingTokens( ::uint32_t value);
+
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1116,9 +1169,9 @@
 };
 
 #if !CAPNP_LITE
-class Gate::ChallengeResults::Pipeline {
+class UpstreamWork::Pipeline {
 public:
-  typedef ChallengeResults Pipelines;
+  typedef UpstreamWork Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1132,9 +1185,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gate::OpenParams::Reader {
+class TeamCount::Reader {
 public:
-  typedef OpenParams Reads;
+  typedef TeamCount Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1149,8 +1202,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasProof() const;
-  inline  ::capnp::Data::Reader getProof() const;
+  inline  ::uint64_t getTeam() const;
+
+  inline  ::uint32_t getRequests() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1164,9 +1218,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::OpenParams::Builder {
+class TeamCount::Builder {
 public:
-  typedef OpenParams Builds;
+  typedef TeamCount Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1180,12 +1234,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasProof();
-  inline  ::capnp::Data::Builder getProof();
-  inline void setProof( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initProof(unsigned int size);
-  inline void adoptProof(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownProof();
+  inline  ::uint64_t getTeam();
+  inline void setTeam( ::uint64_t value);
+
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1197,9 +1250,9 @@
 };
 
 #if !CAPNP_LITE
-class Gate::OpenParams::Pipeline {
+class TeamCount::Pipeline {
 public:
-  typedef OpenParams Pipelines;
+  typedef TeamCount Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1213,9 +1266,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gate::OpenResults::Reader {
+class WindowCounts::Reader {
 public:
-  typedef OpenResults Reads;
+  typedef WindowCounts Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1230,10 +1283,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPeer() const;
-#if !CAPNP_LITE
-  inline  ::guavafield::wire::Peer::Client getPeer() const;
-#endif  // !CAPNP_LITE
+  inline  ::uint64_t getWindow() const;
+
+  inline bool hasTeams() const;
+  inline  ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>::Reader getTeams() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1247,9 +1300,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gate::OpenResults::Builder {
+class WindowCounts::Builder {
 public:
-  typedef OpenResults Builds;
+  typedef WindowCounts Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1263,14 +1316,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPeer();
-#if !CAPNP_LITE
-  inline  ::guavafield::wire::Peer::Client getPeer();
-  inline void setPeer( ::guavafield::wire::Peer::Client&& value);
-  inline void setPeer( ::guavafield::wire::Peer::Client& value);
-  inline void adoptPeer(::capnp::Orphan< ::guavafield::wire::Peer>&& value);
-  inline ::capnp::Orphan< ::guavafield::wire::Peer> disownPeer();
-#endif  // !CAPNP_LITE
+  inline  ::uint64_t getWindow();
+  inline void setWindow( ::uint64_t value);
+
+  inline bool hasTeams();
+  inline  ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>::Builder getTeams();
+  inline void setTeams( ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>::Builder initTeams(unsigned int size);
+  inline void adoptTeams(::capnp::Orphan< ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>> disownTeams();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1282,15 +1336,14 @@
 };
 
 #if !CAPNP_LITE
-class Gate::OpenResults::Pipeline {
+class WindowCounts::Pipeline {
 public:
-  typedef OpenResults Pipelines;
+  typedef WindowCounts Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::guavafield::wire::Peer::Client getPeer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1299,89 +1352,27 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Peer::Client
-    : public virtual ::capnp::Capability::Client {
+class BrokenRequest::Reader {
 public:
-  typedef Peer Calls;
-  typedef Peer Reads;
+  typedef BrokenRequest Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::guavafield::wire::Peer::ChangesParams,  ::guavafield::wire::Peer::ChangesResults> changesRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::guavafield::wire::Peer::SnapshotParams,  ::guavafield::wire::Peer::SnapshotResults> snapshotRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::guavafield::wire::Peer::StatusParams,  ::guavafield::wire::Peer::StatusResults> statusRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
-};
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-class Peer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Peer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::guavafield::wire::Peer::ChangesParams ChangesParams;
-  typedef  ::guavafield::wire::Peer::ChangesResults ChangesResults;
-  typedef ::capnp::CallContext<ChangesParams, ChangesResults> ChangesContext;
-  virtual ::kj::Promise<void> changes(ChangesContext context);
-  typedef  ::guavafield::wire::Peer::SnapshotParams SnapshotParams;
-  typedef  ::guavafield::wire::Peer::SnapshotResults SnapshotResults;
-  typedef ::capnp::CallContext<SnapshotParams, SnapshotResults> SnapshotContext;
-  virtual ::kj::Promise<void> snapshot(SnapshotContext context);
-  typedef  ::guavafield::wire::Peer::StatusParams StatusParams;
-  typedef  ::guavafield::wire::Peer::StatusResults StatusResults;
-  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
-  virtual ::kj::Promise<void> status(StatusContext context);
-
-  inline  ::guavafield::wire::Peer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::guavafield::wire::Peer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
+  inline  ::uint64_t getNumber() const;
 
-class Peer::ChangesParams::Reader {
-public:
-  typedef ChangesParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getAfter() const;
+  inline bool hasFingerprint() const;
+  inline  ::capnp::Data::Reader getFingerprint() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1395,9 +1386,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ChangesParams::Builder {
+class BrokenRequest::Builder {
 public:
-  typedef ChangesParams Builds;
+  typedef BrokenRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1411,8 +1402,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getAfter();
-  inline void setAfter( ::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasFingerprint();
+  inline  ::capnp::Data::Builder getFingerprint();
+  inline void setFingerprint( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initFingerprint(unsigned int size);
+  inline void adoptFingerprint(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownFingerprint();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1424,9 +1422,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ChangesParams::Pipeline {
+class BrokenRequest::Pipeline {
 public:
-  typedef ChangesParams Pipelines;
+  typedef BrokenRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1440,9 +1438,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::ChangesResults::Reader {
+class HostReport::Reader {
 public:
-  typedef ChangesResults Reads;
+  typedef HostReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1457,8 +1455,22 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPayload() const;
-  inline  ::capnp::Text::Reader getPayload() const;
+  inline  ::int64_t getWallMicroseconds() const;
+
+  inline bool hasDocument() const;
+  inline  ::guavafield::wire::TableKnowledge::Reader getDocument() const;
+
+  inline bool hasUpstreams() const;
+  inline  ::guavafield::wire::TableKnowledge::Reader getUpstreams() const;
+
+  inline bool hasWork() const;
+  inline  ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>::Reader getWork() const;
+
+  inline bool hasWindows() const;
+  inline  ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>::Reader getWindows() const;
+
+  inline bool hasBroken() const;
+  inline  ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>::Reader getBroken() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1472,9 +1484,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::ChangesResults::Builder {
+class HostReport::Builder {
 public:
-  typedef ChangesResults Builds;
+  typedef HostReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1488,12 +1500,43 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPayload();
-  inline  ::capnp::Text::Builder getPayload();
-  inline void setPayload( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPayload();
+  inline  ::int64_t getWallMicroseconds();
+  inline void setWallMicroseconds( ::int64_t value);
+
+  inline bool hasDocument();
+  inline  ::guavafield::wire::TableKnowledge::Builder getDocument();
+  inline void setDocument( ::guavafield::wire::TableKnowledge::Reader value);
+  inline  ::guavafield::wire::TableKnowledge::Builder initDocument();
+  inline void adoptDocument(::capnp::Orphan< ::guavafield::wire::TableKnowledge>&& value);
+  inline ::capnp::Orphan< ::guavafield::wire::TableKnowledge> disownDocument();
+
+  inline bool hasUpstreams();
+  inline  ::guavafield::wire::TableKnowledge::Builder getUpstreams();
+  inline void setUpstreams( ::guavafield::wire::TableKnowledge::Reader value);
+  inline  ::guavafield::wire::TableKnowledge::Builder initUpstreams();
+  inline void adoptUpstreams(::capnp::Orphan< ::guavafield::wire::TableKnowledge>&& value);
+  inline ::capnp::Orphan< ::guavafield::wire::TableKnowledge> disownUpstreams();
+
+  inline bool hasWork();
+  inline  ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>::Builder getWork();
+  inline void setWork( ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>::Builder initWork(unsigned int size);
+  inline void adoptWork(::capnp::Orphan< ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>> disownWork();
+
+  inline bool hasWindows();
+  inline  ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>::Builder getWindows();
+  inline void setWindows( ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>::Builder initWindows(unsigned int size);
+  inline void adoptWindows(::capnp::Orphan< ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>> disownWindows();
+
+  inline bool hasBroken();
+  inline  ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>::Builder getBroken();
+  inline void setBroken( ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>::Builder initBroken(unsigned int size);
+  inline void adoptBroken(::capnp::Orphan< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>> disownBroken();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1505,14 +1548,16 @@
 };
 
 #if !CAPNP_LITE
-class Peer::ChangesResults::Pipeline {
+class HostReport::Pipeline {
 public:
-  typedef ChangesResults Pipelines;
+  typedef HostReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::guavafield::wire::TableKnowledge::Pipeline getDocument();
+  inline  ::guavafield::wire::TableKnowledge::Pipeline getUpstreams();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1521,9 +1566,68 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SnapshotParams::Reader {
+#if !CAPNP_LITE
+class Gate::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef SnapshotParams Reads;
+  typedef Gate Calls;
+  typedef Gate Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::guavafield::wire::Gate::ChallengeParams,  ::guavafield::wire::Gate::ChallengeResults> challengeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::guavafield::wire::Gate::OpenParams,  ::guavafield::wire::Gate::OpenResults> openRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Gate::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Gate Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::guavafield::wire::Gate::ChallengeParams ChallengeParams;
+  typedef  ::guavafield::wire::Gate::ChallengeResults ChallengeResults;
+  typedef ::capnp::CallContext<ChallengeParams, ChallengeResults> ChallengeContext;
+  virtual ::kj::Promise<void> challenge(ChallengeContext context);
+  typedef  ::guavafield::wire::Gate::OpenParams OpenParams;
+  typedef  ::guavafield::wire::Gate::OpenResults OpenResults;
+  typedef ::capnp::CallContext<OpenParams, OpenResults> OpenContext;
+  virtual ::kj::Promise<void> open(OpenContext context);
+
+  inline  ::guavafield::wire::Gate::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::guavafield::wire::Gate>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Gate::ChallengeParams::Reader {
+public:
+  typedef ChallengeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1538,6 +1642,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasClientNonce() const;
+  inline  ::capnp::Data::Reader getClientNonce() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1550,9 +1657,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SnapshotParams::Builder {
+class Gate::ChallengeParams::Builder {
 public:
-  typedef SnapshotParams Builds;
+  typedef ChallengeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1566,6 +1673,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasClientNonce();
+  inline  ::capnp::Data::Builder getClientNonce();
+  inline void setClientNonce( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initClientNonce(unsigned int size);
+  inline void adoptClientNonce(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownClientNonce();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1576,9 +1690,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SnapshotParams::Pipeline {
+class Gate::ChallengeParams::Pipeline {
 public:
-  typedef SnapshotParams Pipelines;
+  typedef ChallengeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1592,9 +1706,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::SnapshotResults::Reader {
+class Gate::ChallengeResults::Reader {
 public:
-  typedef SnapshotResults Reads;
+  typedef ChallengeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1609,8 +1723,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPayload() const;
-  inline  ::capnp::Text::Reader getPayload() const;
+  inline bool hasServerNonce() const;
+  inline  ::capnp::Data::Reader getServerNonce() const;
+
+  inline bool hasProof() const;
+  inline  ::capnp::Data::Reader getProof() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1624,9 +1741,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::SnapshotResults::Builder {
+class Gate::ChallengeResults::Builder {
 public:
-  typedef SnapshotResults Builds;
+  typedef ChallengeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1640,12 +1757,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPayload();
-  inline  ::capnp::Text::Builder getPayload();
-  inline void setPayload( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPayload();
+  inline bool hasServerNonce();
+  inline  ::capnp::Data::Builder getServerNonce();
+  inline void setServerNonce( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initServerNonce(unsigned int size);
+  inline void adoptServerNonce(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownServerNonce();
+
+  inline bool hasProof();
+  inline  ::capnp::Data::Builder getProof();
+  inline void setProof( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initProof(unsigned int size);
+  inline void adoptProof(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownProof();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1657,9 +1781,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::SnapshotResults::Pipeline {
+class Gate::ChallengeResults::Pipeline {
 public:
-  typedef SnapshotResults Pipelines;
+  typedef ChallengeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1673,9 +1797,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::StatusParams::Reader {
+class Gate::OpenParams::Reader {
 public:
-  typedef StatusParams Reads;
+  typedef OpenParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1690,6 +1814,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasProof() const;
+  inline  ::capnp::Data::Reader getProof() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1702,9 +1829,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::StatusParams::Builder {
+class Gate::OpenParams::Builder {
 public:
-  typedef StatusParams Builds;
+  typedef OpenParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1718,6 +1845,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasProof();
+  inline  ::capnp::Data::Builder getProof();
+  inline void setProof( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initProof(unsigned int size);
+  inline void adoptProof(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownProof();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1728,9 +1862,9 @@
 };
 
 #if !CAPNP_LITE
-class Peer::StatusParams::Pipeline {
+class Gate::OpenParams::Pipeline {
 public:
-  typedef StatusParams Pipelines;
+  typedef OpenParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1744,9 +1878,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Peer::StatusResults::Reader {
+class Gate::OpenResults::Reader {
 public:
-  typedef StatusResults Reads;
+  typedef OpenResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1761,8 +1895,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPayload() const;
-  inline  ::capnp::Text::Reader getPayload() const;
+  inline bool hasPeer() const;
+#if !CAPNP_LITE
+  inline  ::guavafield::wire::Peer::Client getPeer() const;
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1776,9 +1912,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Peer::StatusResults::Builder {
+class Gate::OpenResults::Builder {
 public:
-  typedef StatusResults Builds;
+  typedef OpenResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1792,12 +1928,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPayload();
-  inline  ::capnp::Text::Builder getPayload();
-  inline void setPayload( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownPayload();
+  inline bool hasPeer();
+#if !CAPNP_LITE
+  inline  ::guavafield::wire::Peer::Client getPeer();
+  inline void setPeer( ::guavafield::wire::Peer::Client&& value);
+  inline void setPeer( ::guavafield::wire::Peer::Client& value);
+  inline void adoptPeer(::capnp::Orphan< ::guavafield::wire::Peer>&& value);
+  inline ::capnp::Orphan< ::guavafield::wire::Peer> disownPeer();
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1809,14 +1947,15 @@
 };
 
 #if !CAPNP_LITE
-class Peer::StatusResults::Pipeline {
+class Gate::OpenResults::Pipeline {
 public:
-  typedef StatusResults Pipelines;
+  typedef OpenResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::guavafield::wire::Peer::Client getPeer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
