@@ -1825,733 +1964,1714 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+#if !CAPNP_LITE
+class Peer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Peer Calls;
+  typedef Peer Reads;
 
-inline bool Member::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Member::Builder::hasId() {
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::guavafield::wire::Peer::ChangesParams,  ::guavafield::wire::Peer::ChangesResults> changesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::guavafield::wire::Peer::SnapshotParams,  ::guavafield::wire::Peer::SnapshotResults> snapshotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::guavafield::wire::Peer::StatusParams,  ::guavafield::wire::Peer::StatusResults> statusRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Peer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Peer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::guavafield::wire::Peer::ChangesParams ChangesParams;
+  typedef  ::guavafield::wire::Peer::ChangesResults ChangesResults;
+  typedef ::capnp::CallContext<ChangesParams, ChangesResults> ChangesContext;
+  virtual ::kj::Promise<void> changes(ChangesContext context);
+  typedef  ::guavafield::wire::Peer::SnapshotParams SnapshotParams;
+  typedef  ::guavafield::wire::Peer::SnapshotResults SnapshotResults;
+  typedef ::capnp::CallContext<SnapshotParams, SnapshotResults> SnapshotContext;
+  virtual ::kj::Promise<void> snapshot(SnapshotContext context);
+  typedef  ::guavafield::wire::Peer::StatusParams StatusParams;
+  typedef  ::guavafield::wire::Peer::StatusResults StatusResults;
+  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
+  virtual ::kj::Promise<void> status(StatusContext context);
+
+  inline  ::guavafield::wire::Peer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::guavafield::wire::Peer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ChangesParams::Reader {
+public:
+  typedef ChangesParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAfter() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ChangesParams::Builder {
+public:
+  typedef ChangesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getAfter();
+  inline void setAfter( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ChangesParams::Pipeline {
+public:
+  typedef ChangesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::ChangesResults::Reader {
+public:
+  typedef ChangesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPayload() const;
+  inline  ::capnp::Text::Reader getPayload() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::ChangesResults::Builder {
+public:
+  typedef ChangesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPayload();
+  inline  ::capnp::Text::Builder getPayload();
+  inline void setPayload( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPayload();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::ChangesResults::Pipeline {
+public:
+  typedef ChangesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::SnapshotParams::Reader {
+public:
+  typedef SnapshotParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SnapshotParams::Builder {
+public:
+  typedef SnapshotParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SnapshotParams::Pipeline {
+public:
+  typedef SnapshotParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::SnapshotResults::Reader {
+public:
+  typedef SnapshotResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPayload() const;
+  inline  ::capnp::Text::Reader getPayload() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SnapshotResults::Builder {
+public:
+  typedef SnapshotResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPayload();
+  inline  ::capnp::Text::Builder getPayload();
+  inline void setPayload( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPayload();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SnapshotResults::Pipeline {
+public:
+  typedef SnapshotResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::StatusParams::Reader {
+public:
+  typedef StatusParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::StatusParams::Builder {
+public:
+  typedef StatusParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::StatusParams::Pipeline {
+public:
+  typedef StatusParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::StatusResults::Reader {
+public:
+  typedef StatusResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPayload() const;
+  inline  ::capnp::Text::Reader getPayload() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::StatusResults::Builder {
+public:
+  typedef StatusResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPayload();
+  inline  ::capnp::Text::Builder getPayload();
+  inline void setPayload( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPayload();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::StatusResults::Pipeline {
+public:
+  typedef StatusResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Member::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Member::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Member::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Member::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Member::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Member::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Member::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Member::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Member::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Member::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Member::Reader::getAddressHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getAddressHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setAddressHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Member::Reader::getAddressLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Member::Builder::getAddressLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setAddressLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Member::Reader::getRefutation() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Member::Builder::getRefutation() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setRefutation( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Member::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Member::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Member::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<38>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Member::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<38>() * ::capnp::ELEMENTS);
+}
+inline void Member::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<38>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashRecord::Reader::hasFingerprint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashRecord::Builder::hasFingerprint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader CrashRecord::Reader::getFingerprint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder CrashRecord::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashRecord::Builder::setFingerprint( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder CrashRecord::Builder::initFingerprint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashRecord::Builder::adoptFingerprint(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> CrashRecord::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CrashRecord::Reader::getRemainingMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashRecord::Builder::getRemainingMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashRecord::Builder::setRemainingMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TeamDemand::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TeamDemand::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TeamDemand::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TeamDemand::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TeamDemand::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TeamDemand::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TeamDemand::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TeamDemand::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float TeamDemand::Reader::getTokensPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float TeamDemand::Builder::getTokensPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TeamDemand::Builder::setTokensPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DemandReport::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DemandReport::Builder::hasHost() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getId() const {
+inline  ::capnp::Text::Reader DemandReport::Reader::getHost() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getId() {
+inline  ::capnp::Text::Builder DemandReport::Builder::getHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setId( ::capnp::Text::Reader value) {
+inline void DemandReport::Builder::setHost( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder DemandReport::Builder::initHost(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptId(
+inline void DemandReport::Builder::adoptHost(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> DemandReport::Builder::disownHost() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Member::Reader::hasDataCentre() const {
+inline  ::uint32_t DemandReport::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t DemandReport::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void DemandReport::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool DemandReport::Reader::hasTeams() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Member::Builder::hasDataCentre() {
+inline bool DemandReport::Builder::hasTeams() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Member::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader DemandReport::Reader::getTeams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Member::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder DemandReport::Builder::getTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Member::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void DemandReport::Builder::setTeams( ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Member::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder DemandReport::Builder::initTeams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Member::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void DemandReport::Builder::adoptTeams(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Member::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>> DemandReport::Builder::disownTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Member::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint8_t Datagram::Reader::getFormat() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t Datagram::Builder::getFormat() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Datagram::Builder::setFormat( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Member::Reader::getRevision() const {
+inline  ::uint8_t Datagram::Reader::getKind() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Datagram::Builder::getKind() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setKind( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::getHasRevision() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool Datagram::Builder::getHasRevision() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setHasRevision(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Datagram::Reader::getProbe() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Datagram::Builder::getProbe() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setProbe( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Datagram::Reader::getCounter() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Builder::getRevision() {
+inline  ::uint64_t Datagram::Builder::getCounter() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setRevision( ::uint64_t value) {
+inline void Datagram::Builder::setCounter( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Member::Reader::getAddressHigh() const {
+inline  ::uint64_t Datagram::Reader::getRecipient() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Builder::getAddressHigh() {
+inline  ::uint64_t Datagram::Builder::getRecipient() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setAddressHigh( ::uint64_t value) {
+inline void Datagram::Builder::setRecipient( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Member::Reader::getAddressLow() const {
+inline  ::uint64_t Datagram::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Member::Builder::getAddressLow() {
+inline  ::uint64_t Datagram::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setAddressLow( ::uint64_t value) {
+inline void Datagram::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Member::Reader::getRefutation() const {
+inline  ::uint32_t Datagram::Reader::getRevisionAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Member::Builder::getRefutation() {
+inline  ::uint32_t Datagram::Builder::getRevisionAgeMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setRefutation( ::uint32_t value) {
+inline void Datagram::Builder::setRevisionAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Member::Reader::getPort() const {
+inline  ::uint16_t Datagram::Reader::getTargetPort() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<18>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Member::Builder::getPort() {
+inline  ::uint16_t Datagram::Builder::getTargetPort() {
   return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<18>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setPort( ::uint16_t value) {
+inline void Datagram::Builder::setTargetPort( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Member::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<38>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Datagram::Reader::getTargetHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Member::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<38>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Datagram::Builder::getTargetHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Member::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<38>() * ::capnp::ELEMENTS, value);
+inline void Datagram::Builder::setTargetHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Datagram::Reader::getTargetLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Builder::getTargetLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setTargetLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Datagram::Reader::getTargetTag() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Datagram::Builder::getTargetTag() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Datagram::Builder::setTargetTag( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Datagram::Reader::hasSelf() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasSelf() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::guavafield::wire::Member::Reader Datagram::Reader::getSelf() const {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::guavafield::wire::Member::Builder Datagram::Builder::getSelf() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::guavafield::wire::Member::Pipeline Datagram::Pipeline::getSelf() {
+  return  ::guavafield::wire::Member::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Datagram::Builder::setSelf( ::guavafield::wire::Member::Reader value) {
+  ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::guavafield::wire::Member::Builder Datagram::Builder::initSelf() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::adoptSelf(
+    ::capnp::Orphan< ::guavafield::wire::Member>&& value) {
+  ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::guavafield::wire::Member> Datagram::Builder::disownSelf() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Datagram::Reader::hasUpdates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Datagram::Builder::hasUpdates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getUpdates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setUpdates( ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptUpdates(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownUpdates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool CrashRecord::Reader::hasFingerprint() const {
+inline bool Datagram::Reader::hasWithdrawals() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashRecord::Builder::hasFingerprint() {
+inline bool Datagram::Builder::hasWithdrawals() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader CrashRecord::Reader::getFingerprint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder CrashRecord::Builder::getFingerprint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void CrashRecord::Builder::setFingerprint( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Datagram::Reader::getWithdrawals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder CrashRecord::Builder::initFingerprint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::getWithdrawals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void CrashRecord::Builder::adoptFingerprint(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Datagram::Builder::setWithdrawals( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan< ::capnp::Data> CrashRecord::Builder::disownFingerprint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Datagram::Builder::setWithdrawals(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t CrashRecord::Reader::getRemainingMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::initWithdrawals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t CrashRecord::Builder::getRemainingMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Datagram::Builder::adoptWithdrawals(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void CrashRecord::Builder::setRemainingMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Datagram::Builder::disownWithdrawals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool TeamDemand::Reader::hasTeam() const {
+inline bool Datagram::Reader::hasCrashes() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool TeamDemand::Builder::hasTeam() {
+inline bool Datagram::Builder::hasCrashes() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TeamDemand::Reader::getTeam() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TeamDemand::Builder::getTeam() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void TeamDemand::Builder::setTeam( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Datagram::Builder::setCrashes( ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TeamDemand::Builder::initTeam(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void TeamDemand::Builder::adoptTeam(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Datagram::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TeamDemand::Builder::disownTeam() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline float TeamDemand::Reader::getTokensPerSecond() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Datagram::Reader::hasDemand() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-
-inline float TeamDemand::Builder::getTokensPerSecond() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Datagram::Builder::hasDemand() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void TeamDemand::Builder::setTokensPerSecond(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getDemand() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Datagram::Builder::setDemand( ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initDemand(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Datagram::Builder::adoptDemand(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool DemandReport::Reader::hasHost() const {
+inline bool Datagram::Reader::hasCursor() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool DemandReport::Builder::hasHost() {
+inline bool Datagram::Builder::hasCursor() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader DemandReport::Reader::getHost() const {
+inline  ::capnp::Text::Reader Datagram::Reader::getCursor() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder DemandReport::Builder::getHost() {
+inline  ::capnp::Text::Builder Datagram::Builder::getCursor() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void DemandReport::Builder::setHost( ::capnp::Text::Reader value) {
+inline void Datagram::Builder::setCursor( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder DemandReport::Builder::initHost(unsigned int size) {
+inline  ::capnp::Text::Builder Datagram::Builder::initCursor(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void DemandReport::Builder::adoptHost(
+inline void Datagram::Builder::adoptCursor(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> DemandReport::Builder::disownHost() {
+inline ::capnp::Orphan< ::capnp::Text> Datagram::Builder::disownCursor() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t DemandReport::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t DemandReport::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void DemandReport::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool DemandReport::Reader::hasTeams() const {
+inline bool Datagram::Reader::hasReport() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool DemandReport::Builder::hasTeams() {
+inline bool Datagram::Builder::hasReport() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader DemandReport::Reader::getTeams() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder DemandReport::Builder::getTeams() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void DemandReport::Builder::setTeams( ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>::Builder DemandReport::Builder::initTeams(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void DemandReport::Builder::adoptTeams(
-    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>> DemandReport::Builder::disownTeams() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::guavafield::wire::HostReport::Reader Datagram::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::HostReport>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t Datagram::Reader::getFormat() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::guavafield::wire::HostReport::Builder Datagram::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::HostReport>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t Datagram::Builder::getFormat() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::guavafield::wire::HostReport::Pipeline Datagram::Pipeline::getReport() {
+  return  ::guavafield::wire::HostReport::Pipeline(_typeless.getPointerField(6));
 }
-inline void Datagram::Builder::setFormat( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void Datagram::Builder::setReport( ::guavafield::wire::HostReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::guavafield::wire::HostReport>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint8_t Datagram::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::guavafield::wire::HostReport::Builder Datagram::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::HostReport>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-
-inline  ::uint8_t Datagram::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Datagram::Builder::adoptReport(
+    ::capnp::Orphan< ::guavafield::wire::HostReport>&& value) {
+  ::capnp::_::PointerHelpers< ::guavafield::wire::HostReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Datagram::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::guavafield::wire::HostReport> Datagram::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::HostReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::getHasRevision() const {
+inline bool TableKnowledge::Reader::getKnown() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Datagram::Builder::getHasRevision() {
+inline bool TableKnowledge::Builder::getKnown() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setHasRevision(bool value) {
+inline void TableKnowledge::Builder::setKnown(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Datagram::Reader::getProbe() const {
+inline  ::uint32_t TableKnowledge::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Datagram::Builder::getProbe() {
+inline  ::uint32_t TableKnowledge::Builder::getAgeMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setProbe( ::uint32_t value) {
+inline void TableKnowledge::Builder::setAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Datagram::Reader::getCounter() const {
+inline  ::uint64_t TableKnowledge::Reader::getContent() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Datagram::Builder::getCounter() {
+inline  ::uint64_t TableKnowledge::Builder::getContent() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setCounter( ::uint64_t value) {
+inline void TableKnowledge::Builder::setContent( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Datagram::Reader::getRecipient() const {
+inline  ::uint64_t TableKnowledge::Reader::getComplete() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Datagram::Builder::getRecipient() {
+inline  ::uint64_t TableKnowledge::Builder::getComplete() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setRecipient( ::uint64_t value) {
+inline void TableKnowledge::Builder::setComplete( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Datagram::Reader::getRevision() const {
+inline  ::uint64_t UpstreamWork::Reader::getUpstream() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Datagram::Builder::getRevision() {
+inline  ::uint64_t UpstreamWork::Builder::getUpstream() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setRevision( ::uint64_t value) {
+inline void UpstreamWork::Builder::setUpstream( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Datagram::Reader::getRevisionAgeMs() const {
+inline  ::uint32_t UpstreamWork::Reader::getWaitingTokens() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Datagram::Builder::getRevisionAgeMs() {
+inline  ::uint32_t UpstreamWork::Builder::getWaitingTokens() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setRevisionAgeMs( ::uint32_t value) {
+inline void UpstreamWork::Builder::setWaitingTokens( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Datagram::Reader::getTargetPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+inline  ::uint32_t UpstreamWork::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Datagram::Builder::getTargetPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+inline  ::uint32_t UpstreamWork::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setTargetPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+inline void UpstreamWork::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Datagram::Reader::getTargetHigh() const {
+inline  ::uint64_t TeamCount::Reader::getTeam() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Datagram::Builder::getTargetHigh() {
+inline  ::uint64_t TeamCount::Builder::getTeam() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setTargetHigh( ::uint64_t value) {
+inline void TeamCount::Builder::setTeam( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Datagram::Reader::getTargetLow() const {
+inline  ::uint32_t TeamCount::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TeamCount::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TeamCount::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t WindowCounts::Reader::getWindow() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Datagram::Builder::getTargetLow() {
+inline  ::uint64_t WindowCounts::Builder::getWindow() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setTargetLow( ::uint64_t value) {
+inline void WindowCounts::Builder::setWindow( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Datagram::Reader::getTargetTag() const {
+inline bool WindowCounts::Reader::hasTeams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WindowCounts::Builder::hasTeams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>::Reader WindowCounts::Reader::getTeams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>::Builder WindowCounts::Builder::getTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WindowCounts::Builder::setTeams( ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>::Builder WindowCounts::Builder::initTeams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void WindowCounts::Builder::adoptTeams(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>> WindowCounts::Builder::disownTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::TeamCount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t BrokenRequest::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Datagram::Builder::getTargetTag() {
+inline  ::uint64_t BrokenRequest::Builder::getNumber() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Datagram::Builder::setTargetTag( ::uint64_t value) {
+inline void BrokenRequest::Builder::setNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Datagram::Reader::hasSelf() const {
+inline bool BrokenRequest::Reader::hasFingerprint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasSelf() {
+inline bool BrokenRequest::Builder::hasFingerprint() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::guavafield::wire::Member::Reader Datagram::Reader::getSelf() const {
-  return ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader BrokenRequest::Reader::getFingerprint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::guavafield::wire::Member::Builder Datagram::Builder::getSelf() {
-  return ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder BrokenRequest::Builder::getFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BrokenRequest::Builder::setFingerprint( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder BrokenRequest::Builder::initFingerprint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void BrokenRequest::Builder::adoptFingerprint(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> BrokenRequest::Builder::disownFingerprint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t HostReport::Reader::getWallMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HostReport::Builder::getWallMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HostReport::Builder::setWallMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HostReport::Reader::hasDocument() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostReport::Builder::hasDocument() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::guavafield::wire::TableKnowledge::Reader HostReport::Reader::getDocument() const {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::guavafield::wire::TableKnowledge::Builder HostReport::Builder::getDocument() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::guavafield::wire::Member::Pipeline Datagram::Pipeline::getSelf() {
-  return  ::guavafield::wire::Member::Pipeline(_typeless.getPointerField(0));
+inline  ::guavafield::wire::TableKnowledge::Pipeline HostReport::Pipeline::getDocument() {
+  return  ::guavafield::wire::TableKnowledge::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Datagram::Builder::setSelf( ::guavafield::wire::Member::Reader value) {
-  ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::set(_builder.getPointerField(
+inline void HostReport::Builder::setDocument( ::guavafield::wire::TableKnowledge::Reader value) {
+  ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::guavafield::wire::Member::Builder Datagram::Builder::initSelf() {
-  return ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::init(_builder.getPointerField(
+inline  ::guavafield::wire::TableKnowledge::Builder HostReport::Builder::initDocument() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::adoptSelf(
-    ::capnp::Orphan< ::guavafield::wire::Member>&& value) {
-  ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::adopt(_builder.getPointerField(
+inline void HostReport::Builder::adoptDocument(
+    ::capnp::Orphan< ::guavafield::wire::TableKnowledge>&& value) {
+  ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::guavafield::wire::Member> Datagram::Builder::disownSelf() {
-  return ::capnp::_::PointerHelpers< ::guavafield::wire::Member>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::guavafield::wire::TableKnowledge> HostReport::Builder::disownDocument() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::hasUpdates() const {
+inline bool HostReport::Reader::hasUpstreams() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasUpdates() {
+inline bool HostReport::Builder::hasUpstreams() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getUpdates() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::guavafield::wire::TableKnowledge::Reader HostReport::Reader::getUpstreams() const {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::guavafield::wire::TableKnowledge::Builder HostReport::Builder::getUpstreams() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setUpdates( ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::guavafield::wire::TableKnowledge::Pipeline HostReport::Pipeline::getUpstreams() {
+  return  ::guavafield::wire::TableKnowledge::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void HostReport::Builder::setUpstreams( ::guavafield::wire::TableKnowledge::Reader value) {
+  ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initUpdates(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::guavafield::wire::TableKnowledge::Builder HostReport::Builder::initUpstreams() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::adoptUpdates(
-    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void HostReport::Builder::adoptUpstreams(
+    ::capnp::Orphan< ::guavafield::wire::TableKnowledge>&& value) {
+  ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Member,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::guavafield::wire::TableKnowledge> HostReport::Builder::disownUpstreams() {
+  return ::capnp::_::PointerHelpers< ::guavafield::wire::TableKnowledge>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::hasWithdrawals() const {
+inline bool HostReport::Reader::hasWork() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasWithdrawals() {
+inline bool HostReport::Builder::hasWork() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Datagram::Reader::getWithdrawals() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>::Reader HostReport::Reader::getWork() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::getWithdrawals() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::getWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setWithdrawals( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline void Datagram::Builder::setWithdrawals(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void HostReport::Builder::setWork( ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Datagram::Builder::initWithdrawals(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::initWork(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Datagram::Builder::adoptWithdrawals(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+inline void HostReport::Builder::adoptWork(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Datagram::Builder::disownWithdrawals() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>> HostReport::Builder::disownWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::UpstreamWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::hasCrashes() const {
+inline bool HostReport::Reader::hasWindows() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasCrashes() {
+inline bool HostReport::Builder::hasWindows() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getCrashes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>::Reader HostReport::Reader::getWindows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::getWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setCrashes( ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void HostReport::Builder::setWindows( ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initCrashes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::initWindows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Datagram::Builder::adoptCrashes(
-    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void HostReport::Builder::adoptWindows(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownCrashes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>> HostReport::Builder::disownWindows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::WindowCounts,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::hasDemand() const {
+inline bool HostReport::Reader::hasBroken() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Datagram::Builder::hasDemand() {
+inline bool HostReport::Builder::hasBroken() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>::Reader Datagram::Reader::getDemand() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>::Reader HostReport::Reader::getBroken() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::getDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::getBroken() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Datagram::Builder::setDemand( ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void HostReport::Builder::setBroken( ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>::Builder Datagram::Builder::initDemand(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::initBroken(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Datagram::Builder::adoptDemand(
-    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void HostReport::Builder::adoptBroken(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>> Datagram::Builder::disownDemand() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::DemandReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>> HostReport::Builder::disownBroken() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool Datagram::Reader::hasCursor() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline bool Datagram::Builder::hasCursor() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Datagram::Reader::getCursor() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Datagram::Builder::getCursor() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void Datagram::Builder::setCursor( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Datagram::Builder::initCursor(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
-}
-inline void Datagram::Builder::adoptCursor(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Datagram::Builder::disownCursor() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/guavafield/protocol/peer/peer_codec.cpp
+++ b/src/guavafield/protocol/peer/peer_codec.cpp
@@ -21,7 +21,7 @@
 // Separates the authentication of datagrams from other uses of the fleet secret.
 constexpr std::string_view codeContext = "guavafield datagram 1:";
 // Packing can unfold a small datagram to a large message; a genuine one has fewer words than this.
-constexpr std::uint64_t maxMessageWords = 1024;
+constexpr std::uint64_t maxMessageWords = 2048;
 constexpr std::size_t maxIdBytes = 64;
 constexpr std::size_t maxListItems = 64;
 
@@ -86,6 +86,45 @@
     }
 }
 
+void write(const std::optional<TableKnowledge> &knowledge, wire::TableKnowledge::Builder builder)
+{
+    if (knowledge) {
+        builder.setKnown(true);
+        builder.setAgeMs(toWire(knowledge->age));
+        builder.setContent(knowledge->content);
+        builder.setComplete(knowledge->complete);
+    }
+}
+
+void write(const HostReport &report, wire::HostReport::Builder builder)
+{
+    builder.setWallMicroseconds(std::chrono::duration_cast<std::chrono::microseconds>(report.wall.time_since_epoch()).count());
+    write(report.document, builder.initDocument());
+    write(report.upstreams, builder.initUpstreams());
+    auto work = builder.initWork(static_cast<unsigned>(report.work.size()));
+    for (unsigned n = 0; n < work.size(); ++n) {
+        work[n].setUpstream(report.work[n].upstream);
+        work[n].setWaitingTokens(report.work[n].waitingTokens);
+        work[n].setRunning(report.work[n].running);
+    }
+    auto windows = builder.initWindows(static_cast<unsigned>(report.windows.size()));
+    for (unsigned n = 0; n < windows.size(); ++n) {
+        const auto &counts = report.windows[n].teams;
+        windows[n].setWindow(report.windows[n].window);
+        auto teams = windows[n].initTeams(static_cast<unsigned>(counts.size()));
+        for (unsigned k = 0; k < teams.size(); ++k) {
+            teams[k].setTeam(counts[k].team);
+            teams[k].setRequests(counts[k].requests);
+        }
+    }
+    auto broken = builder.initBroken(static_cast<unsigned>(report.broken.size()));
+    for (unsigned n = 0; n < broken.size(); ++n) {
+        const auto &fingerprint = report.broken[n].fingerprint;
+        broken[n].setNumber(report.broken[n].number);
+        broken[n].setFingerprint(kj::arrayPtr(fingerprint.data(), fingerprint.size()));
+    }
+}
+
 void write(const PeerMessage &message, wire::Datagram::Builder builder)
 {
     builder.setFormat(datagramFormat);
@@ -105,6 +144,9 @@
     if (!message.cursor.empty()) {
         builder.setCursor(message.cursor);
     }
+    if (message.report) {
+        write(*message.report, builder.initReport());
+    }
     write(message.self, builder.initSelf());
     writeLists(message, builder);
 }
@@ -163,12 +205,47 @@
     return report;
 }
 
+Digest readFingerprint(capnp::Data::Reader bytes)
+{
+    Digest fingerprint{};
+    require(bytes.size() == fingerprint.size(), "fingerprint has a wrong size");
+    std::ranges::copy(bytes, fingerprint.begin());
+    return fingerprint;
+}
+
+std::optional<TableKnowledge> readKnowledge(wire::TableKnowledge::Reader reader)
+{
+    if (!reader.getKnown()) {
+        return std::nullopt;
+    }
+    return TableKnowledge{reader.getContent(), reader.getComplete(), Milliseconds(reader.getAgeMs())};
+}
+
+HostReport readReport(wire::HostReport::Reader reader)
+{
+    HostReport report;
+    report.wall = WallTime{std::chrono::microseconds{reader.getWallMicroseconds()}};
+    report.document = readKnowledge(reader.getDocument());
+    report.upstreams = readKnowledge(reader.getUpstreams());
+    for (const auto it : reader.getWork()) {
+        report.work.push_back({it.getUpstream(), it.getWaitingTokens(), it.getRunning()});
+    }
+    for (const auto it : limited(reader.getWindows())) {
+        auto &window = report.windows.emplace_back(WindowCounts{it.getWindow(), {}});
+        for (const auto team : it.getTeams()) {
+            window.teams.push_back({team.getTeam(), team.getRequests()});
+        }
+    }
+    for (const auto it : limited(reader.getBroken())) {
+        report.broken.push_back({it.getNumber(), readFingerprint(it.getFingerprint())});
+    }
+    return report;
+}
+
 CrashRecord readCrash(wire::CrashRecord::Reader reader)
 {
     CrashRecord record;
-    const auto fingerprint = reader.getFingerprint();
-    require(fingerprint.size() == record.fingerprint.size(), "fingerprint has a wrong size");
-    std::ranges::copy(fingerprint, record.fingerprint.begin());
+    record.fingerprint = readFingerprint(reader.getFingerprint());
     record.remaining = Milliseconds(reader.getRemainingMs());
     return record;
 }
@@ -189,6 +266,10 @@
     if (reader.getHasRevision()) {
         message.newestRevision = RevisionKnowledge{reader.getRevision(), Milliseconds(reader.getRevisionAgeMs())};
     }
+    require(reader.hasReport() == (message.kind == PeerMessageKind::Report), "a report is missing or not expected");
+    if (reader.hasReport()) {
+        message.report = readReport(reader.getReport());
+    }
     for (const auto it : limited(reader.getUpdates())) {
         message.updates.push_back(readMember(it));
     }
@@ -211,10 +292,11 @@
     capnp::word scratch[256] = {};
     capnp::MallocMessageBuilder builder(kj::ArrayPtr<capnp::word>(scratch, 256));
     write(message, builder.initRoot<wire::Datagram>());
-    kj::VectorOutputStream packed(maxDatagramBytes);
+    const auto limit = message.kind == PeerMessageKind::Report ? maxReportBytes : maxDatagramBytes;
+    kj::VectorOutputStream packed(limit);
     capnp::writePackedMessage(packed, builder);
     const auto content = packed.getArray();
-    if (content.size() + codeBytes > maxDatagramBytes) {
+    if (content.size() + codeBytes > limit) {
         return fail(ResultCode::PeerMessageInvalid, "the datagram is too large");
     }
     const auto digest = code({content.begin(), content.size()});
@@ -225,7 +307,7 @@
 
 Result<PeerMessage> PeerCodec::decode(std::span<const std::uint8_t> datagram) const
 {
-    if (datagram.size() <= codeBytes || datagram.size() > maxDatagramBytes) {
+    if (datagram.size() <= codeBytes || datagram.size() > maxReportBytes) {
         return fail(ResultCode::PeerMessageInvalid, "the datagram has an invalid size");
     }
     const auto content = datagram.subspan(codeBytes);
--- a/src/guavafield/protocol/settings/daemon_settings.hpp
+++ b/src/guavafield/protocol/settings/daemon_settings.hpp
@@ -38,6 +38,8 @@
     std::uint16_t callerPort{8080};
     std::uint16_t operatorPort{8081};
     std::uint16_t peerPort{8082};
+    // Path on the operators' port at which a load balancer asks whether the host is ready, besides /readyz.
+    std::string readyPath{"/readyz"};
 };
 
 struct LimitSettings
@@ -65,11 +67,25 @@
     Milliseconds loadPollInterval{1'000};
 };
 
+/*! @brief Which platform the hosts run on. */
+enum class PlatformKind : std::uint8_t {
+    // The product's own interface.
+    Own,
+    // The machines' platform, through the adapter in platform/.
+    Machines,
+};
+
 struct PlatformSettings
 {
+    PlatformKind kind{PlatformKind::Own};
     // Empty: the daemon runs without the platform.
     std::string address;
     std::uint16_t port{8090};
+    // Of the machines' platform: where usage reports and orders go; empty: there are none.
+    SocketAddress duties;
+    // Least time between the calls of two hosts that hold the duties.
+    Milliseconds holderGap{3'000};
+    std::uint32_t usageWindowSeconds{5};
 };
 
 struct PeerSettings
--- a/src/guavafield/protocol/settings/settings_table.cpp
+++ b/src/guavafield/protocol/settings/settings_table.cpp
@@ -109,6 +109,70 @@
     return {section, key, SettingKind::Integer, "ms", least, maxMilliseconds, false, text, assign, format};
 }
 
+// Sets the address that all listeners share and one of the ports.
+template <typename Port>
+SettingInfo listenRow(std::string_view key, std::string_view text, Port port)
+{
+    const auto assign = [port](DaemonSettings &settings, std::string_view value) {
+        SocketAddress address;
+        const bool valid = readSocketAddress(value, address);
+        settings.listen.address = address.address;
+        port(settings) = address.port;
+        return valid;
+    };
+    const auto format = [](const DaemonSettings &) { return std::string(); };
+    return {"listen", key, SettingKind::SocketAddresses, {}, 0, 0, false, text, assign, format};
+}
+
+SettingInfo platformKindRow()
+{
+    constexpr std::array<std::string_view, 2> names{"own", "machines"};
+    const auto assign = [names](DaemonSettings &settings, std::string_view value) {
+        const auto it = std::ranges::find(names, value);
+        settings.platform.kind = it == names.begin() ? PlatformKind::Own : PlatformKind::Machines;
+        return it != names.end();
+    };
+    const auto format = [names](const DaemonSettings &settings) { return std::string(names[static_cast<std::size_t>(settings.platform.kind)]); };
+    return {"platform", "kind", SettingKind::PlatformKind, {}, 0, 0, false, "interface of the platform", assign, format};
+}
+
+SettingInfo platformEndpointRow()
+{
+    const auto assign = [](DaemonSettings &settings, std::string_view value) {
+        SocketAddress address;
+        const bool valid = readSocketAddress(value, address);
+        settings.platform.address = address.address;
+        settings.platform.port = address.port;
+        return valid;
+    };
+    const auto format = [](const DaemonSettings &) { return std::string(); };
+    return {"platform", "endpoint", SettingKind::SocketAddresses, {}, 0, 0, false, "address and port of the platform in one", assign, format};
+}
+
+SettingInfo dutiesRow()
+{
+    const auto assign = [](DaemonSettings &settings, std::string_view value) { return readSocketAddress(value, settings.platform.duties); };
+    const auto format = [](const DaemonSettings &) { return std::string(); };
+    return {"platform", "duties", SettingKind::SocketAddresses, {}, 0, 0, false, "machines: where usage reports and orders go", assign, format};
+}
+
+SettingInfo graceRow()
+{
+    // Part of the time for which the load balancer may still send connections, and what is left at the end for a clean exit.
+    constexpr double listenPart = 0.4;
+    static constexpr Milliseconds exitTime{700};
+    const auto assign = [](DaemonSettings &settings, std::string_view value) {
+        double seconds = 0;
+        const bool valid = readNumber(value, seconds) && seconds >= 1 && seconds * 1'000 <= maxMilliseconds;
+        const Milliseconds grace{static_cast<Milliseconds::rep>(seconds * 1'000)};
+        settings.shutdown.stopLimit = grace - exitTime;
+        settings.shutdown.listenTime = Milliseconds{static_cast<Milliseconds::rep>(seconds * 1'000 * listenPart)};
+        return valid;
+    };
+    const auto format = [](const DaemonSettings &) { return std::string(); };
+    return {"shutdown", "grace_s", SettingKind::FractionalSeconds, "s", 0, 0, false, "time from SIGTERM to SIGKILL; sets the two other times", assign, format};
+}
+
 SettingInfo seedsRow()
 {
     const auto assign = [](DaemonSettings &settings, std::string_view value) {
@@ -137,7 +201,7 @@
         return it != logLevelNames.end();
     };
     const auto format = [](const DaemonSettings &settings) { return std::string(logLevelNames[static_cast<std::size_t>(settings.log.level)]); };
-    return {"log", "level", SettingKind::LogLevel, {}, 0, 0, false, "least severity of the lines on standard error", assign, format};
+    return {"log", "level", SettingKind::LogLevel, {}, 0, 0, false, "least severity of the lines on standard output", assign, format};
 }
 
 // Gives the member as a reference, const for const settings.
@@ -157,6 +221,10 @@
         integerRow("listen", "caller_port", {}, 0, maxPort, "port for callers; 0 lets the system choose", GUAVAFIELD_MEMBER(listen.callerPort)),
         integerRow("listen", "operator_port", {}, 0, maxPort, "port for operators and metrics", GUAVAFIELD_MEMBER(listen.operatorPort)),
         integerRow("listen", "peer_port", {}, 0, maxPort, "port for peers, UDP and TCP", GUAVAFIELD_MEMBER(listen.peerPort)),
+        listenRow("callers", "address and port for callers in one", [](DaemonSettings &it) -> auto & { return it.listen.callerPort; }),
+        listenRow("operators", "address and port for operators in one", [](DaemonSettings &it) -> auto & { return it.listen.operatorPort; }),
+        listenRow("peers", "address and port for peers in one", [](DaemonSettings &it) -> auto & { return it.listen.peerPort; }),
+        textRow("listen", "ready_path", Text, false, "path of the readiness check, besides /readyz", GUAVAFIELD_MEMBER(listen.readyPath)),
         integerRow("limits", "header_bytes", "bytes", 1024, mebibyte, "size of a request header", GUAVAFIELD_MEMBER(limits.headerBytes)),
         integerRow("limits", "body_bytes", "bytes", 1024, 1024 * mebibyte, "size of a request body", GUAVAFIELD_MEMBER(limits.bodyBytes)),
         integerRow("limits", "answer_bytes", "bytes", 1024, 4096 * mebibyte, "size of an answer that is not streamed", GUAVAFIELD_MEMBER(limits.answerBytes)),
@@ -169,11 +237,17 @@
         timeRow("upstream", "connect_time_ms", 1, "time for a connection to an upstream", GUAVAFIELD_MEMBER(upstream.connectTime)),
         timeRow("upstream", "silence_time_ms", 1, "time without a byte from an upstream", GUAVAFIELD_MEMBER(upstream.silenceTime)),
         timeRow("upstream", "load_poll_interval_ms", 10, "time between two reads of an upstream's load", GUAVAFIELD_MEMBER(upstream.loadPollInterval)),
+        platformKindRow(),
+        platformEndpointRow(),
+        dutiesRow(),
+        timeRow("platform", "holder_gap_ms", 0, "machines: least time between the calls of two holders of the duties", GUAVAFIELD_MEMBER(platform.holderGap)),
+        integerRow("platform", "usage_window_s", "s", 1, 86'400, "machines: length of a billing window", GUAVAFIELD_MEMBER(platform.usageWindowSeconds)),
         textRow("platform", "address", Address, false, "address of the platform; absent: run without it", GUAVAFIELD_MEMBER(platform.address)),
         integerRow("platform", "port", {}, 1, maxPort, "port of the platform", GUAVAFIELD_MEMBER(platform.port)),
         seedsRow(),
         tokenRow(),
         timeRow("shutdown", "listen_time_ms", 0, "time the listeners stay open for the load balancer", GUAVAFIELD_MEMBER(shutdown.listenTime)),
+        graceRow(),
         timeRow("shutdown", "stop_limit_ms", 0, "longest time of a graceful shutdown", GUAVAFIELD_MEMBER(shutdown.stopLimit)),
         logRow(),
     };
@@ -202,6 +276,10 @@
         return "address:port, separated by commas";
     case SettingKind::HexDigest:
         return "64 hexadecimal digits";
+    case SettingKind::PlatformKind:
+        return "own, machines";
+    case SettingKind::FractionalSeconds:
+        return "at least 1, fractions allowed";
     case SettingKind::LogLevel:
         return "debug, info, warning, error";
     case SettingKind::Integer:
--- a/src/guavafield/protocol/settings/settings_table.hpp
+++ b/src/guavafield/protocol/settings/settings_table.hpp
@@ -20,6 +20,9 @@
     // Addresses with ports, separated by commas.
     SocketAddresses,
     Integer,
+    // May have a fraction.
+    FractionalSeconds,
+    PlatformKind,
     Port,
     HexDigest,
     LogLevel,
--- a/src/guavafield/state/clock.hpp
+++ b/src/guavafield/state/clock.hpp
@@ -30,6 +30,14 @@
     [[nodiscard]] WallTime wallNow() const noexcept override;
 };
 
+/*! @brief The clocks of the machine, of which the first also counts the time during which the machine was suspended. */
+class BootClock final : public Clock
+{
+public:
+    [[nodiscard]] SteadyTime now() const noexcept override;
+    [[nodiscard]] WallTime wallNow() const noexcept override;
+};
+
 /*! @brief A clock that moves only when told to. Safe to read from several threads. */
 class ManualClock final : public Clock
 {
--- a/src/guavafield/state/configuration.hpp
+++ b/src/guavafield/state/configuration.hpp
@@ -4,7 +4,9 @@
 #include <guavafield/state/types.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -43,6 +45,8 @@
     TeamId id;
     std::string name;
     Contract contract;
+    // Goes before the rank of a route; 0 is the highest.
+    std::uint32_t rank{0};
 
     friend bool operator==(const Team &, const Team &) = default;
 };
@@ -88,16 +92,57 @@
     friend bool operator==(const ServiceTarget &, const ServiceTarget &) = default;
 };
 
+/*! @brief What may be done with a request that an upstream may have begun to run. */
+enum class Repeat : std::uint8_t {
+    // It runs at most once.
+    Never,
+    // It is idempotent.
+    Always,
+    // Its stream can be continued by another upstream after any event.
+    Resume,
+};
+
+/*! @brief A pool's part of a route's requests. */
+struct PoolShare
+{
+    PoolId pool;
+    // Relative to the other pools of the route; not negative.
+    double weight{1.0};
+
+    friend bool operator==(const PoolShare &, const PoolShare &) = default;
+};
+
+/*! @brief Requests on this route are passed on unchanged to an upstream of a pool. */
+struct PoolTarget
+{
+    // Never empty.
+    std::vector<PoolShare> pools;
+    Repeat repeat{Repeat::Never};
+    bool stream{false};
+    // Upstreams that one request may run on; positive.
+    std::uint32_t maxAttempts{1};
+    // Time to the first byte, or to the first event of a stream.
+    Milliseconds target{1'000};
+    // Longest pause between the events of a stream that is in time.
+    Milliseconds gapTarget{0};
+    // 0 is the highest.
+    std::uint32_t rank{0};
+
+    friend bool operator==(const PoolTarget &, const PoolTarget &) = default;
+};
+
 /*! @brief Maps a path prefix to engines or to a plain service. */
 struct Route
 {
     RouteId id;
     std::string prefix;
-    std::variant<ModelTarget, ServiceTarget> target;
+    std::variant<ModelTarget, ServiceTarget, PoolTarget> target;
     // Open to all: no key is needed. The request runs for openTeam.
     bool open{false};
     TeamId openTeam;
     Milliseconds timeout{60'000};
+    // Host name of the requests; empty: any.
+    std::string host{};
 
     friend bool operator==(const Route &, const Route &) = default;
 };
@@ -125,10 +170,71 @@
     std::vector<ModelId> models;
     bool checksFence{false};
     bool leaving{false};
+    // The pool it belongs to; empty for upstreams that models or services name.
+    PoolId pool{};
+    // Changes when its process restarts; 0 if it is not known.
+    Incarnation incarnation{0};
+    // When a leaving upstream ends, if that is known.
+    std::optional<SteadyTime> leavesAt{};
 
     friend bool operator==(const Upstream &, const Upstream &) = default;
 };
 
+/*! @brief What is known of the engines of a pool. */
+struct EngineFacts
+{
+    // Tokens of the prefix cache and of running requests together.
+    std::uint64_t cacheTokens{0};
+    // KV cache of one token.
+    std::uint64_t bytesPerToken{0};
+    // Link over which engines copy KV cache.
+    double linkMegabitsPerSecond{0};
+
+    friend bool operator==(const EngineFacts &, const EngineFacts &) = default;
+};
+
+/*! @brief Bounds and prices of a pool whose upstreams can be ordered. */
+struct ScalingLimits
+{
+    // Of each data centre, durable and cheap upstreams together.
+    std::uint32_t least{1};
+    std::uint32_t most{1};
+    Milliseconds bootTime{0};
+    // Price of a cheap upstream relative to a durable one.
+    double cheapPrice{1.0};
+    // Relative price of a second of a durable upstream by data centre.
+    StringMap<double> prices;
+
+    friend bool operator==(const ScalingLimits &, const ScalingLimits &) = default;
+};
+
+/*! @brief Interchangeable upstreams. */
+struct UpstreamPool
+{
+    PoolId id;
+    // Connections that one upstream accepts from all hosts together.
+    std::uint32_t maxConnections{0};
+    // Empty for plain services.
+    std::optional<EngineFacts> engine;
+    // Empty if the number of upstreams is fixed.
+    std::optional<ScalingLimits> scaling;
+
+    friend bool operator==(const UpstreamPool &, const UpstreamPool &) = default;
+};
+
+/*! @brief Bounds on what callers send, where operators set them. */
+struct CallerLimits
+{
+    std::uint32_t headerBytes{0};
+    std::uint64_t bodyBytes{0};
+    // For the header to arrive, from its first byte.
+    Milliseconds headerTime{0};
+    // Between two requests on one connection.
+    Milliseconds idleTime{0};
+
+    friend bool operator==(const CallerLimits &, const CallerLimits &) = default;
+};
+
 /*! @brief All that operators set. Every reference between items names an existing item. */
 struct Configuration
 {
@@ -138,6 +244,13 @@
     StringMap<Model> models;
     StringMap<Route> routes;
     StringMap<Upstream> upstreams;
+    StringMap<UpstreamPool> pools;
+    // Go before the limits of the settings.
+    std::optional<CallerLimits> callerLimits;
+    // Distinct pairs of a team's and a route's rank that are in use, most urgent first.
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> ranks;
+    // Requests need a key unless their route is open.
+    bool keysRequired{true};
 };
 
 } // namespace guavafield
--- a/src/guavafield/state/result.cpp
+++ b/src/guavafield/state/result.cpp
@@ -55,6 +55,7 @@
     ResultCodeInfo{ConfigurationUnknownField, "ConfigurationUnknownField", 400, "the configuration has a field that this version does not know"},
     ResultCodeInfo{ConfigurationNotReady, "ConfigurationNotReady", 503, "the host has no configuration yet"},
     ResultCodeInfo{ConfigurationItemUnknown, "ConfigurationItemUnknown", 404, "the configuration has no such item"},
+    ResultCodeInfo{ConfigurationUnconfirmed, "ConfigurationUnconfirmed", 503, "the host cannot tell whether its configuration is the newest"},
     ResultCodeInfo{PlatformUnavailable, "PlatformUnavailable", 503, "the platform cannot be reached or refuses the call"},
     ResultCodeInfo{PlatformAnswerInvalid, "PlatformAnswerInvalid", 502, "the answer of the platform is malformed"},
     ResultCodeInfo{PlatformOutcomeUnknown, "PlatformOutcomeUnknown", 504, "the platform's answer was lost; the write may have taken effect"},
--- a/src/guavafield/state/result.hpp
+++ b/src/guavafield/state/result.hpp
@@ -65,6 +65,7 @@
     ConfigurationUnknownField = 6003,
     ConfigurationNotReady = 6004,
     ConfigurationItemUnknown = 6005,
+    ConfigurationUnconfirmed = 6006,
     // 7xxx platform and leases
     PlatformUnavailable = 7001,
     PlatformAnswerInvalid = 7002,
--- a/src/guavafield/state/types.hpp
+++ b/src/guavafield/state/types.hpp
@@ -14,6 +14,8 @@
 using KeyId = std::string;
 using RouteId = std::string;
 using ModelId = std::string;
+/*! @brief Names a set of interchangeable upstreams that routes send requests to. */
+using PoolId = std::string;
 using UpstreamId = std::string;
 using HostId = std::string;
 using DataCentreId = std::string;
--- a/src/guavafield/transport/durable/lease_driver.cpp
+++ b/src/guavafield/transport/durable/lease_driver.cpp
@@ -1,6 +1,5 @@
 // Coroutines of a lease.
 #include <guavafield/coordination/lease/candidate_rank.hpp>
-#include <guavafield/protocol/records/host_list.hpp>
 #include <guavafield/protocol/records/lease_codec.hpp>
 #include <guavafield/transport/durable/lease_driver.hpp>
 #include <guavafield/transport/durable/sleep.hpp>
@@ -19,8 +18,8 @@
 
 } // namespace internal
 
-LeaseDriver::LeaseDriver(boost::asio::any_io_executor strand, PlatformClient &client, const Clock &clock, Counters &counters, LeaseSettings settings)
-    : m_strand(std::move(strand)), m_client(client), m_clock(clock), m_counters(counters), m_settings(settings), m_keeper(std::move(settings), leaseCodec())
+LeaseDriver::LeaseDriver(boost::asio::any_io_executor strand, TableAccess table, const Clock &clock, Counters &counters, LeaseSettings settings)
+    : m_strand(std::move(strand)), m_table(std::move(table)), m_clock(clock), m_counters(counters), m_settings(settings), m_keeper(std::move(settings), leaseCodec())
 {
 }
 
@@ -78,23 +77,20 @@
 
 boost::asio::awaitable<void> LeaseDriver::transact(Transaction transaction)
 {
-    const auto reply = co_await m_client.transact(std::move(transaction));
+    const auto reply = co_await m_table.transact(std::move(transaction));
     perform(m_keeper.onTransaction(reply, m_clock.now()));
 }
 
 boost::asio::awaitable<void> LeaseDriver::read(std::vector<RowKey> keys)
 {
-    const auto reply = co_await m_client.read(std::move(keys));
+    const auto reply = co_await m_table.read(std::move(keys));
     perform(m_keeper.onRead(reply, m_clock.now()));
 }
 
 boost::asio::awaitable<void> LeaseDriver::listHosts()
 {
-    const std::string method("GET");
-    const std::string target("/hosts");
-    const auto body = co_await m_client.call(method, target, std::string(), CallUrgency::Lease);
-    const auto hosts = body ? parseHostList(*body.value) : std::nullopt;
-    perform(m_keeper.onHosts(hosts.value_or(std::vector<ListedHost>()), m_clock.now()));
+    const auto hosts = co_await m_table.hosts();
+    perform(m_keeper.onHosts(hosts, m_clock.now()));
 }
 
 void LeaseDriver::report(const LeaseChanged &change)
--- a/src/guavafield/transport/durable/lease_driver.hpp
+++ b/src/guavafield/transport/durable/lease_driver.hpp
@@ -4,7 +4,7 @@
 #include <guavafield/coordination/lease/lease_keeper.hpp>
 #include <guavafield/state/clock.hpp>
 #include <guavafield/state/counters.hpp>
-#include <guavafield/transport/platform/platform_client.hpp>
+#include <guavafield/transport/platform/table_access.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -25,9 +25,9 @@
 public:
     /*!
      * @param strand Serializes all uses of the keeper.
-     * @param client Outlives the driver's coroutines, as do clock and counters.
+     * @param table Where the lease's row is; what it refers to outlives the driver's coroutines, as do clock and counters.
      */
-    LeaseDriver(boost::asio::any_io_executor strand, PlatformClient &client, const Clock &clock, Counters &counters, LeaseSettings settings);
+    LeaseDriver(boost::asio::any_io_executor strand, TableAccess table, const Clock &clock, Counters &counters, LeaseSettings settings);
 
     /*! @brief Takes part in the lease until stop() has returned. */
     void start();
@@ -50,7 +50,7 @@
     void report(const LeaseChanged &change);
 
     boost::asio::any_io_executor m_strand;
-    PlatformClient &m_client;
+    TableAccess m_table;
     const Clock &m_clock;
     Counters &m_counters;
     LeaseSettings m_settings;
--- a/src/guavafield/transport/durable/order_service.cpp
+++ b/src/guavafield/transport/durable/order_service.cpp
@@ -1,6 +1,7 @@
 // Coroutines of orders.
 #include <guavafield/protocol/records/order_codec.hpp>
 #include <guavafield/transport/durable/order_service.hpp>
+#include <guavafield/transport/platform/platform_client.hpp>
 #include <guavafield/transport/durable/sleep.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -55,7 +56,7 @@
     , m_settings(std::move(settings))
     , m_sender(std::move(sender))
     , m_situation(std::move(situation))
-    , m_lease(std::make_shared<LeaseDriver>(m_strand, client, clock, counters, internal::orderLeaseSettings(m_settings)))
+    , m_lease(std::make_shared<LeaseDriver>(m_strand, tableAccess(client), clock, counters, internal::orderLeaseSettings(m_settings)))
     , m_executor(internal::executorSettings(m_settings), orderCodec(), m_lease->keeper())
 {
 }
--- a/src/guavafield/transport/durable/usage_service.cpp
+++ b/src/guavafield/transport/durable/usage_service.cpp
@@ -3,6 +3,7 @@
 #include <guavafield/transport/durable/sleep.hpp>
 #include <guavafield/transport/durable/usage_service.hpp>
 #include <guavafield/transport/log/log.hpp>
+#include <guavafield/transport/platform/platform_client.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -54,7 +55,7 @@
     , m_clock(clock)
     , m_counters(counters)
     , m_ledger(internal::ledgerSettings(self), usageCodec())
-    , m_lease(std::make_shared<LeaseDriver>(m_strand, client, clock, counters, internal::usageLeaseSettings(self)))
+    , m_lease(std::make_shared<LeaseDriver>(m_strand, tableAccess(client), clock, counters, internal::usageLeaseSettings(self)))
     , m_sealer(internal::sealerSettings(self), usageCodec(), m_lease->keeper())
 {
 }
--- /dev/null
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -0,0 +1,191 @@
+// Reading of feeds, fetching from peers, and the choice of the host that reads.
+#include <guavafield/transport/fleet/directory_service.hpp>
+
+#include <guavafield/coordination/request/placement.hpp>
+#include <guavafield/transport/durable/sleep.hpp>
+#include <guavafield/transport/log/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace guavafield {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+// How long a call waits for a change; bounds how old the knowledge gets while nothing changes.
+constexpr Milliseconds feedWait{400};
+// A host whose knowledge is older reads for itself.
+constexpr Milliseconds staleAfter{800};
+// A peer that was not heard for this long does not read for others.
+constexpr Milliseconds peerHeard{1'000};
+constexpr Milliseconds idleStep{50};
+constexpr Milliseconds retryPause{250};
+// What an answer says was true a little before it arrived.
+constexpr Milliseconds answerDelay{20};
+
+} // namespace internal
+
+DirectoryService::DirectoryService(DirectoryDependencies dependencies)
+    : m_dependencies(std::move(dependencies)), m_directory(m_dependencies.codec)
+{
+}
+
+void DirectoryService::start()
+{
+    for (const auto table : {DirectoryTable::Document, DirectoryTable::Upstreams}) {
+        asio::co_spawn(
+            m_dependencies.strand, [self = shared_from_this(), table] { return self->follow(table); }, asio::detached);
+    }
+    asio::co_spawn(
+        m_dependencies.strand, [self = shared_from_this()] { return self->watchOutages(); }, asio::detached);
+}
+
+TableKnowledge DirectoryService::knowledge(DirectoryTable table) const
+{
+    return mirror(table).knowledge(m_dependencies.clock.now());
+}
+
+std::string DirectoryService::format(DirectoryTable table, RowVersion after) const
+{
+    return formatTable(mirror(table), after, m_dependencies.clock.now());
+}
+
+bool DirectoryService::reads() const
+{
+    const auto now = m_dependencies.clock.now();
+    const auto own = workKey(m_dependencies.host);
+    return std::ranges::none_of(m_peers, [&](const auto &it) {
+        return it.second.fresh && now - it.second.heard < internal::peerHeard && workKey(it.first) < own;
+    });
+}
+
+asio::awaitable<void> DirectoryService::follow(DirectoryTable table)
+{
+    const auto &name = m_dependencies.tables[static_cast<std::size_t>(table)];
+    bool whole = true;
+    while (!m_stopped) {
+        const auto known = knowledge(table);
+        const bool reader = mirror(table).known() && reads();
+        if (mirror(table).known() && !reader && known.age < internal::staleAfter) {
+            co_await sleepFor(internal::idleStep);
+            continue;
+        }
+        whole = whole || !mirror(table).known();
+        auto call = whole ? m_dependencies.feed.readAll(name)
+                          : m_dependencies.feed.follow(name, mirror(table).complete(), reader ? internal::feedWait : Milliseconds{0});
+        auto reply = co_await std::move(call);
+        const bool gap = std::holds_alternative<TableGap>(reply);
+        const auto *failure = std::get_if<TableUnavailable>(&reply);
+        noteSource(table, failure == nullptr, failure != nullptr ? failure->cause : std::string());
+        const bool failed = failure != nullptr;
+        if (!failed && !gap) {
+            take(table, std::move(reply), m_dependencies.clock.now() - internal::answerDelay, whole);
+        }
+        // After a failed reading the rest may be missing too, so only a gap asks for all rows.
+        whole = gap;
+        if (failed || (!reader && !gap)) {
+            co_await sleepFor(internal::retryPause);
+        }
+    }
+}
+
+void DirectoryService::noteSource(DirectoryTable table, bool available, const std::string &cause)
+{
+    auto &before = m_available[static_cast<std::size_t>(table)];
+    if (before != available) {
+        const auto age = std::to_string(knowledge(table).age.count());
+        const auto text = "table=" + m_dependencies.tables[static_cast<std::size_t>(table)] + " knowledge_age_ms=" + age;
+        logEvent(available ? LogLevel::Info : LogLevel::Warning,
+                 "fleet:",
+                 {},
+                 available ? "platform's table regained, " + text : "platform's table lost, " + text + " cause=\"" + cause + "\"");
+    }
+    before = available;
+}
+
+void DirectoryService::take(DirectoryTable table, TableReply reply, SteadyTime confirmed, bool whole)
+{
+    auto &page = std::get<TablePage>(reply);
+    auto &target = mirror(table);
+    const bool changed = whole ? target.replace(page.rows, page.complete, confirmed) : target.apply(page.rows, page.complete, confirmed);
+    update();
+    if (changed) {
+        m_dependencies.announce();
+    }
+}
+
+void DirectoryService::update()
+{
+    const auto now = m_dependencies.clock.now();
+    if (auto configuration = m_directory.update(mirror(DirectoryTable::Document), mirror(DirectoryTable::Upstreams), now)) {
+        m_dependencies.apply(std::move(configuration));
+    }
+    for (const auto &it : m_directory.takeFaults()) {
+        logEvent(LogLevel::Warning,
+                 "fleet:",
+                 {},
+                 "row ignored, key=" + it.key + " version=" + std::to_string(it.version) + " cause=\"" + it.error.message + "\" place=" + it.error.place);
+    }
+    if (const auto confirmed = mirror(DirectoryTable::Document).confirmed()) {
+        m_dependencies.confirm(*confirmed);
+    }
+}
+
+asio::awaitable<void> DirectoryService::watchOutages()
+{
+    while (!m_stopped) {
+        co_await sleepFor(internal::retryPause);
+        const auto due = m_directory.nextWakeup();
+        if (due && m_dependencies.clock.now() >= *due) {
+            update();
+        }
+    }
+}
+
+void DirectoryService::onReport(const Member &from, const HostReport &report)
+{
+    const auto now = m_dependencies.clock.now();
+    const auto isFresh = [](const std::optional<TableKnowledge> &it) { return it && it->age < internal::staleAfter; };
+    m_peers[from.id] = Peer{now, isFresh(report.document) && isFresh(report.upstreams)};
+    std::erase_if(m_peers, [now](const auto &it) { return now - it.second.heard > internal::peerHeard; });
+    consider(from, DirectoryTable::Document, report.document);
+    consider(from, DirectoryTable::Upstreams, report.upstreams);
+}
+
+void DirectoryService::consider(const Member &from, DirectoryTable table, const std::optional<TableKnowledge> &knowledge)
+{
+    if (!knowledge || knowledge->age > std::chrono::hours{1}) {
+        return;
+    }
+    auto &own = mirror(table);
+    if (!own.known() || knowledge->content > own.content()) {
+        if (!std::exchange(m_fetching[static_cast<std::size_t>(table)], true)) {
+            asio::co_spawn(
+                m_dependencies.strand, [self = shared_from_this(), from, table] { return self->fetchFrom(from, table); }, asio::detached);
+        }
+    } else if (knowledge->content == own.content()) {
+        own.confirm(knowledge->complete, m_dependencies.clock.now() - knowledge->age - internal::answerDelay);
+        update();
+    }
+}
+
+asio::awaitable<void> DirectoryService::fetchFrom(Member peer, DirectoryTable table)
+{
+    const auto after = mirror(table).known() ? mirror(table).content() : 0;
+    const auto text = co_await m_dependencies.fetch(peer.address, table, after);
+    m_fetching[static_cast<std::size_t>(table)] = false;
+    const auto parsed = text ? capture([&] { return parseTable(*text.value); }) : Outcome<TableText>{std::nullopt, text.error};
+    if (!parsed) {
+        logEvent(LogLevel::Warning, "fleet:", {}, "table not fetched, peer=" + peer.id + " cause=\"" + parsed.error.message + "\"");
+        co_return;
+    }
+    const auto confirmed = m_dependencies.clock.now() - parsed.value->age - internal::answerDelay;
+    take(table, TablePage{parsed.value->rows, parsed.value->complete}, confirmed, parsed.value->whole || after == 0);
+}
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -0,0 +1,107 @@
+// Keeps the two mirrored tables up to date: one host of the fleet reads their feeds, the others follow it, and every host reads for itself when
+// what it knows grows old.
+#pragma once
+
+#include <guavafield/coordination/fleet/fleet_directory.hpp>
+#include <guavafield/coordination/fleet/host_report.hpp>
+#include <guavafield/coordination/membership/member.hpp>
+#include <guavafield/protocol/peer/table_text.hpp>
+#include <guavafield/state/clock.hpp>
+#include <guavafield/transport/platform/table_access.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace guavafield {
+
+/*! @brief The mirrored tables. */
+enum class DirectoryTable : std::uint8_t {
+    // Holds the operators' document.
+    Document,
+    // Holds the entries of upstreams.
+    Upstreams,
+};
+
+/*! @brief What the service works with; everything referred to outlives it. */
+struct DirectoryDependencies
+{
+    boost::asio::any_io_executor strand;
+    const Clock &clock;
+    HostId host;
+    TableFeed feed;
+    // Names of the tables, in the order of DirectoryTable.
+    std::array<std::string, 2> tables;
+    DirectoryCodec codec;
+    // Puts a configuration in force.
+    std::function<void(std::shared_ptr<const Configuration>)> apply;
+    // The configuration in force was the newest at this time.
+    std::function<void(SteadyTime)> confirm;
+    // Something changed that the peers should know at once.
+    std::function<void()> announce;
+    // Fetches a table from a peer.
+    std::function<boost::asio::awaitable<Outcome<std::string>>(PeerAddress, DirectoryTable, RowVersion after)> fetch;
+};
+
+/*! @brief Runs on its strand; all members are to be used there. Create it with std::make_shared. */
+class DirectoryService : public std::enable_shared_from_this<DirectoryService>
+{
+public:
+    explicit DirectoryService(DirectoryDependencies dependencies);
+
+    void start();
+    void stop() noexcept
+    {
+        m_stopped = true;
+    }
+
+    /*! @brief Takes what a peer knows. */
+    void onReport(const Member &from, const HostReport &report);
+    [[nodiscard]] TableKnowledge knowledge(DirectoryTable table) const;
+    [[nodiscard]] bool known(DirectoryTable table) const noexcept
+    {
+        return mirror(table).known();
+    }
+    /*! @brief Writes for a peer what it lacks. */
+    [[nodiscard]] std::string format(DirectoryTable table, RowVersion after) const;
+    /*! @brief Returns whether this host reads the feeds for the others. */
+    [[nodiscard]] bool reads() const;
+
+private:
+    struct Peer
+    {
+        SteadyTime heard{};
+        // Its knowledge is fresh, so that it can read for others.
+        bool fresh{false};
+    };
+
+    [[nodiscard]] TableMirror &mirror(DirectoryTable table) noexcept
+    {
+        return m_mirrors[static_cast<std::size_t>(table)];
+    }
+    [[nodiscard]] const TableMirror &mirror(DirectoryTable table) const noexcept
+    {
+        return m_mirrors[static_cast<std::size_t>(table)];
+    }
+    [[nodiscard]] boost::asio::awaitable<void> follow(DirectoryTable table);
+    [[nodiscard]] boost::asio::awaitable<void> fetchFrom(Member peer, DirectoryTable table);
+    [[nodiscard]] boost::asio::awaitable<void> watchOutages();
+    void consider(const Member &from, DirectoryTable table, const std::optional<TableKnowledge> &knowledge);
+    void take(DirectoryTable table, TableReply reply, SteadyTime confirmed, bool whole);
+    void update();
+    void noteSource(DirectoryTable table, bool available, const std::string &cause);
+
+    DirectoryDependencies m_dependencies;
+    FleetDirectory m_directory;
+    std::array<TableMirror, 2> m_mirrors;
+    std::array<bool, 2> m_fetching{};
+    std::array<bool, 2> m_available{true, true};
+    StringMap<Peer> m_peers;
+    bool m_stopped{false};
+};
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -0,0 +1,196 @@
+// The loop of the lease's holder.
+#include <guavafield/transport/fleet/duty_service.hpp>
+
+#include <guavafield/protocol/records/window_codec.hpp>
+#include <guavafield/transport/durable/sleep.hpp>
+#include <guavafield/transport/log/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace guavafield {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+constexpr Milliseconds dutyStep{200};
+constexpr Milliseconds dutyCallTimeout{700};
+constexpr Milliseconds leaseTerm{2'500};
+constexpr Milliseconds leaseRenewal{800};
+constexpr Milliseconds leaseRetry{400};
+constexpr std::string_view sealTable = "sealed";
+// Seals stay for longer than any host looks back.
+constexpr BillingWindow keptSeals = 200;
+
+RowKey sealKey(BillingWindow window)
+{
+    constexpr std::size_t digits = 12;
+    auto text = std::to_string(window);
+    text.insert(0, digits - std::min(digits, text.size()), '0');
+    return {std::string(sealTable), std::move(text)};
+}
+
+LeaseSettings leaseSettings(const LeaseHolder &self)
+{
+    LeaseSettings settings;
+    settings.name = "duties";
+    settings.self = self;
+    settings.term = leaseTerm;
+    settings.renewEvery = leaseRenewal;
+    settings.retryEvery = leaseRetry;
+    settings.recordsUnreleased = false;
+    return settings;
+}
+
+} // namespace internal
+
+DutyService::DutyService(DutyDependencies dependencies, DutySettings settings)
+    : m_dependencies(std::move(dependencies))
+    , m_settings(std::move(settings))
+    , m_lease(std::make_shared<LeaseDriver>(
+          m_dependencies.strand, m_dependencies.table, m_dependencies.clock, m_dependencies.counters, internal::leaseSettings(m_settings.self)))
+    , m_ledger(m_settings.windowLength)
+    , m_reporter(WindowReporterSettings{})
+{
+}
+
+void DutyService::start()
+{
+    m_lease->start();
+    asio::co_spawn(
+        m_dependencies.strand, [self = shared_from_this()] { return self->run(); }, asio::detached);
+}
+
+void DutyService::onReport(std::string_view host, Incarnation incarnation, const HostReport &report)
+{
+    m_time.onHost(host, report.wall, m_dependencies.clock.now());
+    m_ledger.onReport(std::string(host) + "/" + std::to_string(incarnation), report.windows);
+}
+
+void DutyService::onOwnTime(WallTime wall)
+{
+    m_time.onHost(m_settings.self.host, wall, m_dependencies.clock.now());
+}
+
+void DutyService::onStarted(const TeamId &team)
+{
+    m_ledger.count(team, m_time.now(m_dependencies.clock.now()).value_or(m_dependencies.clock.wallNow()));
+}
+
+std::vector<WindowCounts> DutyService::ownCounts()
+{
+    const auto time = m_time.now(m_dependencies.clock.now());
+    return time ? m_ledger.ownCounts(*time, m_turn++) : std::vector<WindowCounts>();
+}
+
+void DutyService::setCandidates(std::span<const HostId> candidates)
+{
+    m_lease->setCandidates(candidates);
+}
+
+std::optional<DutyHolder> DutyService::holder()
+{
+    const auto now = m_dependencies.clock.now();
+    const auto fence = m_lease->keeper().fence(now + internal::dutyCallTimeout);
+    if (!fence) {
+        return std::nullopt;
+    }
+    if (*fence != m_fence) {
+        m_fence = *fence;
+        m_heldSince = now;
+    }
+    if (m_stopped || now - m_heldSince < m_settings.holderGap) {
+        return std::nullopt;
+    }
+    return DutyHolder{m_settings.self.host, *fence};
+}
+
+asio::awaitable<void> DutyService::run()
+{
+    while (!m_stopped) {
+        const auto configuration = m_dependencies.configuration();
+        const auto time = m_time.now(m_dependencies.clock.now());
+        if (holder() && time && configuration->revision > 0) {
+            const auto due = m_settings.reportsUsage ? m_reporter.due(m_ledger, *time) : std::nullopt;
+            if (due) {
+                co_await handleWindow(*due);
+            }
+            const auto size = m_settings.ordersUpstreams ? m_plan.next(*configuration, m_dependencies.clock.now()) : std::nullopt;
+            if (size) {
+                co_await order(*size);
+                continue;
+            }
+        }
+        co_await sleepFor(internal::dutyStep);
+    }
+}
+
+asio::awaitable<void> DutyService::handleWindow(DueWindow due)
+{
+    if (!due.sealed) {
+        co_await seal(due.window);
+        co_return;
+    }
+    const auto sender = holder();
+    if (!sender) {
+        co_return;
+    }
+    m_dependencies.counters.add(CounterId::UsageReportsSent);
+    const bool accepted = co_await m_dependencies.calls.reportUsage(*sender, due.window, *due.sealed, internal::dutyCallTimeout);
+    const auto text = "usage report, window=" + std::to_string(due.window) + " teams=" + std::to_string(due.sealed->size())
+        + " fence=" + std::to_string(sender->fence) + " outcome=" + (accepted ? "accepted" : "failed");
+    logEvent(accepted ? LogLevel::Info : LogLevel::Warning, "usage:", {}, text);
+    if (accepted) {
+        m_reporter.onReported(due.window);
+    } else {
+        m_reporter.onFailed(due.window, m_time.now(m_dependencies.clock.now()).value_or(WallTime{}));
+    }
+}
+
+asio::awaitable<void> DutyService::seal(BillingWindow window)
+{
+    std::vector<TeamId> teams;
+    for (const auto &[id, team] : m_dependencies.configuration()->teams) {
+        teams.push_back(id);
+    }
+    auto figures = m_ledger.totals(window, teams);
+    Transaction transaction;
+    transaction.conditions.push_back({internal::sealKey(window), 0});
+    transaction.writes.push_back({internal::sealKey(window), encodeFigures(figures)});
+    transaction.writes.push_back({internal::sealKey(window - internal::keptSeals), std::nullopt});
+    const auto reply = co_await m_dependencies.table.transact(std::move(transaction));
+    if (std::holds_alternative<TransactionCommitted>(reply)) {
+        m_dependencies.counters.add(CounterId::UsageWindowsSealed);
+        m_reporter.onSealed(window, std::move(figures));
+        co_return;
+    }
+    // Another holder sealed the window, or this one did in a call whose answer was lost.
+    const auto *conflict = std::get_if<TransactionConflict>(&reply);
+    if (auto sealed = conflict != nullptr ? decodeFigures(conflict->current.value) : std::nullopt) {
+        m_reporter.onSealed(window, std::move(*sealed));
+    } else {
+        m_reporter.onFailed(window, m_time.now(m_dependencies.clock.now()).value_or(WallTime{}));
+    }
+}
+
+asio::awaitable<void> DutyService::order(FleetSize size)
+{
+    const auto sender = holder();
+    if (!sender) {
+        co_return;
+    }
+    m_dependencies.counters.add(CounterId::OrdersSent);
+    const auto outcome = co_await m_dependencies.calls.orderUpstreams(*sender, size, internal::dutyCallTimeout);
+    constexpr std::array<std::string_view, 3> names{"accepted", "unavailable", "failed"};
+    std::string text = "upstreams ordered, pool=" + size.pool + " data_centre=" + size.dataCentre;
+    text += std::string(" kind=") + (size.kind == UpstreamKind::Cheap ? "cheap" : "durable") + " count=" + std::to_string(size.count);
+    text += " fence=" + std::to_string(sender->fence) + " outcome=" + std::string(names[static_cast<std::size_t>(outcome)]);
+    logEvent(LogLevel::Info, "order:", {}, text);
+    m_plan.onOutcome(size, outcome, m_dependencies.clock.now());
+}
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/transport/fleet/duty_service.hpp
@@ -0,0 +1,101 @@
+// The calls that one host makes for the fleet: usage reports and orders of upstreams, under a lease.
+#pragma once
+
+#include <guavafield/coordination/fleet/fleet_clock.hpp>
+#include <guavafield/coordination/order/fleet_plan.hpp>
+#include <guavafield/coordination/usage/window_reporter.hpp>
+#include <guavafield/state/clock.hpp>
+#include <guavafield/state/counters.hpp>
+#include <guavafield/transport/durable/lease_driver.hpp>
+#include <guavafield/transport/platform/table_access.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+
+namespace guavafield {
+
+/*! @brief Who makes a call, for the receiver's own check. */
+struct DutyHolder
+{
+    HostId host;
+    Fence fence{0};
+};
+
+/*! @brief The platform's calls; each ends within the time given, and is then not executed later. */
+struct DutyCalls
+{
+    // Whether the report was accepted.
+    std::function<boost::asio::awaitable<bool>(DutyHolder, BillingWindow, TeamCounts, Milliseconds timeout)> reportUsage;
+    std::function<boost::asio::awaitable<OrderOutcome>(DutyHolder, FleetSize, Milliseconds timeout)> orderUpstreams;
+};
+
+struct DutySettings
+{
+    LeaseHolder self;
+    // No two holders make calls closer to each other than this.
+    Milliseconds holderGap{3'000};
+    std::chrono::seconds windowLength{5};
+    bool reportsUsage{true};
+    bool ordersUpstreams{true};
+};
+
+struct DutyDependencies
+{
+    boost::asio::any_io_executor strand;
+    // Counts the time of a suspension.
+    const Clock &clock;
+    Counters &counters;
+    TableAccess table;
+    DutyCalls calls;
+    std::function<std::shared_ptr<const Configuration>()> configuration;
+};
+
+/*! @brief Runs on its strand; all members are to be used there. Create it with std::make_shared. */
+class DutyService : public std::enable_shared_from_this<DutyService>
+{
+public:
+    DutyService(DutyDependencies dependencies, DutySettings settings);
+
+    void start();
+    /*! @brief Makes no further calls. The lease is left to lapse, so that the next holder keeps its distance. */
+    void stop() noexcept
+    {
+        m_stopped = true;
+    }
+
+    /*! @brief Takes a host's report; its own reports give this host's time of day. */
+    void onReport(std::string_view host, Incarnation incarnation, const HostReport &report);
+    void onOwnTime(WallTime wall);
+    /*! @brief Counts a request that an upstream began to run. */
+    void onStarted(const TeamId &team);
+    [[nodiscard]] std::vector<WindowCounts> ownCounts();
+    void setCandidates(std::span<const HostId> candidates);
+
+private:
+    [[nodiscard]] boost::asio::awaitable<void> run();
+    // Returns the holder if a call that begins now ends while this host holds the lease.
+    [[nodiscard]] std::optional<DutyHolder> holder();
+    [[nodiscard]] boost::asio::awaitable<void> handleWindow(DueWindow due);
+    [[nodiscard]] boost::asio::awaitable<void> seal(BillingWindow window);
+    [[nodiscard]] boost::asio::awaitable<void> order(FleetSize size);
+
+    DutyDependencies m_dependencies;
+    DutySettings m_settings;
+    std::shared_ptr<LeaseDriver> m_lease;
+    FleetClock m_time;
+    WindowLedger m_ledger;
+    WindowReporter m_reporter;
+    FleetPlan m_plan;
+    // Fence of the present tenure and when it was first seen.
+    Fence m_fence{0};
+    SteadyTime m_heldSince{};
+    std::uint64_t m_turn{0};
+    bool m_stopped{false};
+};
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/transport/fleet/fwd.hpp
@@ -0,0 +1,9 @@
+// Forward declarations of the services of a fleet whose hosts share the platform's tables.
+#pragma once
+
+namespace guavafield {
+
+class DirectoryService;
+class DutyService;
+
+} // namespace guavafield
--- a/src/guavafield/transport/http/caller_answer.cpp
+++ b/src/guavafield/transport/http/caller_answer.cpp
@@ -43,8 +43,9 @@
     for (const auto &[name, value] : answer.headers) {
         response.insert(name, value);
     }
-    response.set("X-Request-Id", m_requestId);
-    if (m_context->age.tooOld(m_context->clock->now())) {
+    const auto &forward = m_context->hooks.forward;
+    response.set(forward ? std::string_view(forward->requestIdHeader) : std::string_view("X-Request-Id"), m_requestId);
+    if (!forward && m_context->age.tooOld(m_context->clock->now())) {
         response.set("X-Guavafield-Configuration", "unconfirmed");
     }
     response.keep_alive(m_keepAlive);
@@ -87,7 +88,8 @@
     answer.status = describe(reply.code).httpStatus;
     answer.headers.emplace_back("Content-Type", "application/json");
     if (reply.retryAfter) {
-        answer.headers.emplace_back("Retry-After", std::to_string(retryAfterSeconds(*reply.retryAfter)));
+        answer.headers.emplace_back("Retry-After",
+                                    m_context->hooks.forward ? fractionalSeconds(*reply.retryAfter) : std::to_string(retryAfterSeconds(*reply.retryAfter)));
     }
     answer.body = formatErrorBody(reply);
     const bool written = co_await sendWhole(answer);
@@ -99,7 +101,12 @@
     ServiceAnswer answer;
     answer.headers.emplace_back("Content-Type", "text/event-stream");
     answer.headers.emplace_back("Cache-Control", "no-cache");
-    const auto header = formatHeader(answer, true);
+    co_return co_await beginStream(answer);
+}
+
+boost::asio::awaitable<bool> CallerAnswer::beginStream(const ServiceAnswer &head)
+{
+    const auto header = formatHeader(head, true);
     m_started = true;
     m_context->counters->add(CounterId::StreamsOpened);
     const bool written = co_await m_stream->write(header);
@@ -125,4 +132,17 @@
     co_return written;
 }
 
+boost::asio::awaitable<bool> CallerAnswer::endForwardedStream()
+{
+    const bool written = co_await m_stream->writeLastChunk();
+    m_keepAlive = m_keepAlive && written;
+    co_return written;
+}
+
+void CallerAnswer::breakOff()
+{
+    m_keepAlive = false;
+    m_stream->close();
+}
+
 } // namespace guavafield
--- a/src/guavafield/transport/http/caller_answer.hpp
+++ b/src/guavafield/transport/http/caller_answer.hpp
@@ -32,6 +32,12 @@
     [[nodiscard]] boost::asio::awaitable<bool> sendError(ErrorReply reply);
 
     [[nodiscard]] boost::asio::awaitable<bool> beginStream();
+    /*! @brief Begins a stream with the header of an upstream's answer; its events go as they are. */
+    [[nodiscard]] boost::asio::awaitable<bool> beginStream(const ServiceAnswer &head);
+    /*! @brief Sends the final chunk of a stream whose events went as they are. */
+    [[nodiscard]] boost::asio::awaitable<bool> endForwardedStream();
+    /*! @brief Ends the connection in the middle of an answer, so that the answer does not look complete. */
+    void breakOff();
     /*! @brief Sends events that are already in their text form. */
     [[nodiscard]] boost::asio::awaitable<bool> sendEvents(std::string_view events);
     /*! @brief Sends the last event and the final chunk. */
--- a/src/guavafield/transport/http/caller_connection.cpp
+++ b/src/guavafield/transport/http/caller_connection.cpp
@@ -1,6 +1,7 @@
 // Reading of requests with their limits, and their way to a model or a service.
 #include <guavafield/transport/http/caller_connection.hpp>
 
+#include <guavafield/transport/http/forward_request.hpp>
 #include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/model_request.hpp>
 #include <guavafield/transport/http/path_context.hpp>
@@ -134,7 +135,7 @@
     if (m_stream->buffer().size() > 0) {
         co_return true;
     }
-    m_stream->startTimer(m_context->settings.limits.idleTime);
+    m_stream->startTimer(m_context->callerLimits().idleTime);
     boost::system::error_code ec;
     co_await m_stream->socket().async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, ec));
     co_return !m_stream->clearTimer() && !ec;
@@ -143,12 +144,14 @@
 asio::awaitable<bool> CallerConnection::serveOne()
 {
     Parser parser;
-    parser.header_limit(m_context->settings.limits.headerBytes);
-    parser.body_limit(m_context->settings.limits.bodyBytes);
+    const auto limits = m_context->callerLimits();
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
     boost::system::error_code ec;
-    m_stream->startTimer(m_context->settings.limits.requestTime);
+    m_stream->startTimer(limits.headerTime);
     co_await http::async_read_header(m_stream->socket(), m_stream->buffer(), parser, asio::redirect_error(asio::use_awaitable, ec));
     const bool late = m_stream->clearTimer();
+    m_received = std::chrono::steady_clock::now();
     const auto id = m_context->makeRequestId();
     if (ec) {
         if (late || !internal::connectionEnded(ec)) {
@@ -159,8 +162,13 @@
         co_return false;
     }
     m_context->counters->add(CounterId::RequestsReceived);
-    const auto callersId = callerRequestId(parser.get());
+    const auto callersId = callerRequestId(parser.get(), m_context->hooks.forward ? m_context->hooks.forward->requestIdHeader : "X-Request-Id");
     CallerAnswer answer(m_context, m_stream, callersId.empty() ? id : std::string(callersId), parser.keep_alive());
+    if (const auto fault = framingFault(parser.get()); !fault.empty()) {
+        Error error{ResultCode::RequestMalformed, std::string(fault), {}};
+        co_await refuseUnread(answer, std::move(error));
+        co_return false;
+    }
     co_await handle(parser, answer, id);
     co_return answer.keepAlive() && m_stream->socket().is_open();
 }
@@ -174,7 +182,7 @@
     } else if (!place.held()) {
         grant.error = Error{ResultCode::TooManyStreams, {}, {}};
     } else {
-        grant = capture([&] { return grantAccess(*m_context, parser.get()); });
+        grant = capture([&] { return m_context->hooks.forward ? grantForward(*m_context, parser.get()) : grantAccess(*m_context, parser.get()); });
     }
     if (!grant && !internal::smallBody(parser)) {
         co_await refuseUnread(answer, std::move(grant.error));
@@ -246,7 +254,9 @@
         std::ignore = co_await answer.sendError(std::move(reply));
     } else {
         m_stream->watch(mailbox);
-        if (const auto *call = std::get_if<ModelCall>(&grant.target)) {
+        if (std::holds_alternative<ForwardCall>(grant.target)) {
+            co_await runForwardCall(parser, answer, id, std::move(grant), mailbox);
+        } else if (const auto *call = std::get_if<ModelCall>(&grant.target)) {
             const auto endpoint = call->endpoint;
             co_await runModelCall(parser, answer, id, std::move(grant), endpoint, mailbox);
         } else {
@@ -287,6 +297,23 @@
     co_await request.run();
 }
 
+asio::awaitable<void> CallerConnection::runForwardCall(
+    Parser &parser, CallerAnswer &answer, const RequestId &id, AccessGrant grant, std::shared_ptr<Mailbox> mailbox)
+{
+    auto &message = parser.get();
+    ForwardPlan plan;
+    plan.id = id;
+    plan.received = m_received;
+    plan.fingerprint = m_context->hasher.digest((grant.team != nullptr ? grant.team->id : TeamId()) + "\n" + std::string(message.target()) + "\n" + message.body());
+    plan.method = message.method_string();
+    plan.target = message.target();
+    plan.headers = std::move(static_cast<boost::beast::http::fields &>(message));
+    plan.body = std::move(message.body());
+    plan.grant = std::move(grant);
+    ForwardRequest request(m_context, m_stream->socket().get_executor(), answer, std::move(mailbox), std::move(plan));
+    co_await request.run();
+}
+
 asio::awaitable<void>
 CallerConnection::runServiceCall(Parser &parser, CallerAnswer &answer, const RequestId &id, AccessGrant grant, std::shared_ptr<Mailbox> mailbox)
 {
--- a/src/guavafield/transport/http/caller_connection.hpp
+++ b/src/guavafield/transport/http/caller_connection.hpp
@@ -38,6 +38,7 @@
     [[nodiscard]] Awaitable dispatch(Parser &parser, CallerAnswer &answer, const RequestId &id, AccessGrant grant);
     [[nodiscard]] Awaitable
     runModelCall(Parser &parser, CallerAnswer &answer, const RequestId &id, AccessGrant grant, ModelEndpoint endpoint, std::shared_ptr<Mailbox> mailbox);
+    [[nodiscard]] Awaitable runForwardCall(Parser &parser, CallerAnswer &answer, const RequestId &id, AccessGrant grant, std::shared_ptr<Mailbox> mailbox);
     [[nodiscard]] Awaitable runServiceCall(Parser &parser, CallerAnswer &answer, const RequestId &id, AccessGrant grant, std::shared_ptr<Mailbox> mailbox);
     [[nodiscard]] Awaitable listModels(CallerAnswer &answer, const AccessGrant &grant);
     // Reads the body; false if it did not arrive as a whole, in which case the answer has been sent.
@@ -48,6 +49,8 @@
     std::shared_ptr<PathContext> m_context;
     std::shared_ptr<CallerStream> m_stream;
     bool m_idle{true};
+    // When the header of the request at hand had arrived.
+    SteadyTime m_received{};
 };
 
 } // namespace guavafield
--- a/src/guavafield/transport/http/connection_pool.cpp
+++ b/src/guavafield/transport/http/connection_pool.cpp
@@ -1,13 +1,60 @@
 // Taking and returning of idle connections.
 #include <guavafield/transport/http/connection_pool.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <charconv>
 #include <iterator>
 
 namespace guavafield {
 
+namespace internal {
+
+// Unacknowledged bytes end a connection after this time; two lost packets in a row are still repeated within it.
+constexpr int unacknowledgedMilliseconds = 1'000;
+constexpr int probeSeconds = 1;
+constexpr int probeCount = 2;
+// A connection is given up before the upstream closes it, so that no request crosses its close.
+constexpr Milliseconds closingMargin{1'000};
+
+void setTcpOption(int socket, int option, int value) noexcept
+{
+    ::setsockopt(socket, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
+} // namespace internal
+
+void UpstreamConnection::detectDeadPeer()
+{
+    const auto handle = socket.native_handle();
+    boost::system::error_code ec;
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ec);
+    internal::setTcpOption(handle, TCP_KEEPIDLE, internal::probeSeconds);
+    internal::setTcpOption(handle, TCP_KEEPINTVL, internal::probeSeconds);
+    internal::setTcpOption(handle, TCP_KEEPCNT, internal::probeCount);
+    internal::setTcpOption(handle, TCP_USER_TIMEOUT, internal::unacknowledgedMilliseconds);
+}
+
+void UpstreamConnection::keepFor(const boost::beast::http::fields &header)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const std::string_view value = header[boost::beast::http::field::keep_alive];
+    const auto at = value.find(parameter);
+    long seconds = 0;
+    if (at != std::string_view::npos
+        && std::from_chars(value.data() + at + parameter.size(), value.data() + value.size(), seconds).ec == std::errc()) {
+        keepAlive = std::chrono::seconds{seconds};
+    }
+}
+
+bool UpstreamConnection::expires(SteadyTime now) const noexcept
+{
+    return keepAlive && now - idleSince + internal::closingMargin >= *keepAlive;
+}
+
 std::unique_ptr<UpstreamConnection> ConnectionPool::takeIdle(const UpstreamEndpoint &endpoint)
 {
     const auto oldest = std::chrono::steady_clock::now() - m_settings.idleTime;
@@ -21,7 +68,7 @@
         auto connection = std::move(connections.back());
         connections.pop_back();
         // Bytes on an idle connection are an answer that nobody waits for, so the next answer could not be told from it.
-        if (connection->idleSince >= oldest && peek(connection->socket) == PeekResult::Nothing) {
+        if (connection->idleSince >= oldest && !connection->expires(std::chrono::steady_clock::now()) && peek(connection->socket) == PeekResult::Nothing) {
             return connection;
         }
     }
@@ -52,7 +99,7 @@
     const auto oldest = std::chrono::steady_clock::now() - m_settings.idleTime;
     const std::scoped_lock lock(m_mutex);
     for (auto it = m_idle.begin(); it != m_idle.end();) {
-        std::erase_if(it->second, [&](const auto &connection) { return connection->idleSince < oldest; });
+        std::erase_if(it->second, [&](const auto &connection) { return connection->idleSince < oldest || connection->expires(std::chrono::steady_clock::now()); });
         it = it->second.empty() ? m_idle.erase(it) : std::next(it);
     }
 }
--- a/src/guavafield/transport/http/connection_pool.hpp
+++ b/src/guavafield/transport/http/connection_pool.hpp
@@ -6,11 +6,13 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/fields.hpp>
 
 #include <cstddef>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace guavafield {
@@ -26,6 +28,15 @@
     // Bytes received but not yet parsed; empty while the connection is idle.
     boost::beast::flat_buffer buffer;
     SteadyTime idleSince{};
+    // The upstream closes the connection when it was idle for this long; empty if it did not say.
+    std::optional<Milliseconds> keepAlive;
+
+    /*! @brief Makes the system end the connection when the other side no longer acknowledges anything. */
+    void detectDeadPeer();
+    /*! @brief Takes the keep-alive time from an answer's header. */
+    void keepFor(const boost::beast::http::fields &header);
+    /*! @brief Returns whether the upstream may close the connection at any moment. */
+    [[nodiscard]] bool expires(SteadyTime now) const noexcept;
 };
 
 /*! @brief Limits of the pool. */
--- /dev/null
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -0,0 +1,249 @@
+// The coroutine of a forwarded attempt.
+#include <guavafield/transport/http/forward_attempt.hpp>
+
+#include <guavafield/transport/http/event_splitter.hpp>
+#include <guavafield/transport/http/headers.hpp>
+#include <guavafield/transport/http/path_context.hpp>
+#include <guavafield/transport/log/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace guavafield {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+// Stray answers of earlier requests that are skipped on one connection.
+constexpr int maxStrayAnswers = 2;
+constexpr std::size_t maxStrayBytes = std::size_t{1} << 20U;
+
+// Statuses that promise callers that the request was not run; an upstream that does not say so must not make this host say it.
+bool promisesNotRun(unsigned status) noexcept
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool isSuccess(unsigned status) noexcept
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace internal
+
+ForwardAttempt::ForwardAttempt(std::shared_ptr<PathContext> context,
+                               const asio::any_io_executor &strand,
+                               std::shared_ptr<Mailbox> mailbox,
+                               ForwardAttemptPlan plan)
+    : m_context(std::move(context))
+    , m_strand(strand)
+    , m_mailbox(std::move(mailbox))
+    , m_plan(std::move(plan))
+    , m_exchange(m_context->pool, strand, m_plan.endpoint, ExchangeTimes{m_context->settings.upstream.connectTime, m_plan.firstByteTime})
+    , m_reader(strand)
+{
+}
+
+void ForwardAttempt::start()
+{
+    asio::co_spawn(
+        m_strand, [self = shared_from_this()] { return self->run(); }, asio::detached);
+}
+
+void ForwardAttempt::cancel()
+{
+    m_cancelled = true;
+    m_exchange.abort();
+    readOn();
+}
+
+void ForwardAttempt::readOn()
+{
+    m_waitingForReader = false;
+    m_reader.cancel();
+}
+
+ForwardAttempt::Awaitable ForwardAttempt::run()
+{
+    const auto self = shared_from_this();
+    const auto result = co_await m_exchange.sendConcurrently(m_plan.request, self);
+    if (result == ExchangeResult::Ok) {
+        AnswerFacts facts;
+        const bool ours = co_await readHeader(facts);
+        if (ours) {
+            co_await readAnswer(facts);
+        }
+    } else {
+        reportFailure(result);
+    }
+    m_exchange.finish();
+}
+
+asio::awaitable<bool> ForwardAttempt::readHeader(AnswerFacts &facts)
+{
+    for (int strays = 0; strays <= internal::maxStrayAnswers; ++strays) {
+        auto result = co_await m_exchange.readHeader();
+        if (result == ExchangeResult::Ok) {
+            facts = m_context->hooks.forward->readAnswer(m_exchange.header(), m_plan.id);
+            if (!facts.stray) {
+                co_return true;
+            }
+            logEvent(LogLevel::Warning, "http:", m_plan.id, "stray answer skipped, upstream=" + m_plan.upstream);
+            result = co_await skipAnswer();
+        }
+        if (result != ExchangeResult::Ok) {
+            reportFailure(result);
+            co_return false;
+        }
+    }
+    deliverFailure(AttemptFailed{ResultCode::UpstreamFailed, RetryReason::UpstreamError}, "answers to other requests only");
+    co_return false;
+}
+
+asio::awaitable<ExchangeResult> ForwardAttempt::skipAnswer()
+{
+    std::string body;
+    auto result = ExchangeResult::Ok;
+    while (result == ExchangeResult::Ok && !m_exchange.ended()) {
+        result = co_await m_exchange.readSome(body);
+        if (body.size() > internal::maxStrayBytes) {
+            co_return ExchangeResult::Broken;
+        }
+    }
+    // An answer that ends with its connection leaves none for the one that is waited for.
+    co_return m_exchange.complete() ? result : ExchangeResult::Broken;
+}
+
+ForwardAttempt::Awaitable ForwardAttempt::readAnswer(const AnswerFacts &facts)
+{
+    const auto status = m_exchange.header().result_int();
+    if (facts.load) {
+        m_context->driver->onLoadReport(m_plan.upstream, *facts.load);
+    }
+    if (facts.notExecuted || facts.misdirected) {
+        AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
+        failure.notExecuted = true;
+        deliverFailure(failure, facts.misdirected ? "address belongs to another upstream" : "refused by the upstream");
+        if (!facts.misdirected) {
+            std::ignore = co_await skipAnswer();
+        }
+        co_return;
+    }
+    const bool success = internal::isSuccess(status);
+    const bool truthful = success ? facts.ours && facts.genuine : !internal::promisesNotRun(status) && (facts.ours || !facts.genuine);
+    if (!truthful) {
+        m_exchange.abort();
+        deliverFailure(AttemptFailed{ResultCode::UpstreamFailed, RetryReason::UpstreamError}, "not a genuine answer, status " + std::to_string(status));
+        co_return;
+    }
+    m_answerBegan = true;
+    deliver(AnswerHead{m_plan.number, status, endToEndHeaders(m_exchange.header())});
+    m_exchange.setSilence(m_plan.silenceTime);
+    if (success && m_plan.stream) {
+        co_await readStream();
+    } else {
+        co_await readWhole();
+    }
+}
+
+ForwardAttempt::Awaitable ForwardAttempt::readStream()
+{
+    EventSplitter splitter;
+    std::string piece;
+    auto result = ExchangeResult::Ok;
+    while (result == ExchangeResult::Ok && !m_exchange.ended() && !m_cancelled) {
+        AnswerEvents batch{m_plan.number, {}};
+        piece.clear();
+        result = co_await m_exchange.readSome(piece);
+        if (!splitter.feed(piece, batch.events)) {
+            result = ExchangeResult::Broken;
+        }
+        if (!batch.events.empty()) {
+            m_waitingForReader = true;
+            deliver(std::move(batch));
+            co_await waitForReader();
+        }
+    }
+    if (result != ExchangeResult::Ok || splitter.insideEvent()) {
+        reportFailure(result == ExchangeResult::Ok ? ExchangeResult::Broken : result);
+    } else {
+        deliver(AnswerCompleted{m_plan.number, m_exchange.header().result_int(), {}, {}});
+    }
+}
+
+ForwardAttempt::Awaitable ForwardAttempt::readWhole()
+{
+    AnswerCompleted answer{m_plan.number, m_exchange.header().result_int(), {}, {}};
+    auto result = ExchangeResult::Ok;
+    while (result == ExchangeResult::Ok && !m_exchange.ended()) {
+        result = co_await m_exchange.readSome(answer.body);
+        if (answer.body.size() > m_context->settings.limits.answerBytes) {
+            m_exchange.abort();
+            deliverFailure(AttemptFailed{ResultCode::UpstreamFailed, RetryReason::UpstreamError}, "the answer is too large");
+            co_return;
+        }
+    }
+    if (result == ExchangeResult::Ok) {
+        deliver(std::move(answer));
+    } else {
+        reportFailure(result);
+    }
+}
+
+ForwardAttempt::Awaitable ForwardAttempt::waitForReader()
+{
+    while (m_waitingForReader && !m_cancelled) {
+        m_reader.expires_at(SteadyTime::max());
+        boost::system::error_code ec;
+        co_await m_reader.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+void ForwardAttempt::reportFailure(ExchangeResult result)
+{
+    AttemptFailed failure{ResultCode::UpstreamIncomplete, RetryReason::AnswerIncomplete};
+    switch (result) {
+    case ExchangeResult::ConnectFailed:
+        failure = {ResultCode::UpstreamUnreachable, RetryReason::ConnectFailed};
+        failure.notExecuted = true;
+        deliverFailure(failure, "no connection");
+        break;
+    case ExchangeResult::TimedOut:
+        failure = {ResultCode::UpstreamTimeout, m_answerBegan ? RetryReason::AnswerIncomplete : RetryReason::FirstTokenLate};
+        deliverFailure(failure, m_answerBegan ? "the answer stopped" : "no answer in time");
+        break;
+    case ExchangeResult::Broken:
+        failure.upstreamCrashed = !m_answerBegan;
+        deliverFailure(failure, "the connection ended before the answer did");
+        break;
+    case ExchangeResult::Ok:
+    case ExchangeResult::Aborted:
+        break;
+    }
+}
+
+void ForwardAttempt::deliver(RequestEvent event)
+{
+    if (!m_cancelled) {
+        m_mailbox->deliver(std::move(event));
+    }
+}
+
+void ForwardAttempt::deliverFailure(AttemptFailed failure, std::string_view cause)
+{
+    if (m_cancelled) {
+        return;
+    }
+    std::string text = "attempt failed, cause=\"" + std::string(cause) + "\" upstream=" + m_plan.upstream;
+    text += " attempt=" + std::to_string(m_plan.number) + " reason=" + std::string(describe(failure.reason));
+    text += failure.notExecuted ? " executed=no" : " executed=unknown";
+    logEvent(LogLevel::Warning, "http:", m_plan.id, text);
+    deliver(AnswerFailed{m_plan.number, failure});
+}
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/transport/http/forward_attempt.hpp
@@ -0,0 +1,91 @@
+// One attempt to run a forwarded request at an upstream.
+#pragma once
+
+#include <guavafield/state/configuration.hpp>
+#include <guavafield/transport/http/mailbox.hpp>
+#include <guavafield/transport/http/upstream_exchange.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+
+namespace guavafield {
+
+struct AnswerFacts;
+struct PathContext;
+
+/*! @brief What a forwarded attempt needs. */
+struct ForwardAttemptPlan
+{
+    // Distinguishes the attempts of one request.
+    std::uint32_t number{0};
+    // The caller's id of the request.
+    RequestId id;
+    UpstreamId upstream;
+    UpstreamEndpoint endpoint;
+    UpstreamRequest request;
+    // The route answers with streams of events.
+    bool stream{false};
+    // Longest wait for the first byte of the answer, and then for each further one.
+    Milliseconds firstByteTime{0};
+    Milliseconds silenceTime{0};
+};
+
+/*!
+ * @brief Sends a request to an upstream and delivers the answer to the request's mailbox.
+ *
+ * Runs on the strand of the mailbox. After cancel() it delivers nothing more.
+ */
+class ForwardAttempt : public std::enable_shared_from_this<ForwardAttempt>
+{
+public:
+    ForwardAttempt(std::shared_ptr<PathContext> context, const boost::asio::any_io_executor &strand, std::shared_ptr<Mailbox> mailbox, ForwardAttemptPlan plan);
+
+    void start();
+    /*! @brief Closes the connection, which cancels the request at the upstream. */
+    void cancel();
+    /*! @brief Reads on after AnswerEvents; until then nothing is read, so that a slow caller slows the upstream down. */
+    void readOn();
+
+    [[nodiscard]] std::uint32_t number() const noexcept
+    {
+        return m_plan.number;
+    }
+    [[nodiscard]] const UpstreamId &upstream() const noexcept
+    {
+        return m_plan.upstream;
+    }
+    /*! @brief Returns whether bytes of the request may have reached the upstream. */
+    [[nodiscard]] bool sent() const noexcept
+    {
+        return m_exchange.sent();
+    }
+
+private:
+    using Awaitable = boost::asio::awaitable<void>;
+
+    [[nodiscard]] Awaitable run();
+    // Reads headers until one answers this request; false if there is none, which has been reported.
+    [[nodiscard]] boost::asio::awaitable<bool> readHeader(AnswerFacts &facts);
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> skipAnswer();
+    [[nodiscard]] Awaitable readAnswer(const AnswerFacts &facts);
+    [[nodiscard]] Awaitable readStream();
+    [[nodiscard]] Awaitable readWhole();
+    [[nodiscard]] Awaitable waitForReader();
+    void reportFailure(ExchangeResult result);
+    void deliver(RequestEvent event);
+    void deliverFailure(AttemptFailed failure, std::string_view cause);
+
+    std::shared_ptr<PathContext> m_context;
+    boost::asio::any_io_executor m_strand;
+    std::shared_ptr<Mailbox> m_mailbox;
+    ForwardAttemptPlan m_plan;
+    UpstreamExchange m_exchange;
+    boost::asio::steady_timer m_reader;
+    bool m_waitingForReader{false};
+    bool m_cancelled{false};
+    bool m_answerBegan{false};
+};
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -0,0 +1,428 @@
+// Events of a request that is passed on unchanged.
+#include <guavafield/transport/http/forward_request.hpp>
+
+#include <guavafield/coordination/table/table.hpp>
+#include <guavafield/transport/http/event_splitter.hpp>
+#include <guavafield/transport/http/path_context.hpp>
+#include <guavafield/transport/log/log.hpp>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace guavafield {
+
+namespace internal {
+
+// The upstream answers at the deadline itself; its answer is given this long to arrive.
+constexpr Milliseconds answerGrace{60};
+// A request that may go to another upstream waits for its first byte for this multiple of the target, within its time.
+constexpr double firstByteTargets = 2.5;
+// For plain services, the part of the time left after which another upstream is tried.
+constexpr double firstBytePart = 0.4;
+// A stream that can be continued elsewhere is given up after this multiple of its longest pause, and not before a least time.
+constexpr double silentPauses = 4;
+constexpr Milliseconds leastSilence{1'500};
+
+Milliseconds scaled(Milliseconds time, double factor)
+{
+    return Milliseconds{static_cast<Milliseconds::rep>(static_cast<double>(time.count()) * factor)};
+}
+
+} // namespace internal
+
+ForwardRequest::ForwardRequest(std::shared_ptr<PathContext> context,
+                               const boost::asio::any_io_executor &strand,
+                               CallerAnswer &answer,
+                               std::shared_ptr<Mailbox> mailbox,
+                               ForwardPlan plan)
+    : m_context(std::move(context))
+    , m_strand(strand)
+    , m_answer(&answer)
+    , m_mailbox(std::move(mailbox))
+    , m_plan(std::move(plan))
+    , m_call(std::get<ForwardCall>(m_plan.grant.target))
+    , m_deadline(m_plan.received + std::min(m_plan.grant.timeout, m_call.envelope.deadline.value_or(m_plan.grant.timeout)))
+    , m_lastEvent(m_call.envelope.lastEventId)
+{
+}
+
+Milliseconds ForwardRequest::timeLeft() const
+{
+    const auto left = std::chrono::duration_cast<Milliseconds>(m_deadline - std::chrono::steady_clock::now());
+    return std::max(left, Milliseconds{1});
+}
+
+RequestInfo ForwardRequest::requestInfo() const
+{
+    const auto &envelope = m_call.envelope;
+    RequestInfo info;
+    info.id = m_plan.id;
+    info.team = m_plan.grant.team != nullptr ? m_plan.grant.team->id : TeamId();
+    // Retries are bounded by pool.
+    info.className = m_call.pool;
+    info.model = m_call.pool;
+    info.tier = static_cast<Tier>(std::min<std::uint32_t>(m_call.enginePriority, tierCount - 1));
+    info.firstTokenTarget = m_call.target.target;
+    info.totalTarget = timeLeft();
+    info.promptTokens = envelope.promptTokens;
+    info.maxOutputTokens = envelope.maxOutputTokens;
+    info.repeatable = m_call.target.repeat != Repeat::Never;
+    info.resumable = m_call.target.repeat == Repeat::Resume;
+    info.prefixHashes = envelope.prefixHashes;
+    info.prefixTokens = envelope.prefixTokens;
+    info.fingerprint = m_plan.fingerprint;
+    info.enginePriority = m_call.enginePriority;
+    info.maxAttempts = m_call.target.maxAttempts;
+    return info;
+}
+
+boost::asio::awaitable<void> ForwardRequest::run()
+{
+    const auto admission = m_context->driver->submit(requestInfo(), m_mailbox);
+    if (const auto *refusal = std::get_if<Refused>(&admission)) {
+        co_await finishWith(refusal->code, refusal->retryAfter);
+        co_return;
+    }
+    while (!m_over) {
+        auto event = co_await m_mailbox->next(m_deadline + internal::answerGrace);
+        auto handled = std::visit([this](auto &it) { return on(it); }, event);
+        co_await std::move(handled);
+    }
+    m_context->driver->forget(m_plan.id);
+}
+
+ForwardRequest::Awaitable ForwardRequest::on(SchedulerAction &action)
+{
+    if (const auto *dispatch = std::get_if<DispatchAction>(&action)) {
+        co_await startAttempt(*dispatch);
+    } else if (const auto *preemption = std::get_if<PreemptAction>(&action)) {
+        if (m_attempt && m_attempt->upstream() == preemption->upstream) {
+            endAttempt();
+        }
+    } else if (const auto *shed = std::get_if<ShedAction>(&action)) {
+        co_await finishWith(shed->refusal.code, shed->refusal.retryAfter);
+    }
+}
+
+std::string ForwardRequest::endpointText(const UpstreamId &upstream) const
+{
+    const auto configuration = m_context->currentConfiguration();
+    const auto it = configuration->upstreams.find(upstream);
+    return it == configuration->upstreams.end() ? std::string() : it->second.address + ":" + std::to_string(it->second.port);
+}
+
+ForwardAttemptPlan ForwardRequest::attemptPlan(const DispatchAction &dispatch, const Upstream &upstream) const
+{
+    const auto &target = m_call.target;
+    const auto left = timeLeft();
+    ForwardAttemptPlan plan;
+    plan.number = m_nextAttempt;
+    plan.id = m_call.envelope.id;
+    plan.upstream = dispatch.upstream;
+    plan.stream = target.stream;
+    plan.endpoint = endpointOf(upstream.address, upstream.port).value_or(UpstreamEndpoint{});
+    plan.firstByteTime = left + internal::answerGrace;
+    plan.silenceTime = left + internal::answerGrace;
+    const bool another = target.repeat != Repeat::Never && m_nextAttempt < target.maxAttempts;
+    if (another) {
+        plan.firstByteTime = target.stream ? internal::scaled(target.target, internal::firstByteTargets) : internal::scaled(left, internal::firstBytePart);
+    }
+    if (another && target.repeat == Repeat::Resume) {
+        plan.silenceTime = std::max(internal::leastSilence, internal::scaled(target.gapTarget, internal::silentPauses));
+    }
+    ForwardInstructions instructions{m_call.envelope, {}, dispatch.upstream, left, {}, {}, {}};
+    instructions.team = m_plan.grant.team != nullptr ? std::string_view(m_plan.grant.team->id) : std::string_view();
+    const auto configuration = m_context->currentConfiguration();
+    const auto pool = configuration->pools.find(m_call.pool);
+    if (pool != configuration->pools.end() && pool->second.engine) {
+        instructions.enginePriority = dispatch.enginePriority;
+    }
+    if (!dispatch.fetchFrom.empty()) {
+        instructions.fetchFrom = endpointText(dispatch.fetchFrom);
+    }
+    instructions.resumeAfter = m_lastEvent;
+    plan.request.method_string(m_plan.method);
+    plan.request.target(m_plan.target);
+    m_context->hooks.forward->writeRequest(m_plan.headers, instructions, plan.request);
+    plan.request.body() = m_plan.body;
+    plan.request.prepare_payload();
+    return plan;
+}
+
+ForwardRequest::Awaitable ForwardRequest::startAttempt(const DispatchAction &dispatch)
+{
+    const auto configuration = m_context->currentConfiguration();
+    const auto it = configuration->upstreams.find(dispatch.upstream);
+    m_lastUpstream = dispatch.upstream;
+    if (it == configuration->upstreams.end()) {
+        // It has left since the scheduler chose it.
+        AttemptFailed failure{ResultCode::UpstreamUnreachable, RetryReason::UpstreamReclaimed};
+        failure.notExecuted = true;
+        co_await failAttempt(failure);
+        co_return;
+    }
+    auto plan = attemptPlan(dispatch, it->second);
+    ++m_nextAttempt;
+    std::string text = "dispatched, upstream=" + dispatch.upstream + " pool=" + m_call.pool + " route=" + m_call.route;
+    text += " team=" + (m_plan.grant.team != nullptr ? m_plan.grant.team->id : std::string("-"));
+    text += " attempt=" + std::to_string(plan.number) + " priority=" + std::to_string(dispatch.enginePriority);
+    text += " expected_ms=" + std::to_string(dispatch.expected.count()) + " left_ms=" + std::to_string(timeLeft().count());
+    text += " fetch_from=" + (dispatch.fetchFrom.empty() ? std::string("-") : dispatch.fetchFrom);
+    text += " configuration=" + std::to_string(m_plan.grant.configuration->revision);
+    logEvent(LogLevel::Info, "http:", m_call.envelope.id, text);
+    m_counted = false;
+    m_attempt = std::make_shared<ForwardAttempt>(m_context, m_strand, m_mailbox, std::move(plan));
+    m_attempt->start();
+}
+
+ForwardRequest::Awaitable ForwardRequest::on(AnswerHead &event)
+{
+    if (!m_attempt || m_attempt->number() != event.attempt) {
+        co_return;
+    }
+    m_head.status = event.status;
+    m_head.headers = std::move(event.headers);
+    if (!m_call.target.stream) {
+        countStarted();
+        m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
+        m_firstEventAt = std::chrono::steady_clock::now();
+    }
+}
+
+ForwardRequest::Awaitable ForwardRequest::on(AnswerEvents &event)
+{
+    if (!m_attempt || m_attempt->number() != event.attempt) {
+        co_return;
+    }
+    countStarted();
+    std::string text;
+    std::uint32_t count = 0;
+    const bool valid = takeEvents(event.events, text, count);
+    if (!text.empty()) {
+        if (!m_firstEventAt) {
+            m_firstEventAt = std::chrono::steady_clock::now();
+        }
+        m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
+        m_context->driver->onTokens(m_plan.id, count);
+        bool written = true;
+        if (!m_answer->started()) {
+            written = co_await m_answer->beginStream(m_head);
+        }
+        if (written) {
+            written = co_await m_answer->sendEvents(text);
+        }
+        if (!written) {
+            CallerGone gone;
+            co_await on(gone);
+            co_return;
+        }
+    }
+    if (valid) {
+        m_attempt->readOn();
+    } else {
+        AttemptFailed failure{ResultCode::UpstreamOutOfSequence, RetryReason::AnswerIncomplete};
+        co_await failAttempt(failure);
+    }
+}
+
+bool ForwardRequest::takeEvents(const std::vector<std::string> &events, std::string &text, std::uint32_t &count)
+{
+    for (const auto &it : events) {
+        const auto id = eventId(it);
+        if (id && m_lastEvent && *id <= *m_lastEvent) {
+            // A second run may repeat what the caller has.
+            continue;
+        }
+        if (id && m_lastEvent && *id != *m_lastEvent + 1) {
+            return false;
+        }
+        text += it;
+        ++count;
+        m_lastEvent = id ? id : m_lastEvent;
+    }
+    return true;
+}
+
+bool ForwardRequest::worthRetrying(unsigned status) const
+{
+    return status >= 500 && m_call.target.repeat == Repeat::Always && timeLeft() > m_call.target.target / 2;
+}
+
+ForwardRequest::Awaitable ForwardRequest::on(AnswerCompleted &event)
+{
+    if (!m_attempt || m_attempt->number() != event.attempt) {
+        co_return;
+    }
+    if (!m_call.target.stream || m_head.status >= 300) {
+        co_await sendWhole(event);
+        co_return;
+    }
+    bool written = true;
+    if (!m_answer->started()) {
+        written = co_await m_answer->beginStream(m_head);
+    }
+    if (written) {
+        written = co_await m_answer->endForwardedStream();
+    }
+    std::ignore = m_context->driver->onAttemptEnded(m_plan.id, m_attempt->upstream(), AttemptCompleted{});
+    m_context->counters->add(written ? CounterId::RequestsCompleted : CounterId::RequestsAbandonedByCaller);
+    m_over = true;
+    logEnd(written ? "completed" : "caller gone", m_head.status, ResultCode::Ok);
+}
+
+ForwardRequest::Awaitable ForwardRequest::sendWhole(AnswerCompleted &event)
+{
+    if (m_answer->started()) {
+        // An error is no continuation of a stream.
+        AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
+        co_await failAttempt(failure);
+        co_return;
+    }
+    m_head.body = std::move(event.body);
+    if (worthRetrying(m_head.status)) {
+        AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
+        const auto verdict = m_context->driver->onAttemptEnded(m_plan.id, m_attempt->upstream(), failure);
+        if (std::holds_alternative<RetryQueued>(verdict)) {
+            m_mayHaveRun = true;
+            endAttempt();
+            co_return;
+        }
+    } else {
+        std::ignore = m_context->driver->onAttemptEnded(m_plan.id, m_attempt->upstream(), AttemptCompleted{});
+    }
+    const bool written = co_await m_answer->sendWhole(m_head);
+    m_context->counters->add(written ? CounterId::RequestsCompleted : CounterId::RequestsAbandonedByCaller);
+    m_over = true;
+    logEnd(written ? "completed" : "caller gone", m_head.status, ResultCode::Ok);
+}
+
+ForwardRequest::Awaitable ForwardRequest::on(AnswerFailed &event)
+{
+    if (m_attempt && m_attempt->number() == event.attempt) {
+        co_await failAttempt(event.failure);
+    }
+}
+
+ForwardRequest::Awaitable ForwardRequest::failAttempt(AttemptFailed failure)
+{
+    failure.answerStarted = m_answer->started();
+    if (m_attempt) {
+        m_mayHaveRun = m_mayHaveRun || (m_attempt->sent() && !failure.notExecuted);
+        // The call of a plain service is taken to have begun where its answer is missing.
+        if (!m_call.target.stream && m_attempt->sent() && !failure.notExecuted) {
+            countStarted();
+        }
+        endAttempt();
+    }
+    const auto verdict = m_context->driver->onAttemptEnded(m_plan.id, m_lastUpstream, failure);
+    if (std::holds_alternative<RetryQueued>(verdict)) {
+        m_context->counters->addRetry(failure.reason);
+        co_return;
+    }
+    const auto *refusal = std::get_if<Refused>(&verdict);
+    co_await finishWith(refusal != nullptr ? refusal->code : failure.code, refusal != nullptr ? std::optional(refusal->retryAfter) : std::nullopt);
+}
+
+ForwardRequest::Awaitable ForwardRequest::on(CallerGone & /*event*/)
+{
+    m_context->counters->add(CounterId::RequestsAbandonedByCaller);
+    m_answer->closeAfterwards();
+    abandon();
+    m_over = true;
+    logEnd("caller gone", 0, ResultCode::Ok);
+    co_return;
+}
+
+ForwardRequest::Awaitable ForwardRequest::on(HostEnding & /*event*/)
+{
+    abandon();
+    co_await finishWith(ResultCode::HostStopping);
+}
+
+ForwardRequest::Awaitable ForwardRequest::on(DeadlineReached & /*event*/)
+{
+    abandon();
+    co_await finishWith(ResultCode::UpstreamTimeout);
+}
+
+ForwardRequest::Awaitable ForwardRequest::on(AnswerStarted & /*event*/)
+{
+    co_return;
+}
+
+ForwardRequest::Awaitable ForwardRequest::on(ServiceOutcome & /*event*/)
+{
+    co_return;
+}
+
+ForwardRequest::Awaitable ForwardRequest::on(KeyClosed & /*event*/)
+{
+    // A request that was let in before its key was withdrawn is finished.
+    co_return;
+}
+
+ForwardRequest::Awaitable ForwardRequest::finishWith(ResultCode code, std::optional<Milliseconds> retryAfter)
+{
+    m_over = true;
+    if (m_answer->started()) {
+        m_context->counters->addRefusal(code);
+        m_answer->breakOff();
+        logEnd("broken off", m_head.status, code);
+        co_return;
+    }
+    // The statuses of a refusal promise that the request was not run.
+    const bool promise = describe(code).httpStatus == 503 || describe(code).httpStatus == 429;
+    if (promise && m_mayHaveRun) {
+        code = ResultCode::UpstreamFailed;
+    } else if (!promise && !m_mayHaveRun && code != ResultCode::UpstreamTimeout) {
+        code = ResultCode::NoUpstream;
+    }
+    ErrorReply reply;
+    reply.code = code;
+    reply.notRun = !m_mayHaveRun;
+    reply.retryAfter = m_mayHaveRun ? std::nullopt : retryAfter;
+    const auto status = describe(code).httpStatus;
+    const bool written = co_await m_answer->sendError(std::move(reply));
+    if (!written) {
+        m_answer->closeAfterwards();
+    }
+    logEnd(m_mayHaveRun ? "failed" : "refused", status, code);
+}
+
+void ForwardRequest::countStarted()
+{
+    if (!std::exchange(m_counted, true) && m_plan.grant.team != nullptr && m_context->hooks.started) {
+        m_context->hooks.started(m_plan.grant.team->id);
+    }
+}
+
+void ForwardRequest::endAttempt()
+{
+    if (m_attempt) {
+        m_attempt->cancel();
+        m_attempt.reset();
+    }
+}
+
+void ForwardRequest::abandon()
+{
+    m_context->driver->abandon(m_plan.id);
+    m_mayHaveRun = m_mayHaveRun || (m_attempt && m_attempt->sent());
+    endAttempt();
+}
+
+void ForwardRequest::logEnd(std::string_view outcome, unsigned status, ResultCode code) const
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto milliseconds = [&](SteadyTime at) { return std::to_string(std::chrono::duration_cast<Milliseconds>(at - m_plan.received).count()); };
+    std::string text = "ended, outcome=\"" + std::string(outcome) + "\" status=" + std::to_string(status);
+    text += " code=" + std::to_string(static_cast<unsigned>(code)) + " attempts=" + std::to_string(m_nextAttempt - 1);
+    text += " upstream=" + (m_lastUpstream.empty() ? std::string("-") : m_lastUpstream);
+    text += " first_ms=" + (m_firstEventAt ? milliseconds(*m_firstEventAt) : std::string("-")) + " total_ms=" + milliseconds(now);
+    text += " executed=" + std::string(m_mayHaveRun || status == m_head.status ? "maybe" : "no");
+    logEvent(LogLevel::Info, "http:", m_call.envelope.id, text);
+    m_context->latencies.add(m_call.pool, m_firstEventAt ? std::optional(*m_firstEventAt - m_plan.received) : std::nullopt, now - m_plan.received);
+}
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/transport/http/forward_request.hpp
@@ -0,0 +1,110 @@
+// A request that is passed on unchanged, from its admission to the end of its answer.
+#pragma once
+
+#include <guavafield/transport/http/access.hpp>
+#include <guavafield/transport/http/caller_answer.hpp>
+#include <guavafield/transport/http/forward_attempt.hpp>
+#include <guavafield/transport/http/mailbox.hpp>
+
+#include <boost/beast/http/fields.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace guavafield {
+
+struct PathContext;
+
+/*! @brief A caller's request with everything that is known of it; its grant holds a ForwardCall. */
+struct ForwardPlan
+{
+    AccessGrant grant;
+    // Unique within the fleet.
+    RequestId id;
+    SteadyTime received{};
+    Digest fingerprint{};
+    std::string method;
+    std::string target;
+    // As the caller sent them.
+    boost::beast::http::fields headers;
+    std::string body;
+};
+
+/*!
+ * @brief Follows the scheduler's actions and passes one upstream's answer on.
+ *
+ * Handles one event at a time; at most one attempt runs. Nothing goes to the caller before an upstream's answer is known to be
+ * genuine. A stream that broke goes on with another upstream's events, after the last one that the caller has.
+ */
+class ForwardRequest
+{
+public:
+    ForwardRequest(std::shared_ptr<PathContext> context,
+                   const boost::asio::any_io_executor &strand,
+                   CallerAnswer &answer,
+                   std::shared_ptr<Mailbox> mailbox,
+                   ForwardPlan plan);
+
+    /*! @brief Runs the request to its end. */
+    [[nodiscard]] boost::asio::awaitable<void> run();
+
+private:
+    using Awaitable = boost::asio::awaitable<void>;
+
+    [[nodiscard]] RequestInfo requestInfo() const;
+    [[nodiscard]] Milliseconds timeLeft() const;
+
+    [[nodiscard]] Awaitable on(SchedulerAction &action);
+    [[nodiscard]] Awaitable on(AnswerHead &event);
+    [[nodiscard]] Awaitable on(AnswerEvents &event);
+    [[nodiscard]] Awaitable on(AnswerCompleted &event);
+    [[nodiscard]] Awaitable on(AnswerFailed &event);
+    [[nodiscard]] Awaitable on(CallerGone &event);
+    [[nodiscard]] Awaitable on(HostEnding &event);
+    [[nodiscard]] Awaitable on(DeadlineReached &event);
+    // Events of other kinds of requests.
+    [[nodiscard]] Awaitable on(AnswerStarted &event);
+    [[nodiscard]] Awaitable on(ServiceOutcome &event);
+    [[nodiscard]] Awaitable on(KeyClosed &event);
+
+    [[nodiscard]] Awaitable startAttempt(const DispatchAction &dispatch);
+    [[nodiscard]] ForwardAttemptPlan attemptPlan(const DispatchAction &dispatch, const Upstream &upstream) const;
+    [[nodiscard]] std::string endpointText(const UpstreamId &upstream) const;
+    [[nodiscard]] Awaitable failAttempt(AttemptFailed failure);
+    [[nodiscard]] Awaitable finishWith(ResultCode code, std::optional<Milliseconds> retryAfter = {});
+    [[nodiscard]] Awaitable sendWhole(AnswerCompleted &event);
+    // Appends the events that the caller lacks; false if one is missing.
+    [[nodiscard]] bool takeEvents(const std::vector<std::string> &events, std::string &text, std::uint32_t &count);
+    // Whether another upstream may answer better than this status.
+    [[nodiscard]] bool worthRetrying(unsigned status) const;
+    void countStarted();
+    void endAttempt();
+    void abandon();
+    void logEnd(std::string_view outcome, unsigned status, ResultCode code) const;
+
+    std::shared_ptr<PathContext> m_context;
+    boost::asio::any_io_executor m_strand;
+    CallerAnswer *m_answer;
+    std::shared_ptr<Mailbox> m_mailbox;
+    ForwardPlan m_plan;
+    const ForwardCall &m_call;
+    SteadyTime m_deadline;
+    // Null between attempts.
+    std::shared_ptr<ForwardAttempt> m_attempt;
+    // Header of the running attempt's answer.
+    ServiceAnswer m_head;
+    std::uint32_t m_nextAttempt{1};
+    // Last event that the caller has.
+    std::optional<std::uint64_t> m_lastEvent;
+    std::optional<SteadyTime> m_firstEventAt;
+    UpstreamId m_lastUpstream;
+    // An upstream may have run the request in an attempt that is over.
+    bool m_mayHaveRun{false};
+    // The running attempt has been counted as started.
+    bool m_counted{false};
+    bool m_over{false};
+};
+
+} // namespace guavafield
