--- a/src/guavafield/transport/http/headers.cpp
+++ b/src/guavafield/transport/http/headers.cpp
@@ -53,12 +53,28 @@
 
 bool passes(const http::fields &fields, const http::fields::value_type &field)
 {
-    return std::ranges::find(connectionHeaders, field.name()) == connectionHeaders.end() && !ownHeader(field.name_string())
-        && !iequals(field.name_string(), "X-Request-Id") && !namedByConnection(fields, field.name_string());
+    return isEndToEnd(fields, field) && !ownHeader(field.name_string()) && !iequals(field.name_string(), "X-Request-Id");
 }
 
 } // namespace internal
 
+bool isEndToEnd(const boost::beast::http::fields &fields, const boost::beast::http::fields::value_type &field)
+{
+    const auto &single = internal::connectionHeaders;
+    return std::ranges::find(single, field.name()) == single.end() && !internal::namedByConnection(fields, field.name_string());
+}
+
+std::vector<std::pair<std::string, std::string>> endToEndHeaders(const boost::beast::http::fields &from)
+{
+    std::vector<std::pair<std::string, std::string>> headers;
+    for (const auto &it : from) {
+        if (isEndToEnd(from, it)) {
+            headers.emplace_back(it.name_string(), it.value());
+        }
+    }
+    return headers;
+}
+
 void copyRequestHeaders(const boost::beast::http::fields &from, std::string_view presentedKey, boost::beast::http::fields &to)
 {
     for (const auto &it : from) {
@@ -93,9 +109,9 @@
     return value;
 }
 
-std::string_view callerRequestId(const boost::beast::http::fields &fields) noexcept
+std::string_view callerRequestId(const boost::beast::http::fields &fields, std::string_view header) noexcept
 {
-    const std::string_view value = fields["X-Request-Id"];
+    const std::string_view value = fields[header];
     const bool printable = std::ranges::all_of(value, [](char it) { return it > ' ' && it < '\x7f'; });
     return printable && value.size() <= maxRequestIdBytes ? value : std::string_view();
 }
--- a/src/guavafield/transport/http/headers.hpp
+++ b/src/guavafield/transport/http/headers.hpp
@@ -25,10 +25,15 @@
 /*! @brief Returns the headers of an upstream's answer that the caller may see. */
 [[nodiscard]] std::vector<std::pair<std::string, std::string>> answerHeaders(const boost::beast::http::fields &from);
 
+/*! @brief Returns whether a header is passed on by a proxy, i.e. concerns more than one connection. */
+[[nodiscard]] bool isEndToEnd(const boost::beast::http::fields &fields, const boost::beast::http::fields::value_type &field);
+/*! @brief Returns all headers that a proxy passes on. */
+[[nodiscard]] std::vector<std::pair<std::string, std::string>> endToEndHeaders(const boost::beast::http::fields &from);
+
 /*! @brief Returns the token of a bearer Authorization header; empty if there is none. */
 [[nodiscard]] std::string_view bearerToken(const boost::beast::http::fields &fields) noexcept;
 
 /*! @brief Returns the caller's request id, or an empty view if it sent none or one that is too long or not printable. */
-[[nodiscard]] std::string_view callerRequestId(const boost::beast::http::fields &fields) noexcept;
+[[nodiscard]] std::string_view callerRequestId(const boost::beast::http::fields &fields, std::string_view header) noexcept;
 
 } // namespace guavafield
--- a/src/guavafield/transport/http/mailbox.hpp
+++ b/src/guavafield/transport/http/mailbox.hpp
@@ -25,6 +25,13 @@
     unsigned status{0};
     std::string contentType;
 };
+/*! @brief The header of a forwarded answer that is passed on. */
+struct AnswerHead
+{
+    std::uint32_t attempt{0};
+    unsigned status{0};
+    std::vector<std::pair<std::string, std::string>> headers;
+};
 /*! @brief Events of a streamed answer; the attempt reads on when it is told to. */
 struct AnswerEvents
 {
@@ -63,7 +70,7 @@
 };
 
 using RequestEvent = std::
-    variant<SchedulerAction, AnswerStarted, AnswerEvents, AnswerCompleted, AnswerFailed, ServiceOutcome, CallerGone, KeyClosed, HostEnding, DeadlineReached>;
+    variant<SchedulerAction, AnswerStarted, AnswerHead, AnswerEvents, AnswerCompleted, AnswerFailed, ServiceOutcome, CallerGone, KeyClosed, HostEnding, DeadlineReached>;
 
 /*! @brief Queue of events with one reader, which runs on the mailbox's strand. */
 class Mailbox : public std::enable_shared_from_this<Mailbox>
--- a/src/guavafield/transport/http/model_request.cpp
+++ b/src/guavafield/transport/http/model_request.cpp
@@ -132,6 +132,11 @@
     co_return;
 }
 
+ModelRequest::Awaitable ModelRequest::on(AnswerHead & /*event*/)
+{
+    co_return;
+}
+
 ModelRequest::Awaitable ModelRequest::on(AnswerEvents &event)
 {
     auto *attempt = findAttempt(event.attempt);
--- a/src/guavafield/transport/http/operator_server.cpp
+++ b/src/guavafield/transport/http/operator_server.cpp
@@ -121,7 +121,7 @@
     if (path == "/healthz" && isRead) {
         co_return OperatorAnswer{200, "text/plain", "ok\n"};
     }
-    if (path == "/readyz" && isRead) {
+    if ((path == "/readyz" || path == m_dependencies.settings.listen.readyPath) && isRead) {
         co_return readiness();
     }
     if (path == "/metrics" && isRead) {
--- a/src/guavafield/transport/http/path_context.cpp
+++ b/src/guavafield/transport/http/path_context.cpp
@@ -23,10 +23,10 @@
     while (known < time && !m_confirmed.compare_exchange_weak(known, time, std::memory_order_acq_rel)) { }
 }
 
-bool ConfigurationAge::tooOld(SteadyTime now) const noexcept
+bool ConfigurationAge::olderThan(Milliseconds age, SteadyTime now) const noexcept
 {
     const auto confirmed = m_confirmed.load(std::memory_order_acquire);
-    return confirmed == never || now - SteadyTime{std::chrono::nanoseconds{confirmed}} > limit;
+    return confirmed == never || now - SteadyTime{std::chrono::nanoseconds{confirmed}} > age;
 }
 
 PathContext::PathContext(boost::asio::any_io_executor io,
@@ -70,6 +70,12 @@
     return cache.reader->get();
 }
 
+CallerLimits PathContext::callerLimits() const
+{
+    const auto &limits = settings.limits;
+    return currentConfiguration()->callerLimits.value_or(CallerLimits{limits.headerBytes, limits.bodyBytes, limits.requestTime, limits.idleTime});
+}
+
 RequestId PathContext::makeRequestId()
 {
     return m_idPrefix + std::to_string(m_nextId.fetch_add(1, std::memory_order_relaxed));
--- a/src/guavafield/transport/http/path_context.hpp
+++ b/src/guavafield/transport/http/path_context.hpp
@@ -6,9 +6,11 @@
 #include <guavafield/state/configuration.hpp>
 #include <guavafield/state/counters.hpp>
 #include <guavafield/state/key_hasher.hpp>
+#include <guavafield/state/latencies.hpp>
 #include <guavafield/state/snapshot_cell.hpp>
 #include <guavafield/transport/http/connection_pool.hpp>
 #include <guavafield/transport/http/engine_probe.hpp>
+#include <guavafield/transport/http/forward_dialect.hpp>
 #include <guavafield/transport/http/key_registry.hpp>
 #include <guavafield/transport/http/path_hooks.hpp>
 #include <guavafield/transport/http/request_driver.hpp>
@@ -54,7 +56,12 @@
     /*! @brief Notes that the revision in force was the newest at this time. */
     void confirm(SteadyTime at) noexcept;
     /*! @brief Returns whether the last confirmation is older than the limit, or there was none. */
-    [[nodiscard]] bool tooOld(SteadyTime now) const noexcept;
+    [[nodiscard]] bool tooOld(SteadyTime now) const noexcept
+    {
+        return olderThan(limit, now);
+    }
+    /*! @brief Returns whether the last confirmation is older than this, or there was none. */
+    [[nodiscard]] bool olderThan(Milliseconds age, SteadyTime now) const noexcept;
 
 private:
     static constexpr std::int64_t never = -1;
@@ -74,6 +81,8 @@
 
     /*! @brief Returns the configuration in force, from the cache of the calling thread. */
     [[nodiscard]] std::shared_ptr<const Configuration> currentConfiguration() const;
+    /*! @brief Returns the limits of the configuration in force, or those of the settings where it has none. */
+    [[nodiscard]] CallerLimits callerLimits() const;
     /*! @brief Returns an id that no other request of the fleet has. */
     [[nodiscard]] RequestId makeRequestId();
     /*! @brief Returns a delay between the base and twice the base, so that refused callers do not return all at once. */
@@ -93,6 +102,7 @@
     RequestPlaces places;
     ConfigurationAge age;
     std::shared_ptr<RequestDriver> driver;
+    Latencies latencies;
     // New requests are refused.
     std::atomic<bool> refusing{false};
     // Answers end their connections.
--- a/src/guavafield/transport/http/path_hooks.hpp
+++ b/src/guavafield/transport/http/path_hooks.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <variant>
@@ -61,9 +62,17 @@
 /*! @brief Returns the answer to send: of this run, of an earlier one, or the refusal. */
 using OnceGate = std::function<boost::asio::awaitable<ServiceOutcome>(OnceServiceCall)>;
 
+/*! @brief An upstream began to run a team's request; called from any I/O thread. */
+using StartedSink = std::function<void(const TeamId &)>;
+
+struct ForwardDialect;
+
 /*! @brief Hooks of the request path; empty ones are allowed. */
 struct PathHooks
 {
+    // If set, all requests are passed on unchanged, in this form.
+    std::shared_ptr<const ForwardDialect> forward;
+    StartedSink started;
     UsageSink usage;
     // Without a gate, calls that may not be repeated are refused with OnceStoreUnavailable.
     OnceGate once;
--- a/src/guavafield/transport/http/request_path.cpp
+++ b/src/guavafield/transport/http/request_path.cpp
@@ -80,7 +80,7 @@
     append("guavafield_requests_in_flight", "Requests in flight", requestsInFlight());
     append("guavafield_requests_waiting", "Requests that wait for an upstream", queued);
     append("guavafield_connections_open", "Open connections of callers", m_server->connections());
-    return text;
+    return text + m_context->latencies.format();
 }
 
 void RequestPath::beginDrain()
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -1,7 +1,10 @@
 // Connecting, sending and piecewise reading with Beast, under one watchdog timer.
 #include <guavafield/transport/http/upstream_exchange.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -14,6 +17,8 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t answerHeaderLimit = 32 * 1024;
+// Fits into the send buffer of the system, so that sending it cannot wait for the upstream.
+constexpr std::size_t smallRequestBytes = std::size_t{8} * 1024;
 
 } // namespace internal
 
@@ -39,6 +44,7 @@
     const auto result = resultOf(ec, ExchangeResult::ConnectFailed);
     if (result == ExchangeResult::Ok) {
         m_state->connection->socket.set_option(asio::ip::tcp::no_delay(true), ec);
+        m_state->connection->detectDeadPeer();
     }
     co_return result == ExchangeResult::TimedOut ? ExchangeResult::ConnectFailed : result;
 }
@@ -57,6 +63,31 @@
     co_return resultOf(ec, ExchangeResult::Broken);
 }
 
+asio::awaitable<ExchangeResult> UpstreamExchange::sendConcurrently(const UpstreamRequest &request, std::shared_ptr<void> owner)
+{
+    if (request.body().size() <= smallRequestBytes) {
+        co_return co_await send(request, false);
+    }
+    const auto connected = co_await connect(false);
+    if (connected != ExchangeResult::Ok) {
+        co_return connected;
+    }
+    m_sent = true;
+    m_headOnly = request.method() == http::verb::head;
+    m_state->sending = true;
+    const auto executor = co_await asio::this_coro::executor;
+    asio::co_spawn(
+        executor,
+        [&request, owner = std::move(owner), state = m_state]() -> asio::awaitable<void> {
+            // An error shows in the reading of the answer as well, which may still have arrived.
+            boost::system::error_code ec;
+            co_await http::async_write(state->connection->socket, request, asio::redirect_error(asio::use_awaitable, ec));
+            state->sending = static_cast<bool>(ec);
+        },
+        asio::detached);
+    co_return ExchangeResult::Ok;
+}
+
 asio::awaitable<ExchangeResult> UpstreamExchange::readHeader()
 {
     m_parser.emplace();
@@ -100,7 +131,9 @@
 void UpstreamExchange::finish()
 {
     m_timer.cancel();
-    if (m_state->connection && m_parser && complete() && m_parser->keep_alive() && !m_aborted) {
+    const bool reusable = m_state->connection && !m_state->sending && m_parser && complete() && m_parser->keep_alive() && !m_aborted;
+    if (reusable) {
+        m_state->connection->keepFor(m_parser->get());
         m_pool->giveBack(m_endpoint, std::move(m_state->connection));
     }
     m_state->close();
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstream_exchange.hpp
@@ -57,6 +57,16 @@
      * @param freshConnection Takes no idle connection, since the upstream may just be closing it.
      */
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> send(const UpstreamRequest &request, bool freshConnection);
+    /*!
+     * @brief Connects and begins to send; a request that is not small goes on while the answer is read, which may come before its end.
+     * @param owner Keeps the request and the exchange alive.
+     */
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> sendConcurrently(const UpstreamRequest &request, std::shared_ptr<void> owner);
+    /*! @brief Sets the longest time without a byte from the upstream. */
+    void setSilence(Milliseconds time) noexcept
+    {
+        m_times.silence = time;
+    }
     /*! @brief Reads the header of the answer. */
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> readHeader();
     /*! @brief Reads a piece of the body, of any size and possibly empty, and appends it. */
@@ -96,6 +106,8 @@
         // Number of the operation under way; an expiry of an earlier one is ignored.
         std::uint64_t operation{0};
         bool timedOut{false};
+        // The request is still being sent.
+        bool sending{false};
 
         void close();
     };
--- a/src/guavafield/transport/log/log.hpp
+++ b/src/guavafield/transport/log/log.hpp
@@ -1,4 +1,4 @@
-// Log lines on standard error, one line an event.
+// Log lines on standard output, one line an event, bounded and never blocking.
 #pragma once
 
 #include <cstdint>
--- a/src/guavafield/transport/peer/peer_service.cpp
+++ b/src/guavafield/transport/peer/peer_service.cpp
@@ -126,6 +126,15 @@
     SnapshotCell<std::vector<Member>> members;
     std::atomic<std::uint32_t> hostsInDataCentre{1};
 
+    void postReport(HostReport report)
+    {
+        asio::post(m_strand, [self = shared_from_this(), report = std::move(report)]() mutable {
+            if (self->m_socket.is_open()) {
+                self->sendReport(std::move(report));
+            }
+        });
+    }
+
 private:
     void receive()
     {
@@ -157,9 +166,28 @@
         if (isUnspecified(self.address)) {
             self.address = {from.high, from.low, self.address.port};
         }
+        if (message.value->report) {
+            if (m_hooks.onReport) {
+                m_hooks.onReport(self, *message.value->report);
+            }
+            return;
+        }
         perform(m_membership.onMessage(*message.value, from, m_clock.now()));
     }
 
+    void sendReport(HostReport report)
+    {
+        PeerMessage message;
+        message.kind = PeerMessageKind::Report;
+        message.self = m_membership.self();
+        message.report = std::move(report);
+        for (const auto &[id, entry] : m_membership.table().entries()) {
+            if (entry.member.state != MemberState::Dead) {
+                performOne(SendPeerMessage{entry.member.address, message});
+            }
+        }
+    }
+
     void reject(const PeerAddress &from, const std::string &reason)
     {
         m_counters.add(CounterId::PeerDatagramsRejected);
@@ -300,7 +328,7 @@
     Membership m_membership;
     SteadyTime m_nextProviders;
     // One byte more than a datagram may have, so that a longer one is seen to be too long.
-    std::array<std::uint8_t, maxDatagramBytes + 1> m_buffer{};
+    std::array<std::uint8_t, maxReportBytes + 1> m_buffer{};
     udp::endpoint m_from;
 };
 
@@ -350,6 +378,11 @@
     m_impl->post([record](Membership &membership, SteadyTime now) { return membership.announceCrash(record, now); });
 }
 
+void PeerService::sendReport(HostReport report)
+{
+    m_impl->postReport(std::move(report));
+}
+
 void PeerService::leave()
 {
     m_impl->post([](Membership &membership, SteadyTime now) { return membership.leave(now); });
--- a/src/guavafield/transport/peer/peer_service.hpp
+++ b/src/guavafield/transport/peer/peer_service.hpp
@@ -43,6 +43,7 @@
     std::function<void(const KeyId &)> onWithdrawal;
     std::function<void(const CrashRecord &)> onCrash;
     std::function<void(const DemandReport &)> onDemand;
+    std::function<void(const Member &from, const HostReport &)> onReport;
     // Providers, asked once a second.
     std::function<Revision()> revisionInForce;
     std::function<std::optional<RevisionKnowledge>()> newestRevision;
@@ -80,6 +81,8 @@
 
     void announceWithdrawal(KeyId key);
     void announceCrash(CrashRecord record);
+    /*! @brief Sends a report to all members that are not dead. */
+    void sendReport(HostReport report);
     /*! @brief Announces that this host stops. */
     void leave();
     void onPlatformHosts(std::vector<PlatformHost> hosts);
--- a/src/guavafield/transport/platform/platform_client.cpp
+++ b/src/guavafield/transport/platform/platform_client.cpp
@@ -14,6 +14,7 @@
 
 #include <ctime>
 #include <map>
+#include <optional>
 #include <mutex>
 #include <utility>
 
@@ -42,6 +43,8 @@
     CallUrgency urgency{CallUrgency::Rest};
     // A repeat does no harm, so a broken kept connection is no reason to fail.
     bool repeatable{false};
+    std::vector<std::pair<std::string, std::string>> headers{};
+    std::optional<Milliseconds> timeout{};
 };
 
 struct PlatformAnswer
@@ -203,7 +206,7 @@
 auto PlatformClient::Impl::run(internal::PlatformRequest request) -> Awaitable<internal::PlatformAnswer>
 {
     const auto self = shared_from_this();
-    const auto deadline = std::chrono::steady_clock::now() + m_settings.timeout;
+    const auto deadline = std::chrono::steady_clock::now() + request.timeout.value_or(m_settings.timeout);
     internal::PlatformAnswer answer;
     Turn turn(*this, ++m_lastCall);
     const bool started = co_await awaitTurn(turn, request.urgency, deadline);
@@ -300,6 +303,9 @@
         co_return nullptr;
     }
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    if (m_settings.resetOnClose) {
+        connection->stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+    }
     co_return connection;
 }
 
@@ -309,6 +315,9 @@
     http::request<http::string_body> message(request.method, request.target, 11, request.body);
     message.set(http::field::host, m_address);
     message.set(http::field::content_type, "application/json");
+    for (const auto &[name, value] : request.headers) {
+        message.set(name, value);
+    }
     message.prepare_payload();
 
     internal::PlatformAnswer answer{internal::ExchangeEnd::Lost, 0, {}};
@@ -317,6 +326,7 @@
     connection->stream.expires_at(deadline);
     co_await http::async_write(connection->stream, message, token);
     if (ec) {
+        m_idle.clear();
         co_return answer;
     }
     beast::flat_buffer buffer;
@@ -324,6 +334,8 @@
     parser.body_limit(m_settings.maxAnswerBytes);
     co_await http::async_read(connection->stream, buffer, parser, token);
     if (ec) {
+        // Others that were opened as early may have gone silent as well.
+        m_idle.clear();
         co_return answer;
     }
     auto response = parser.release();
@@ -458,6 +470,16 @@
     co_return internal::toOutcome(std::move(answer), target);
 }
 
+auto PlatformClient::exchange(PlatformCall call) -> Awaitable<PlatformReply>
+{
+    const auto verb = http::string_to_verb(call.method);
+    internal::PlatformRequest request{verb, std::move(call.target), std::move(call.body), call.urgency, verb == http::verb::get};
+    request.headers = std::move(call.headers);
+    request.timeout = call.timeout;
+    auto answer = co_await exchange(std::move(request));
+    co_return PlatformReply{answer.status, std::move(answer.body), answer.end == internal::ExchangeEnd::Lost};
+}
+
 std::optional<WallTime> PlatformClient::platformTime() const
 {
     return m_impl->platformTime();
--- a/src/guavafield/transport/platform/platform_client.hpp
+++ b/src/guavafield/transport/platform/platform_client.hpp
@@ -35,10 +35,36 @@
     Milliseconds connectTimeout{1'000};
     // The platform may close a connection that is idle for longer.
     Milliseconds idleTimeout{15'000};
+    // A connection that is given up sends nothing more, not even what the network held up.
+    bool resetOnClose{false};
     // Largest answer; a snapshot of 5,000 teams is a few MB.
     std::uint64_t maxAnswerBytes{64ULL << 20U};
 };
 
+/*! @brief A call of any interface. */
+struct PlatformCall
+{
+    // GET, POST, PUT or DELETE.
+    std::string method;
+    // Path with query.
+    std::string target;
+    std::string body;
+    std::vector<std::pair<std::string, std::string>> headers;
+    CallUrgency urgency{CallUrgency::Rest};
+    // Instead of that of the settings.
+    std::optional<Milliseconds> timeout;
+};
+
+/*! @brief What became of it. */
+struct PlatformReply
+{
+    // 0 if there was no answer.
+    unsigned status{0};
+    std::string body;
+    // There was no answer, but the call may have been executed or may still be.
+    bool unknown{false};
+};
+
 /*!
  * @brief Calls the platform over a few kept connections.
  *
@@ -81,6 +107,9 @@
      */
     [[nodiscard]] Awaitable<Outcome<std::string>> call(std::string method, std::string target, std::string body, CallUrgency urgency = CallUrgency::Rest);
 
+    /*! @brief Calls another interface and returns the answer whatever its status. */
+    [[nodiscard]] Awaitable<PlatformReply> exchange(PlatformCall call);
+
     /*! @brief Returns the platform's time of day by the Date header of its latest answer; empty before the first. */
     [[nodiscard]] std::optional<WallTime> platformTime() const;
 
