Reload the settings on SIGHUP and when their file changes

Change: SIGHUP and a check of the file every 5 s read the settings again; new seeds take effect, a faulty file keeps the old settings.

Ruled out: taking all settings, since addresses and identity belong to the life of a process.

--- a/apps/guavafieldd/daemon.cpp
+++ b/apps/guavafieldd/daemon.cpp
@@ -1,14 +1,19 @@
 // Assembly, signals and graceful shutdown.
 #include "apps/guavafieldd/daemon.hpp"
 
+#include <guavafield/protocol/settings/parse_settings.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
 #include <exception>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <thread>
 #include <utility>
 
@@ -16,11 +21,25 @@
 
 namespace asio = boost::asio;
 
-Daemon::Daemon(DaemonSettings settings)
+namespace internal {
+
+constexpr Milliseconds settingsCheckInterval{5'000};
+
+std::string readText(const std::string &file)
+{
+    std::ifstream stream(file, std::ios::binary);
+    return {std::istreambuf_iterator<char>(stream), {}};
+}
+
+} // namespace internal
+
+Daemon::Daemon(DaemonSettings settings, std::string settingsFile)
     : m_settings(std::move(settings))
+    , m_settingsFile(std::move(settingsFile))
+    , m_settingsText(internal::readText(m_settingsFile))
     , m_incarnation(static_cast<Incarnation>(std::chrono::duration_cast<Milliseconds>(m_clock.wallNow().time_since_epoch()).count()))
     , m_io(static_cast<int>(m_settings.host.threads))
-    , m_signals(m_io, SIGTERM, SIGINT)
+    , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     , m_platformServices(makePlatformServices())
     , m_machineServices(makeMachineServices())
     , m_path(std::make_shared<RequestPath>(RequestPathDependencies{m_io.get_executor(), m_settings, m_clock, m_counters, m_configuration, makeHooks()}))
@@ -118,6 +137,10 @@
     }
     m_path->start();
     m_operators->start();
+    if (!m_settingsFile.empty()) {
+        asio::co_spawn(
+            m_io, [this] { return watchSettings(); }, asio::detached);
+    }
     announcePorts();
     std::vector<std::thread> threads;
     for (std::uint32_t n = 1; n < m_settings.host.threads; ++n) {
@@ -133,10 +156,15 @@
 
 void Daemon::waitForSignal()
 {
-    m_signals.async_wait([this](const boost::system::error_code &ec, int /*number*/) {
+    m_signals.async_wait([this](const boost::system::error_code &ec, int number) {
         if (ec) {
             return;
         }
+        if (number == SIGHUP) {
+            reloadSettings("SIGHUP");
+            waitForSignal();
+            return;
+        }
         if (m_stopping.load()) {
             logEvent(LogLevel::Warning, "main:", {}, "second signal, stopping at once");
             m_exit.store(DaemonExit::Interrupted);
@@ -148,6 +176,41 @@
     });
 }
 
+void Daemon::reloadSettings(std::string_view cause)
+{
+    if (m_settingsFile.empty()) {
+        return;
+    }
+    m_settingsText = internal::readText(m_settingsFile);
+    auto outcome = loadSettings(m_settingsFile);
+    if (const auto *faults = std::get_if<std::vector<SettingsFault>>(&outcome)) {
+        for (const auto &it : *faults) {
+            logEvent(LogLevel::Error, "main:", {}, "settings not reloaded, " + formatFault(it));
+        }
+        return;
+    }
+    auto &fresh = std::get<DaemonSettings>(outcome);
+    const bool seedsChanged = fresh.peers.seeds != m_settings.peers.seeds;
+    if (seedsChanged && m_machineServices) {
+        m_machineServices->setSeeds(fresh.peers.seeds);
+    }
+    m_settings.peers.seeds = std::move(fresh.peers.seeds);
+    // Addresses and identity belong to the life of a process; other settings take effect at its next start.
+    logEvent(LogLevel::Info, "main:", {}, "settings reloaded, cause=\"" + std::string(cause) + "\" seeds=" + (seedsChanged ? "changed" : "unchanged"));
+}
+
+asio::awaitable<void> Daemon::watchSettings()
+{
+    asio::steady_timer timer(m_io);
+    while (!m_stopping.load()) {
+        timer.expires_after(internal::settingsCheckInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        if (internal::readText(m_settingsFile) != m_settingsText) {
+            reloadSettings("the file has changed");
+        }
+    }
+}
+
 void Daemon::requestStop()
 {
     if (m_stopping.exchange(true)) {
--- a/apps/guavafieldd/daemon.hpp
+++ b/apps/guavafieldd/daemon.hpp
@@ -22,6 +22,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace guavafield {
@@ -40,8 +41,11 @@
 class Daemon
 {
 public:
-    /*! @brief Opens the listeners; throws boost::system::system_error if an address cannot be used. */
-    explicit Daemon(DaemonSettings settings);
+    /*!
+     * @brief Opens the listeners; throws boost::system::system_error if an address cannot be used.
+     * @param settingsFile Read again on SIGHUP and when it changes; empty: never.
+     */
+    explicit Daemon(DaemonSettings settings, std::string settingsFile = {});
 
     /*! @brief Puts a configuration in force and announces it. */
     void applyConfiguration(std::shared_ptr<const Configuration> configuration);
@@ -61,6 +65,10 @@
     // Writes the ports that the system chose to standard output, for scripts.
     void announcePorts() const;
     void waitForSignal();
+    // Reads the settings file again; takes what can change in a running daemon, and keeps the old settings if the file is faulty.
+    void reloadSettings(std::string_view cause);
+    // Reloads the settings when the file has changed without a signal.
+    [[nodiscard]] boost::asio::awaitable<void> watchSettings();
     void requestStop();
     [[nodiscard]] boost::asio::awaitable<void> stop();
     // Calls one step of a service; a failing service does not keep the others from ending.
@@ -68,6 +76,8 @@
     [[nodiscard]] std::vector<std::string> unreadyReasons() const;
 
     DaemonSettings m_settings;
+    std::string m_settingsFile;
+    std::string m_settingsText;
     SystemClock m_clock;
     Counters m_counters;
     SnapshotCell<Configuration> m_configuration;
--- a/apps/guavafieldd/machine_services.cpp
+++ b/apps/guavafieldd/machine_services.cpp
@@ -39,6 +39,15 @@
     return settings;
 }
 
+std::vector<PeerAddress> peerAddresses(const std::vector<SocketAddress> &addresses)
+{
+    std::vector<PeerAddress> result;
+    for (const auto &it : addresses) {
+        result.push_back(toPeerAddress(asio::ip::make_address(it.address), it.port));
+    }
+    return result;
+}
+
 constexpr Milliseconds storeConnectTimeout{300};
 constexpr Milliseconds dutyConnectTimeout{300};
 
@@ -73,9 +82,7 @@
     result.listenAddress = settings.listen.address;
     result.port = settings.listen.peerPort;
     result.fleetSecret = settings.host.fleetSecret;
-    for (const auto &it : settings.peers.seeds) {
-        result.seeds.push_back(toPeerAddress(asio::ip::make_address(it.address), it.port));
-    }
+    result.seeds = internal::peerAddresses(settings.peers.seeds);
     PeerHooks hooks;
     hooks.onMember = [this](const Member &) { onMember(); };
     hooks.onReport = [this](const Member &from, const HostReport &report) { onReport(from, report); };
@@ -160,6 +167,11 @@
     return result;
 }
 
+void MachineServices::setSeeds(const std::vector<SocketAddress> &seeds)
+{
+    m_peers->setSeeds(internal::peerAddresses(seeds));
+}
+
 void MachineServices::start()
 {
     m_peers->start();
--- a/apps/guavafieldd/machine_services.hpp
+++ b/apps/guavafieldd/machine_services.hpp
@@ -49,6 +49,7 @@
         m_path = std::move(path);
     }
     [[nodiscard]] DaemonService service();
+    void setSeeds(const std::vector<SocketAddress> &seeds);
     [[nodiscard]] std::uint16_t port() const noexcept
     {
         return m_peers->port();
--- a/apps/guavafieldd/main.cpp
+++ b/apps/guavafieldd/main.cpp
@@ -72,7 +72,7 @@
     auto &settings = std::get<DaemonSettings>(outcome);
     setUpLogging(logLevel(settings.log.level));
     try {
-        Daemon daemon(std::move(settings));
+        Daemon daemon(std::move(settings), file);
         if (configuration) {
             daemon.applyConfiguration(std::move(configuration));
         }
--- a/src/guavafield/transport/peer/peer_service.cpp
+++ b/src/guavafield/transport/peer/peer_service.cpp
@@ -368,6 +368,14 @@
     return m_impl->hostsInDataCentre.load(std::memory_order_relaxed);
 }
 
+void PeerService::setSeeds(std::vector<PeerAddress> seeds)
+{
+    m_impl->post([seeds = std::move(seeds)](Membership &membership, SteadyTime) mutable {
+        membership.setSeeds(std::move(seeds));
+        return Membership::Actions();
+    });
+}
+
 void PeerService::announceWithdrawal(KeyId key)
 {
     m_impl->post([key = std::move(key)](Membership &membership, SteadyTime now) { return membership.announceWithdrawal(key, now); });
--- a/src/guavafield/transport/peer/peer_service.hpp
+++ b/src/guavafield/transport/peer/peer_service.hpp
@@ -79,6 +79,8 @@
     /*! @brief Returns the number of hosts of this data centre that are alive, with this one. */
     [[nodiscard]] std::uint32_t hostsInDataCentre() const;
 
+    /*! @brief Sets addresses at which peers may be. */
+    void setSeeds(std::vector<PeerAddress> seeds);
     void announceWithdrawal(KeyId key);
     void announceCrash(CrashRecord record);
     /*! @brief Sends a report to all members that are not dead. */
