Let the fleet follow the prompts that wait, and tell the first token once

Cause: the reading speed of engines was learnt from the time of every event, not of the first one (2,600 to 13,000 tokens a second instead of about 57,000), so that waits were overestimated four to fivefold: prefixes were copied and read again without need, and requests shed as hopeless. The fleet was fixed at one durable and four cheap upstreams a data centre, whatever the load.

Change: the scheduler tells the placement of the first token of an attempt only. FleetPlan orders cheap upstreams by the queue of waiting prompts over all hosts, which fades within seconds, and durable ones while cheap ones are not to be had under pressure.

--- a/apps/guavafieldd/machine_services.cpp
+++ b/apps/guavafieldd/machine_services.cpp
@@ -126,7 +126,11 @@
                                   m_dependencies.counters,
                                   platform::storeAccess(m_store),
                                   platform::dutyCalls(m_dutyClient),
-                                  [this] { return m_dependencies.configuration.load(); }};
+                                  [this] { return m_dependencies.configuration.load(); },
+                                  [this] {
+                                      return m_path->driver().withScheduler(
+                                          [](RequestScheduler &scheduler, SteadyTime now) { return scheduler.poolLoads(now); });
+                                  }};
     return std::make_shared<DutyService>(std::move(dependencies), std::move(result));
 }
 
--- a/src/guavafield/coordination/order/fleet_plan.cpp
+++ b/src/guavafield/coordination/order/fleet_plan.cpp
@@ -1,14 +1,25 @@
 // The plan and its orders.
 #include <guavafield/coordination/order/fleet_plan.hpp>
 
+#include <guavafield/coordination/request/decaying_sum.hpp>
+
 #include <algorithm>
+#include <cmath>
 
 namespace guavafield {
 
 namespace internal {
 
 constexpr std::uint32_t durablePerDataCentre = 1;
-constexpr std::uint32_t cheapPerDataCentre = 4;
+constexpr std::uint32_t leastCheapPerDataCentre = 3;
+// Each further cheap upstream of a data centre stands for this much of a queue.
+constexpr double queueSecondsPerCheap = 0.03;
+// A pressure that has passed fades over this time, so that the next burst finds its upstreams.
+constexpr double pressureHalfLifeSeconds = 6;
+// Before the first requests, the load is not known, and a few more upstreams than for a calm time are kept.
+constexpr double pressureAtStart = 0.07;
+// Above this pressure, durable upstreams stand in for cheap ones that are not to be had.
+constexpr double pressureForDurable = 0.1;
 constexpr Milliseconds retryAfterFailure{1'000};
 constexpr Milliseconds retryAfterShortage{2'000};
 // An order whose upstreams have not come by then, boot time included, is given again.
@@ -16,6 +27,34 @@
 
 } // namespace internal
 
+void FleetPlan::onLoads(const StringMap<PoolLoad> &loads, SteadyTime now)
+{
+    for (const auto &[pool, load] : loads) {
+        const auto [it, first] = m_pressures.try_emplace(pool, Pressure{internal::pressureAtStart, now});
+        auto &pressure = it->second;
+        m_loaded = m_loaded || load.running > 0;
+        if (!m_loaded) {
+            pressure.at = now;
+            continue;
+        }
+        const double faded = pressure.queueSeconds * std::exp2(-secondsBetween(pressure.at, now) / internal::pressureHalfLifeSeconds);
+        // Single long prompts are no burst, so a rise counts in part at each look.
+        const double risen = faded + 0.25 * (load.queueSeconds - faded);
+        pressure = Pressure{std::max(faded, risen), now};
+    }
+}
+
+std::uint32_t FleetPlan::cheapWanted(const UpstreamPool &pool) const
+{
+    return internal::leastCheapPerDataCentre + static_cast<std::uint32_t>(pressureOf(pool.id) / internal::queueSecondsPerCheap);
+}
+
+double FleetPlan::pressureOf(const PoolId &pool) const
+{
+    const auto it = m_pressures.find(pool);
+    return it == m_pressures.end() ? internal::pressureAtStart : it->second.queueSeconds;
+}
+
 bool FleetPlan::unavailable(const Key &key, SteadyTime now) const
 {
     const auto it = m_ordered.find(key);
@@ -38,8 +77,13 @@
     std::vector<FleetSize> result;
     for (const auto &[dataCentre, counts] : present) {
         const bool shortage = unavailable({pool.id, dataCentre, UpstreamKind::Cheap}, now);
-        const auto durable = std::clamp(internal::durablePerDataCentre, limits.least, limits.most);
-        const auto cheap = std::min(internal::cheapPerDataCentre, limits.most - durable);
+        auto durable = std::clamp(internal::durablePerDataCentre, limits.least, limits.most);
+        if (shortage && pressureOf(pool.id) >= internal::pressureForDurable) {
+            durable = std::min(durable + cheapWanted(pool) / 2, limits.most);
+        }
+        // Both kinds together have a limit, so that cheap ones can only come for as many as there is room now.
+        const auto room = limits.most - std::min(limits.most, std::max(durable, counts.durable));
+        const auto cheap = std::min(cheapWanted(pool), room);
         if (!shortage) {
             result.push_back({pool.id, dataCentre, UpstreamKind::Cheap, cheap});
         }
--- a/src/guavafield/coordination/order/fleet_plan.hpp
+++ b/src/guavafield/coordination/order/fleet_plan.hpp
@@ -1,6 +1,7 @@
 // How many upstreams of a pool each data centre should have.
 #pragma once
 
+#include <guavafield/coordination/request/placement.hpp>
 #include <guavafield/state/configuration.hpp>
 
 #include <cstdint>
@@ -48,6 +49,8 @@
 class FleetPlan
 {
 public:
+    /*! @brief Takes the present load of the pools; several times a second. */
+    void onLoads(const StringMap<PoolLoad> &loads, SteadyTime now);
     /*! @brief Returns the next order; empty if the fleet is as planned. */
     [[nodiscard]] std::optional<FleetSize> next(const Configuration &configuration, SteadyTime now);
     void onOutcome(const FleetSize &order, OrderOutcome outcome, SteadyTime now);
@@ -66,7 +69,20 @@
     [[nodiscard]] std::vector<FleetSize> plan(const UpstreamPool &pool, const Configuration &configuration, SteadyTime now) const;
     [[nodiscard]] bool unavailable(const Key &key, SteadyTime now) const;
 
+    // Pressure of a pool: the highest queue of the last seconds, fading.
+    struct Pressure
+    {
+        double queueSeconds{0};
+        SteadyTime at{};
+    };
+
+    [[nodiscard]] double pressureOf(const PoolId &pool) const;
+    [[nodiscard]] std::uint32_t cheapWanted(const UpstreamPool &pool) const;
+
     std::map<Key, Ordered> m_ordered;
+    StringMap<Pressure> m_pressures;
+    // Requests have run.
+    bool m_loaded{false};
 };
 
 } // namespace guavafield
--- a/src/guavafield/coordination/request/placement.hpp
+++ b/src/guavafield/coordination/request/placement.hpp
@@ -24,6 +24,16 @@
     std::uint32_t running{0};
 };
 
+/*! @brief Load of a pool over all hosts, as far as they told. */
+struct PoolLoad
+{
+    std::uint32_t upstreams{0};
+    // Time in which the pool would read the prompts that wait, all upstreams working evenly.
+    double queueSeconds{0};
+    double running{0};
+    double speed{0};
+};
+
 /*! @brief Where a request goes. */
 struct Placed
 {
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -89,6 +89,11 @@
     return m_impl->localWork();
 }
 
+StringMap<PoolLoad> RequestScheduler::poolLoads(SteadyTime now) const
+{
+    return m_impl->poolLoads(now);
+}
+
 void RequestScheduler::onPeerCrash(const Digest &fingerprint, SteadyTime now)
 {
     m_impl->onBrokenConnection(fingerprint, now);
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -83,6 +83,9 @@
     /*! @brief Returns this host's work at upstreams of self-queueing pools, for its peers. */
     [[nodiscard]] std::vector<PeerWork> localWork() const;
 
+    /*! @brief Returns the load of the self-queueing pools over all hosts, by pool. */
+    [[nodiscard]] StringMap<PoolLoad> poolLoads(SteadyTime now) const;
+
     /*! @brief A peer saw a request of this fingerprint break the connection to an upstream of a self-queueing pool. */
     void onPeerCrash(const Digest &fingerprint, SteadyTime now);
     /*! @brief Returns the fingerprints that did so on this host since the last call. */
--- a/src/guavafield/coordination/request/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler_attempts.cpp
@@ -129,7 +129,8 @@
             continue;
         }
         it.upstream->onAlive();
-        if (auto &selfQueueing = poolOf(*entry).selfQueueing) {
+        const bool first = entry->lastTokens == SteadyTime{};
+        if (auto &selfQueueing = poolOf(*entry).selfQueueing; selfQueueing && first) {
             selfQueueing->placement.onFirstToken(*entry, *it.upstream, secondsBetween(it.dispatched, now), now);
         }
         if (!entry->started()) {
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -154,6 +154,29 @@
     }
 }
 
+StringMap<PoolLoad> RequestScheduler::Impl::poolLoads(SteadyTime /*now*/) const
+{
+    StringMap<PoolLoad> result;
+    for (const auto &[id, pool] : m_pools) {
+        if (!pool.selfQueueing) {
+            continue;
+        }
+        auto &load = result[id];
+        double tokens = 0;
+        pool.upstreams.forEach([&](const UpstreamState &it) {
+            load.upstreams += it.usable() ? 1 : 0;
+            load.running += it.peerRunning + it.outstanding();
+            tokens += it.peerWaitingTokens;
+            for (const auto *entry : it.running) {
+                tokens += entry->started() ? 0 : entry->readTokens;
+            }
+        });
+        load.speed = pool.selfQueueing->placement.tokensPerSecond();
+        load.queueSeconds = tokens / pool.selfQueueing->placement.tokensPerSecond() / std::max(1U, load.upstreams);
+    }
+    return result;
+}
+
 std::vector<PeerWork> RequestScheduler::Impl::localWork() const
 {
     std::vector<PeerWork> result;
--- a/src/guavafield/transport/fleet/duty_service.cpp
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -119,6 +119,7 @@
             if (due) {
                 co_await handleWindow(*due);
             }
+            m_plan.onLoads(m_dependencies.loads(), m_dependencies.clock.now());
             const auto size = m_settings.ordersUpstreams ? m_plan.next(*configuration, m_dependencies.clock.now()) : std::nullopt;
             if (size) {
                 co_await order(*size);
--- a/src/guavafield/transport/fleet/duty_service.hpp
+++ b/src/guavafield/transport/fleet/duty_service.hpp
@@ -3,6 +3,7 @@
 
 #include <guavafield/coordination/fleet/fleet_clock.hpp>
 #include <guavafield/coordination/order/fleet_plan.hpp>
+#include <guavafield/coordination/request/placement.hpp>
 #include <guavafield/coordination/usage/window_reporter.hpp>
 #include <guavafield/state/clock.hpp>
 #include <guavafield/state/counters.hpp>
@@ -53,6 +54,7 @@
     TableAccess table;
     DutyCalls calls;
     std::function<std::shared_ptr<const Configuration>()> configuration;
+    std::function<StringMap<PoolLoad>()> loads;
 };
 
 /*! @brief Runs on its strand; all members are to be used there. Create it with std::make_shared. */
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -172,6 +172,7 @@
     text += " configuration=" + std::to_string(m_plan.grant.configuration->revision);
     logEvent(LogLevel::Info, "http:", m_call.envelope.id, text);
     m_counted = false;
+    m_firstTokenTold = false;
     m_attempt = std::make_shared<ForwardAttempt>(m_context, m_strand, m_mailbox, std::move(plan));
     m_attempt->start();
 }
@@ -203,7 +204,9 @@
         if (!m_firstEventAt) {
             m_firstEventAt = std::chrono::steady_clock::now();
         }
-        m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
+        if (!std::exchange(m_firstTokenTold, true)) {
+            m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
+        }
         m_context->driver->onTokens(m_plan.id, count);
         bool written = true;
         if (!m_answer->started()) {
--- a/src/guavafield/transport/http/forward_request.hpp
+++ b/src/guavafield/transport/http/forward_request.hpp
@@ -104,6 +104,8 @@
     bool m_mayHaveRun{false};
     // The running attempt has been counted as started.
     bool m_counted{false};
+    // The scheduler knows of the running attempt's first event.
+    bool m_firstTokenTold{false};
     bool m_over{false};
 };
 
--- a/test/system/fleet.py
+++ b/test/system/fleet.py
@@ -104,8 +104,9 @@
             return file.read().decode(errors="replace")
 
     def log(self):
+        """Log lines; the daemon writes them to standard output and faults of its settings to standard error."""
         with open(self.err_path, "rb") as file:
-            return file.read().decode(errors="replace")
+            return self.output() + file.read().decode(errors="replace")
 
     def alive(self):
         return self.process.poll() is None
