Run on cheap upstreams alone, retry streams after an upstream's error, and hand the duties over at a stop

Change: no durable upstreams in calm times, four cheap ones a data centre and more under pressure; streams that can be resumed are run again after a 5xx, within a retry budget of the pool shared by the number of hosts; the lease is released at a stop, since a new holder keeps its distance by itself; reports say up to which window usage is reported.

Ruled out: persisting open counts in the store every second: up to a fifth of a window would still be lost when all hosts lose power, and shorter intervals cost more than the missed windows.

--- a/apps/guavafieldd/machine_services.cpp
+++ b/apps/guavafieldd/machine_services.cpp
@@ -50,6 +50,7 @@
 
 constexpr Milliseconds storeConnectTimeout{300};
 constexpr Milliseconds dutyConnectTimeout{300};
+constexpr Milliseconds releaseLimit{500};
 
 } // namespace internal
 
@@ -154,9 +155,8 @@
     result.unreadyReason = [this] { return unreadyReason(); };
     result.announceStop = [this]() -> asio::awaitable<void> {
         if (m_duties) {
-            m_duties->stop();
+            co_await m_duties->stop(internal::releaseLimit);
         }
-        co_return;
     };
     result.stop = [this]() -> asio::awaitable<void> {
         // The last counts of usage.
@@ -236,6 +236,7 @@
     if (m_duties) {
         m_duties->onOwnTime(report.wall);
         report.windows = m_duties->ownCounts();
+        report.reportedUpTo = m_duties->reportedUpTo();
     }
     return report;
 }
@@ -268,16 +269,17 @@
 
 void MachineServices::onMember()
 {
-    if (!m_duties) {
-        return;
-    }
     std::vector<HostId> candidates{m_dependencies.settings.host.id};
     for (const auto &it : m_peers->members()) {
         if (it.state == MemberState::Alive) {
             candidates.push_back(it.id);
         }
     }
-    m_duties->setCandidates(candidates);
+    const auto hosts = static_cast<std::uint32_t>(candidates.size());
+    m_path->driver().withScheduler([hosts](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.setFleetHosts(hosts); });
+    if (m_duties) {
+        m_duties->setCandidates(candidates);
+    }
 }
 
 } // namespace guavafield
--- a/src/guavafield/coordination/fleet/host_report.hpp
+++ b/src/guavafield/coordination/fleet/host_report.hpp
@@ -45,6 +45,8 @@
     std::optional<TableKnowledge> upstreams;
     std::vector<PeerWork> work;
     std::vector<WindowCounts> windows;
+    // All billing windows up to this one are reported to the platform, as far as the sender knows.
+    std::uint64_t reportedUpTo{0};
     // Those of the last few seconds.
     std::vector<BrokenRequest> broken;
 };
--- a/src/guavafield/coordination/order/fleet_plan.cpp
+++ b/src/guavafield/coordination/order/fleet_plan.cpp
@@ -10,8 +10,8 @@
 
 namespace internal {
 
-constexpr std::uint32_t durablePerDataCentre = 1;
-constexpr std::uint32_t leastCheapPerDataCentre = 3;
+constexpr std::uint32_t durablePerDataCentre = 0;
+constexpr std::uint32_t leastCheapPerDataCentre = 4;
 // Each further cheap upstream of a data centre stands for this much of a queue.
 constexpr double queueSecondsPerCheap = 0.03;
 // A pressure that has passed fades over this time, so that the next burst finds its upstreams.
@@ -77,7 +77,7 @@
     std::vector<FleetSize> result;
     for (const auto &[dataCentre, counts] : present) {
         const bool shortage = unavailable({pool.id, dataCentre, UpstreamKind::Cheap}, now);
-        auto durable = std::clamp(internal::durablePerDataCentre, limits.least, limits.most);
+        auto durable = std::min(internal::durablePerDataCentre, limits.most);
         if (shortage && pressureOf(pool.id) >= internal::pressureForDurable) {
             durable = std::min(durable + cheapWanted(pool) / 2, limits.most);
         }
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -19,6 +19,11 @@
     m_impl->setHosts(hosts, hostIndex);
 }
 
+void RequestScheduler::setFleetHosts(std::uint32_t hosts)
+{
+    m_impl->setFleetHosts(hosts);
+}
+
 Admission RequestScheduler::submit(RequestInfo request, SteadyTime now)
 {
     return m_impl->submit(std::move(request), now);
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -47,6 +47,9 @@
      */
     void setHostsInDataCentre(std::uint32_t hosts, SteadyTime now, std::uint32_t hostIndex = 0);
 
+    /*! @brief Sets the number of live hosts of all data centres, which share the retries of self-queueing pools. */
+    void setFleetHosts(std::uint32_t hosts);
+
     /*!
      * @brief Admits a request to the queue or refuses it.
      * @param request The request; its id is not in use.
--- a/src/guavafield/coordination/request/retry_budget.hpp
+++ b/src/guavafield/coordination/request/retry_budget.hpp
@@ -11,23 +11,35 @@
 namespace guavafield {
 
 /*!
- * @brief Each request of a class earns a tenth of a retry; unused ones are kept up to a bound.
+ * @brief Each request of a class earns a part of a retry; unused ones are kept up to a bound.
  *
- * A tenth of a few requests is no retry at all, so each class also has a small reserve that refills with time. It lets a
+ * A part of a few requests is no retry at all, so each class also has a small reserve that refills with time. It lets a
  * host with little traffic retry, and adds at most the reserve plus its refill rate to the retries of a busy one.
  */
 class RetryBudget
 {
 public:
-    static constexpr double retriesPerRequest = 0.1;
-    static constexpr double largestBalance = 10;
-    static constexpr double reserve = 3;
-    static constexpr double reservePerSecond = 0.1;
+    struct Settings
+    {
+        double retriesPerRequest{0.1};
+        double largestBalance{10};
+        double reserve{3};
+        double reservePerSecond{0.1};
+    };
+
+    RetryBudget() = default;
+    explicit RetryBudget(Settings settings) noexcept : m_settings(settings) { }
+
+    /*! @brief Changes how much retries may add; balances above the new bounds shrink as they are used. */
+    void configure(Settings settings) noexcept
+    {
+        m_settings = settings;
+    }
 
     void onRequest(const std::string &className, SteadyTime now)
     {
         auto &balance = balanceOf(className, now);
-        balance = std::min(largestBalance, balance + retriesPerRequest);
+        balance = std::min(m_settings.largestBalance, balance + m_settings.retriesPerRequest);
     }
 
     /*! @brief Takes one retry; returns false if the budget is exhausted. */
@@ -45,20 +57,21 @@
 private:
     struct Account
     {
-        double balance{reserve};
+        double balance{0};
         SteadyTime refilled{};
     };
 
     [[nodiscard]] double &balanceOf(const std::string &className, SteadyTime now)
     {
-        auto &account = m_accounts.try_emplace(className, Account{reserve, now}).first->second;
-        if (account.balance < reserve) {
-            account.balance = std::min(reserve, account.balance + reservePerSecond * secondsBetween(account.refilled, now));
+        auto &account = m_accounts.try_emplace(className, Account{m_settings.reserve, now}).first->second;
+        if (account.balance < m_settings.reserve) {
+            account.balance = std::min(m_settings.reserve, account.balance + m_settings.reservePerSecond * secondsBetween(account.refilled, now));
         }
         account.refilled = now;
         return account.balance;
     }
 
+    Settings m_settings;
     StringMap<Account> m_accounts;
 };
 
--- a/src/guavafield/coordination/request/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler_attempts.cpp
@@ -261,7 +261,7 @@
         erase(entry, now);
         return m_admission.refusal(failure.code, 1);
     }
-    if (!free && (saturated(poolOf(entry)) || !m_retries.take(entry.info.className, now))) {
+    if (!free && (saturated(poolOf(entry)) || !(poolOf(entry).selfQueueing ? m_poolRetries : m_retries).take(entry.info.className, now))) {
         erase(entry, now);
         return m_admission.refusal(ResultCode::RetryBudgetExhausted, 1);
     }
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -24,6 +24,7 @@
 
     void applyConfiguration(const Configuration &configuration, SteadyTime now);
     void setHosts(std::uint32_t hosts, std::uint32_t hostIndex);
+    void setFleetHosts(std::uint32_t hosts);
     [[nodiscard]] Admission submit(RequestInfo request, SteadyTime now);
     [[nodiscard]] std::vector<SchedulerAction> step(SteadyTime now);
     [[nodiscard]] std::optional<SteadyTime> nextWakeup() const;
@@ -120,6 +121,8 @@
     AdmissionControl m_admission;
     Router m_router;
     RetryBudget m_retries;
+    // Of self-queueing pools, whose retries all hosts together have to bound.
+    RetryBudget m_poolRetries;
     CrashRegister m_crashes;
     DemandLedger m_demand;
     // Addresses are stable; a removed upstream stays while attempts run on it.
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -12,6 +12,10 @@
 // A request is refused for the wait ahead only when it would use up this part of the time that is left.
 constexpr double hopelessPart = 0.95;
 constexpr double refusedRetrySeconds = 0.3;
+// Retries over all hosts stay below a fifth of the requests and a few dozen.
+constexpr double poolRetriesPerRequest = 0.15;
+constexpr double fleetReserve = 27;
+constexpr double largestReserve = 3;
 constexpr std::uint32_t failuresBeforeDown = 3;
 // A request is refused after it was on so many broken connections; the first may be another request's doing.
 constexpr std::uint32_t brokenConnectionsBeforeQuarantine = 2;
@@ -20,6 +24,15 @@
 
 } // namespace internal
 
+void RequestScheduler::Impl::setFleetHosts(std::uint32_t hosts)
+{
+    RetryBudget::Settings settings;
+    settings.retriesPerRequest = internal::poolRetriesPerRequest;
+    settings.reserve = std::min(internal::largestReserve, internal::fleetReserve / std::max(1U, hosts));
+    settings.largestBalance = settings.reserve + 1;
+    m_poolRetries.configure(settings);
+}
+
 void RequestScheduler::Impl::configureSelfQueueing(const Configuration &configuration)
 {
     for (const auto &[id, facts] : configuration.pools) {
@@ -37,7 +50,7 @@
 {
     entry->suspect = false;
     entry->latestStart = now + std::chrono::duration_cast<Milliseconds>(entry->info.firstTokenTarget * internal::waitingPart);
-    m_retries.onRequest(entry->info.className, now);
+    m_poolRetries.onRequest(entry->info.className, now);
     entry->queued = true;
     pool.selfQueueing->waiting.insert(entry.get());
     auto id = entry->info.id;
--- a/src/guavafield/coordination/usage/window_reporter.cpp
+++ b/src/guavafield/coordination/usage/window_reporter.cpp
@@ -10,7 +10,7 @@
     if (ledger.firstWindow() == 0) {
         return std::nullopt;
     }
-    const auto first = std::max(ledger.firstWindow(), ledger.windowAt(now - m_settings.giveUp));
+    const auto first = std::max({ledger.firstWindow(), ledger.windowAt(now - m_settings.giveUp), m_reportedUpTo + 1});
     for (auto window = first; ledger.endOf(window) + m_settings.settle <= now; ++window) {
         const auto it = m_windows.find(window);
         if (it == m_windows.end()) {
@@ -39,6 +39,8 @@
 void WindowReporter::onReported(BillingWindow window)
 {
     m_windows[window].reported = true;
+    // Windows are reported oldest first, so that only those that were given up can be missing before this one.
+    m_reportedUpTo = std::max(m_reportedUpTo, window);
 }
 
 void WindowReporter::onFailed(BillingWindow window, WallTime now)
--- a/src/guavafield/coordination/usage/window_reporter.hpp
+++ b/src/guavafield/coordination/usage/window_reporter.hpp
@@ -3,6 +3,7 @@
 
 #include <guavafield/coordination/usage/window_ledger.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -43,6 +44,15 @@
     /*! @brief The store holds these figures for a window. */
     void onSealed(BillingWindow window, TeamCounts figures);
     void onReported(BillingWindow window);
+    /*! @brief Another host has reported all windows up to this one. */
+    void onReportedUpTo(BillingWindow window) noexcept
+    {
+        m_reportedUpTo = std::max(m_reportedUpTo, window);
+    }
+    [[nodiscard]] BillingWindow reportedUpTo() const noexcept
+    {
+        return m_reportedUpTo;
+    }
     /*! @brief A call for a window failed or its outcome is not known. */
     void onFailed(BillingWindow window, WallTime now);
 
@@ -56,6 +66,7 @@
 
     WindowReporterSettings m_settings;
     std::map<BillingWindow, State> m_windows;
+    BillingWindow m_reportedUpTo{0};
 };
 
 } // namespace guavafield
--- a/src/guavafield/protocol/peer/peer.capnp
+++ b/src/guavafield/protocol/peer/peer.capnp
@@ -91,6 +91,7 @@
   work @3 :List(UpstreamWork);
   windows @4 :List(WindowCounts);
   broken @5 :List(BrokenRequest);
+  reportedUpTo @6 :UInt64;
 }
 
 # The only capability of a new connection. Both sides prove that they know the fleet secret.
--- a/src/guavafield/protocol/peer/peer.capnp.h
+++ b/src/guavafield/protocol/peer/peer.capnp.h
@@ -207,7 +207,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1472,6 +1472,8 @@
   inline bool hasBroken() const;
   inline  ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>::Reader getBroken() const;
 
+  inline  ::uint64_t getReportedUpTo() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1538,6 +1540,9 @@
   inline void adoptBroken(::capnp::Orphan< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::BrokenRequest,  ::capnp::Kind::STRUCT>> disownBroken();
 
+  inline  ::uint64_t getReportedUpTo();
+  inline void setReportedUpTo( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3672,6 +3677,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t HostReport::Reader::getReportedUpTo() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostReport::Builder::getReportedUpTo() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void HostReport::Builder::setReportedUpTo( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/guavafield/protocol/peer/peer_codec.cpp
+++ b/src/guavafield/protocol/peer/peer_codec.cpp
@@ -99,6 +99,7 @@
 void write(const HostReport &report, wire::HostReport::Builder builder)
 {
     builder.setWallMicroseconds(std::chrono::duration_cast<std::chrono::microseconds>(report.wall.time_since_epoch()).count());
+    builder.setReportedUpTo(report.reportedUpTo);
     write(report.document, builder.initDocument());
     write(report.upstreams, builder.initUpstreams());
     auto work = builder.initWork(static_cast<unsigned>(report.work.size()));
@@ -225,6 +226,7 @@
 {
     HostReport report;
     report.wall = WallTime{std::chrono::microseconds{reader.getWallMicroseconds()}};
+    report.reportedUpTo = reader.getReportedUpTo();
     report.document = readKnowledge(reader.getDocument());
     report.upstreams = readKnowledge(reader.getUpstreams());
     for (const auto it : reader.getWork()) {
@@ -289,6 +291,9 @@
 
 Result<std::vector<std::uint8_t>> PeerCodec::encode(const PeerMessage &message) const
 {
+    if (message.report.has_value() != (message.kind == PeerMessageKind::Report)) {
+        return fail(ResultCode::PeerMessageInvalid, "a report is missing or not expected");
+    }
     capnp::word scratch[256] = {};
     capnp::MallocMessageBuilder builder(kj::ArrayPtr<capnp::word>(scratch, 256));
     write(message, builder.initRoot<wire::Datagram>());
@@ -322,7 +327,9 @@
         options.traversalLimitInWords = maxMessageWords;
         options.nestingLimit = 8;
         capnp::PackedMessageReader reader(packed, options);
-        return readMessage(reader.getRoot<wire::Datagram>());
+        auto message = readMessage(reader.getRoot<wire::Datagram>());
+        require(message.report || datagram.size() <= maxDatagramBytes, "the datagram is too large for its kind");
+        return message;
     } catch (const std::exception &error) {
         // Exceptions of Cap'n Proto derive from this as well.
         fault = error.what();
--- a/src/guavafield/transport/fleet/duty_service.cpp
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -65,10 +65,18 @@
         m_dependencies.strand, [self = shared_from_this()] { return self->run(); }, asio::detached);
 }
 
+asio::awaitable<void> DutyService::stop(Milliseconds limit)
+{
+    const auto self = shared_from_this();
+    m_stopped = true;
+    co_await m_lease->stop(limit);
+}
+
 void DutyService::onReport(std::string_view host, Incarnation incarnation, const HostReport &report)
 {
     m_time.onHost(host, report.wall, m_dependencies.clock.now());
     m_ledger.onReport(std::string(host) + "/" + std::to_string(incarnation), report.windows);
+    m_reporter.onReportedUpTo(report.reportedUpTo);
 }
 
 void DutyService::onOwnTime(WallTime wall)
@@ -117,7 +125,9 @@
         if (holder() && time && configuration->revision > 0) {
             const auto due = m_settings.reportsUsage ? m_reporter.due(m_ledger, *time) : std::nullopt;
             if (due) {
+                // A new holder has several windows to report.
                 co_await handleWindow(*due);
+                continue;
             }
             m_plan.onLoads(m_dependencies.loads(), m_dependencies.clock.now());
             const auto size = m_settings.ordersUpstreams ? m_plan.next(*configuration, m_dependencies.clock.now()) : std::nullopt;
--- a/src/guavafield/transport/fleet/duty_service.hpp
+++ b/src/guavafield/transport/fleet/duty_service.hpp
@@ -64,11 +64,8 @@
     DutyService(DutyDependencies dependencies, DutySettings settings);
 
     void start();
-    /*! @brief Makes no further calls. The lease is left to lapse, so that the next holder keeps its distance. */
-    void stop() noexcept
-    {
-        m_stopped = true;
-    }
+    /*! @brief Makes no further calls and releases the lease; the next holder keeps its distance by itself. */
+    [[nodiscard]] boost::asio::awaitable<void> stop(Milliseconds limit);
 
     /*! @brief Takes a host's report; its own reports give this host's time of day. */
     void onReport(std::string_view host, Incarnation incarnation, const HostReport &report);
@@ -76,6 +73,11 @@
     /*! @brief Counts a request that an upstream began to run. */
     void onStarted(const TeamId &team);
     [[nodiscard]] std::vector<WindowCounts> ownCounts();
+    /*! @brief Returns the window up to which all are reported, as far as known. */
+    [[nodiscard]] BillingWindow reportedUpTo() const noexcept
+    {
+        return m_reporter.reportedUpTo();
+    }
     void setCandidates(std::span<const HostId> candidates);
 
 private:
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -249,7 +249,7 @@
 
 bool ForwardRequest::worthRetrying(unsigned status) const
 {
-    return status >= 500 && m_call.target.repeat == Repeat::Always && timeLeft() > m_call.target.target / 2;
+    return status >= 500 && m_call.target.repeat != Repeat::Never && timeLeft() > m_call.target.target / 2;
 }
 
 ForwardRequest::Awaitable ForwardRequest::on(AnswerCompleted &event)
