Hold the fleet's pressure before it fades, and copy parts of prompts from any upstream that has them

Change: the pressure is held for 12 s before it fades; durable stand-ins come only under a high pressure; an attempt names an upstream that this host has sent more of the prompt to, from which the copy is free when it is not needed.

--- a/src/guavafield/coordination/order/fleet_plan.cpp
+++ b/src/guavafield/coordination/order/fleet_plan.cpp
@@ -14,12 +14,13 @@
 constexpr std::uint32_t leastCheapPerDataCentre = 4;
 // Each further cheap upstream of a data centre stands for this much of a queue.
 constexpr double queueSecondsPerCheap = 0.03;
-// A pressure that has passed fades over this time, so that the next burst finds its upstreams.
-constexpr double pressureHalfLifeSeconds = 6;
+// A pressure that has passed is kept for a while and then fades, so that the next burst finds its upstreams with warm caches.
+constexpr Milliseconds pressureHeld{12'000};
+constexpr double pressureHalfLifeSeconds = 4;
 // Before the first requests, the load is not known, and a few more upstreams than for a calm time are kept.
 constexpr double pressureAtStart = 0.07;
 // Above this pressure, durable upstreams stand in for cheap ones that are not to be had.
-constexpr double pressureForDurable = 0.1;
+constexpr double pressureForDurable = 0.25;
 constexpr Milliseconds retryAfterFailure{1'000};
 constexpr Milliseconds retryAfterShortage{2'000};
 // An order whose upstreams have not come by then, boot time included, is given again.
@@ -30,17 +31,24 @@
 void FleetPlan::onLoads(const StringMap<PoolLoad> &loads, SteadyTime now)
 {
     for (const auto &[pool, load] : loads) {
-        const auto [it, first] = m_pressures.try_emplace(pool, Pressure{internal::pressureAtStart, now});
+        const auto [it, first] = m_pressures.try_emplace(pool, Pressure{internal::pressureAtStart, 0, now, now});
         auto &pressure = it->second;
         m_loaded = m_loaded || load.running > 0;
         if (!m_loaded) {
             pressure.at = now;
+            pressure.peakAt = now;
             continue;
         }
-        const double faded = pressure.queueSeconds * std::exp2(-secondsBetween(pressure.at, now) / internal::pressureHalfLifeSeconds);
-        // Single long prompts are no burst, so a rise counts in part at each look.
-        const double risen = faded + 0.25 * (load.queueSeconds - faded);
-        pressure = Pressure{std::max(faded, risen), now};
+        // Single long prompts are no burst, so each look counts in part.
+        pressure.present += 0.25 * (load.queueSeconds - pressure.present);
+        const bool held = now - pressure.peakAt < internal::pressureHeld;
+        const double faded = held ? pressure.queueSeconds
+                                  : pressure.queueSeconds * std::exp2(-secondsBetween(pressure.at, now) / internal::pressureHalfLifeSeconds);
+        pressure.at = now;
+        pressure.queueSeconds = std::max(faded, pressure.present);
+        if (pressure.present >= faded) {
+            pressure.peakAt = now;
+        }
     }
 }
 
--- a/src/guavafield/coordination/order/fleet_plan.hpp
+++ b/src/guavafield/coordination/order/fleet_plan.hpp
@@ -69,11 +69,14 @@
     [[nodiscard]] std::vector<FleetSize> plan(const UpstreamPool &pool, const Configuration &configuration, SteadyTime now) const;
     [[nodiscard]] bool unavailable(const Key &key, SteadyTime now) const;
 
-    // Pressure of a pool: the highest queue of the last seconds, fading.
+    // Pressure of a pool: the highest queue of the last seconds, which is held and then fades.
     struct Pressure
     {
         double queueSeconds{0};
+        // The queue of the last looks.
+        double present{0};
         SteadyTime at{};
+        SteadyTime peakAt{};
     };
 
     [[nodiscard]] double pressureOf(const PoolId &pool) const;
--- a/src/guavafield/coordination/request/placement.cpp
+++ b/src/guavafield/coordination/request/placement.cpp
@@ -97,7 +97,7 @@
 Placement::Prefix Placement::findPrefix(const PoolUpstreams &upstreams, const RequestEntry &entry, SteadyTime now) const
 {
     Prefix prefix;
-    if (!m_engine || entry.info.prefixHashes.empty() || entry.info.prefixTokens.empty()) {
+    if (!m_engine || m_engine->linkMegabitsPerSecond <= 0 || entry.info.prefixHashes.empty() || entry.info.prefixTokens.empty()) {
         return prefix;
     }
     prefix.hash = entry.info.prefixHashes.back();
@@ -159,6 +159,20 @@
     return tokens / m_tokensPerSecond + full + internal::runningSeconds * running;
 }
 
+const UpstreamState *Placement::sourceFor(const UpstreamState &upstream, double confirmed, const PrefixIndex &prefixes, const RequestEntry &entry)
+{
+    const auto &hashes = entry.info.prefixHashes;
+    const auto &tokens = entry.info.prefixTokens;
+    for (std::size_t n = std::min(hashes.size(), tokens.size()); n > 0 && tokens[n - 1] >= confirmed + internal::leastTokensToFetch; --n) {
+        for (const auto *it : prefixes.holders(hashes[n - 1])) {
+            if (it != &upstream && !it->downSince) {
+                return it;
+            }
+        }
+    }
+    return nullptr;
+}
+
 Placed Placement::choose(const PoolUpstreams &upstreams, const PrefixIndex &prefixes, const RequestEntry &entry, SteadyTime now) const
 {
     const auto prefix = findPrefix(upstreams, entry, now);
@@ -175,7 +189,7 @@
         const double held = &it == prefix.holder ? std::max(confirmed, prefix.tokens) : confirmed;
         const double missing = prefix.tokens - held;
         const bool fetch = prefix.holder != nullptr && prefix.holder != &it && missing >= internal::leastTokensToFetch;
-        Placed placed{&it, fetch ? prefix.holder : nullptr, 0, 0};
+        Placed placed{&it, fetch ? prefix.holder : sourceFor(it, confirmed, prefixes, entry), 0, 0};
         placed.tokens = std::max(0.0, prompt - prefix.tokens) + (fetch ? 0 : missing);
         placed.tokens += &it == prefix.holder ? internal::unconfirmedPart * (held - confirmed) : 0;
         double penalty = 0;
--- a/src/guavafield/coordination/request/placement.hpp
+++ b/src/guavafield/coordination/request/placement.hpp
@@ -87,6 +87,9 @@
 
     [[nodiscard]] Prefix findPrefix(const PoolUpstreams &upstreams, const RequestEntry &entry, SteadyTime now) const;
     [[nodiscard]] double waitSeconds(const UpstreamState &upstream, const RequestEntry &entry, SteadyTime now) const;
+    // An upstream that this host has sent more of the prefix to; a copy from there costs nothing if it is not needed.
+    [[nodiscard]] static const UpstreamState *
+    sourceFor(const UpstreamState &upstream, double confirmed, const PrefixIndex &prefixes, const RequestEntry &entry);
     [[nodiscard]] static double heldTokens(const UpstreamState &upstream, const PrefixIndex &prefixes, const RequestEntry &entry);
 
     DataCentreId m_local;
