Make up for reclaimed upstreams elsewhere, and weigh the reading of less urgent prompts

Change: what one data centre lacks, the others are asked for; durable upstreams stand in for half of what is missing only when no data centre has any; a loss is acted upon at once. Half of the reading of less urgent prompts counts against a more urgent request.

--- a/src/guavafield/coordination/order/fleet_plan.cpp
+++ b/src/guavafield/coordination/order/fleet_plan.cpp
@@ -10,7 +10,6 @@
 
 namespace internal {
 
-constexpr std::uint32_t durablePerDataCentre = 0;
 constexpr std::uint32_t leastCheapPerDataCentre = 4;
 // Each further cheap upstream of a data centre stands for this much of a queue.
 constexpr double queueSecondsPerCheap = 0.03;
@@ -20,11 +19,13 @@
 // Before the first requests, the load is not known, and a few more upstreams than for a calm time are kept.
 constexpr double pressureAtStart = 0.07;
 // Above this pressure, durable upstreams stand in for cheap ones that are not to be had.
-constexpr double pressureForDurable = 0.25;
+constexpr double pressureForDurable = 0.1;
+constexpr double durablePerMissing = 0.5;
 constexpr Milliseconds retryAfterFailure{1'000};
 constexpr Milliseconds retryAfterShortage{2'000};
 // An order whose upstreams have not come by then, boot time included, is given again.
-constexpr Milliseconds repeatAfter{3'000};
+constexpr Milliseconds repeatAfter{7'000};
+constexpr Milliseconds orderInterval{1'000};
 
 } // namespace internal
 
@@ -69,35 +70,62 @@
     return it != m_ordered.end() && now < it->second.unavailableUntil;
 }
 
-std::vector<FleetSize> FleetPlan::plan(const UpstreamPool &pool, const Configuration &configuration, SteadyTime now) const
+std::map<DataCentreId, FleetPlan::Place> FleetPlan::places(const UpstreamPool &pool, const Configuration &configuration, SteadyTime now) const
 {
-    const auto &limits = *pool.scaling;
-    std::map<DataCentreId, FleetCounts> present;
-    for (const auto &[dataCentre, price] : limits.prices) {
-        present[dataCentre];
+    std::map<DataCentreId, Place> result;
+    for (const auto &[dataCentre, price] : pool.scaling->prices) {
+        result[dataCentre];
     }
     for (const auto &[id, it] : configuration.upstreams) {
         if (it.pool == pool.id && !it.leaving) {
-            auto &counts = present[it.dataCentre];
-            ++(it.kind == UpstreamKind::Cheap ? counts.cheap : counts.durable);
+            auto &place = result[it.dataCentre];
+            ++(it.kind == UpstreamKind::Cheap ? place.present.cheap : place.present.durable);
         }
     }
-    std::vector<FleetSize> result;
-    for (const auto &[dataCentre, counts] : present) {
-        const bool shortage = unavailable({pool.id, dataCentre, UpstreamKind::Cheap}, now);
-        auto durable = std::min(internal::durablePerDataCentre, limits.most);
-        if (shortage && pressureOf(pool.id) >= internal::pressureForDurable) {
-            durable = std::min(durable + cheapWanted(pool) / 2, limits.most);
-        }
+    for (auto &[dataCentre, place] : result) {
+        place.shortage = unavailable({pool.id, dataCentre, UpstreamKind::Cheap}, now);
+    }
+    return result;
+}
+
+std::vector<FleetSize> FleetPlan::plan(const UpstreamPool &pool, const Configuration &configuration, SteadyTime now) const
+{
+    const auto &limits = *pool.scaling;
+    const auto wanted = cheapWanted(pool);
+    auto all = places(pool, configuration, now);
+    // What one data centre lacks, another one is asked for.
+    std::uint32_t missing = 0;
+    for (auto &[dataCentre, place] : all) {
         // Both kinds together have a limit, so that cheap ones can only come for as many as there is room now.
-        const auto room = limits.most - std::min(limits.most, std::max(durable, counts.durable));
-        const auto cheap = std::min(cheapWanted(pool), room);
-        if (!shortage) {
-            result.push_back({pool.id, dataCentre, UpstreamKind::Cheap, cheap});
+        place.room = limits.most - std::min(limits.most, place.present.durable);
+        place.cheap = std::min(wanted, place.room);
+        if (place.shortage) {
+            missing += place.cheap - std::min(place.cheap, place.present.cheap);
+        }
+    }
+    for (bool given = true; missing > 0 && given;) {
+        given = false;
+        for (auto &[dataCentre, place] : all) {
+            if (missing > 0 && !place.shortage && place.cheap < place.room) {
+                ++place.cheap;
+                --missing;
+                given = true;
+            }
+        }
+    }
+    const bool standIn = missing > 0 && pressureOf(pool.id) >= internal::pressureForDurable;
+    const auto durable = standIn ? static_cast<std::uint32_t>(std::ceil(missing * internal::durablePerMissing / static_cast<double>(all.size()))) : 0;
+    std::vector<FleetSize> result;
+    for (const auto &[dataCentre, place] : all) {
+        if (!place.shortage) {
+            result.push_back({pool.id, dataCentre, UpstreamKind::Cheap, place.cheap});
+        } else if (place.present.cheap < wanted) {
+            // Asks again from time to time, whether the shortage is over.
+            result.push_back({pool.id, dataCentre, UpstreamKind::Cheap, std::min(wanted, place.room)});
         }
         // Durable upstreams go only when the cheap ones that take their place have come.
-        const bool replaced = counts.cheap >= cheap || counts.durable <= durable;
-        result.push_back({pool.id, dataCentre, UpstreamKind::Durable, replaced ? durable : counts.durable});
+        const bool replaced = place.present.cheap >= std::min(wanted, place.room) || place.present.durable <= durable;
+        result.push_back({pool.id, dataCentre, UpstreamKind::Durable, replaced ? std::min(durable, limits.most) : place.present.durable});
     }
     return result;
 }
@@ -110,14 +138,15 @@
         }
         for (const auto &wanted : plan(pool, configuration, now)) {
             auto &ordered = m_ordered[{wanted.pool, wanted.dataCentre, wanted.kind}];
-            if (now < ordered.notBefore) {
-                continue;
-            }
             const auto present = static_cast<std::uint32_t>(std::ranges::count_if(configuration.upstreams, [&](const auto &it) {
                 return it.second.pool == wanted.pool && it.second.dataCentre == wanted.dataCentre && it.second.kind == wanted.kind && !it.second.leaving;
             }));
-            const bool due = ordered.count != wanted.count || present < wanted.count;
-            if (due && (ordered.count || present != wanted.count)) {
+            const bool lost = present < ordered.present;
+            ordered.present = present;
+            // An order that was accepted is given again when its upstreams do not come, or when some have gone.
+            const bool again = present < wanted.count && (now >= ordered.repeatAt || lost);
+            const bool changed = ordered.count != wanted.count && (ordered.count || present != wanted.count);
+            if (now >= ordered.notBefore && (changed || again)) {
                 return wanted;
             }
         }
@@ -131,11 +160,13 @@
     switch (outcome) {
     case OrderOutcome::Accepted:
         ordered.count = order.count;
-        // Long enough for the upstreams to boot and to write their entries.
-        ordered.notBefore = now + 2 * internal::repeatAfter;
+        ordered.notBefore = now + internal::orderInterval;
+        ordered.repeatAt = now + internal::repeatAfter;
+        ordered.unavailableUntil = {};
         break;
     case OrderOutcome::Unavailable:
-        ordered.unavailableUntil = now + internal::retryAfterShortage;
+        // Counts as a shortage a little longer than it takes to ask again.
+        ordered.unavailableUntil = now + internal::retryAfterShortage + internal::orderInterval;
         ordered.notBefore = now + internal::retryAfterShortage;
         break;
     case OrderOutcome::Failed:
--- a/src/guavafield/coordination/order/fleet_plan.hpp
+++ b/src/guavafield/coordination/order/fleet_plan.hpp
@@ -43,8 +43,8 @@
 /*!
  * @brief Plans the fleet of all pools that can be ordered, and remembers what was ordered.
  *
- * Each data centre keeps a few durable upstreams, which stay when the cheap ones of a data centre are reclaimed at once; cheap ones do the
- * bulk of the work. Not safe for several threads.
+ * Cheap upstreams do the work: when those of one data centre are reclaimed at once, others are asked for more. Durable ones stand in while
+ * no cheap ones are to be had anywhere and prompts wait. Not safe for several threads.
  */
 class FleetPlan
 {
@@ -59,13 +59,28 @@
     struct Ordered
     {
         std::optional<std::uint32_t> count;
+        // Upstreams of this kind at the last look.
+        std::uint32_t present{0};
         SteadyTime notBefore{};
+        SteadyTime repeatAt{};
         // None were to be had until then, as far as known.
         SteadyTime unavailableUntil{};
     };
 
+    // A data centre in the plan.
+    struct Place
+    {
+        FleetCounts present;
+        // No cheap upstreams are to be had.
+        bool shortage{false};
+        // Cheap upstreams that fit beside the durable ones, and those that are planned.
+        std::uint32_t room{0};
+        std::uint32_t cheap{0};
+    };
+
     using Key = std::tuple<PoolId, DataCentreId, UpstreamKind>;
 
+    [[nodiscard]] std::map<DataCentreId, Place> places(const UpstreamPool &pool, const Configuration &configuration, SteadyTime now) const;
     [[nodiscard]] std::vector<FleetSize> plan(const UpstreamPool &pool, const Configuration &configuration, SteadyTime now) const;
     [[nodiscard]] bool unavailable(const Key &key, SteadyTime now) const;
 
--- a/src/guavafield/coordination/request/placement.cpp
+++ b/src/guavafield/coordination/request/placement.cpp
@@ -37,6 +37,8 @@
 constexpr double fullSeconds = 0.5;
 // Each running request slows the others a little.
 constexpr double runningSeconds = 0.002;
+// How much of the reading of less urgent prompts counts against a more urgent request.
+constexpr double interferencePart = 0.5;
 constexpr double failureSeconds = 0.3;
 constexpr double slownessWeight = 0.2;
 constexpr double slownessHalfLifeSeconds = 5;
@@ -146,8 +148,9 @@
     double tokens = upstream.peerWaitingTokens;
     double waiting = upstream.peerWaitingTokens / m_meanTokens;
     for (const auto *it : upstream.running) {
-        if (!it->started() && it->info.enginePriority <= entry.info.enginePriority) {
-            tokens += it->readTokens;
+        if (!it->started()) {
+            // Less urgent prompts do not delay the first token, but the pauses between the others.
+            tokens += it->readTokens * (it->info.enginePriority <= entry.info.enginePriority ? 1 : internal::interferencePart);
             ++waiting;
         }
     }
