--- a/apps/guavafieldd/machine_services.cpp
+++ b/apps/guavafieldd/machine_services.cpp
@@ -26,6 +26,8 @@
 namespace internal {
 
 constexpr Milliseconds reportInterval{200};
+// Up to this number of hosts, every host reports at each interval.
+constexpr std::size_t hostsAtFullRate = 12;
 // Broken requests are repeated to peers for this long, in case a report was lost.
 constexpr Milliseconds brokenRepeated{2'000};
 constexpr std::size_t maxBrokenInReport = 8;
@@ -206,7 +208,9 @@
 {
     while (!m_stopped) {
         sendReport();
-        co_await sleepFor(internal::reportInterval);
+        // The host that reads the tables is heard often by all; the others' reports stay a bounded load for each host at any number of hosts.
+        const auto slowdown = m_directory->reads() ? 1 : std::max<std::size_t>(1, m_hosts / internal::hostsAtFullRate);
+        co_await sleepFor(internal::reportInterval * static_cast<int>(slowdown));
     }
 }
 
@@ -275,7 +279,8 @@
             candidates.push_back(it.id);
         }
     }
-    const auto hosts = static_cast<std::uint32_t>(candidates.size());
+    m_hosts = candidates.size();
+    const auto hosts = static_cast<std::uint32_t>(m_hosts);
     m_path->driver().withScheduler([hosts](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.setFleetHosts(hosts); });
     if (m_duties) {
         m_duties->setCandidates(candidates);
--- a/apps/guavafieldd/machine_services.hpp
+++ b/apps/guavafieldd/machine_services.hpp
@@ -83,6 +83,8 @@
     std::unique_ptr<PeerService> m_peers;
     std::shared_ptr<DirectoryService> m_directory;
     std::shared_ptr<DutyService> m_duties;
+    // Live hosts of the fleet, this one included.
+    std::size_t m_hosts{1};
     std::deque<Broken> m_broken;
     std::uint64_t m_lastBroken{0};
     // Number of the last broken request that each life of a peer told.
--- a/src/guavafield/coordination/request/placement.cpp
+++ b/src/guavafield/coordination/request/placement.cpp
@@ -34,6 +34,7 @@
 constexpr double unconfirmedPart = 0.15;
 // Traffic between data centres is charged for.
 constexpr double remoteSeconds = 0.004;
+constexpr double disagreementSeconds = 0.06;
 constexpr double fullSeconds = 0.5;
 // Each running request slows the others a little.
 constexpr double runningSeconds = 0.002;
@@ -194,7 +195,7 @@
         const bool fetch = prefix.holder != nullptr && prefix.holder != &it && missing >= internal::leastTokensToFetch;
         Placed placed{&it, fetch ? prefix.holder : sourceFor(it, confirmed, prefixes, entry), 0, 0};
         placed.tokens = std::max(0.0, prompt - prefix.tokens) + (fetch ? 0 : missing);
-        placed.tokens += &it == prefix.holder ? internal::unconfirmedPart * (held - confirmed) : 0;
+        placed.tokens += &it == prefix.holder && placed.fetchFrom == nullptr ? internal::unconfirmedPart * (held - confirmed) : 0;
         double penalty = 0;
         double copy = 0;
         if (fetch) {
@@ -207,7 +208,10 @@
         placed.seconds = (waitSeconds(it, entry, now) + placed.tokens / m_tokensPerSecond) * internal::slownessOf(it, now) + copy;
         placed.seconds += m_engine ? internal::firstTokenOverheadSeconds : m_serviceSeconds;
         const double remote = it.upstream.dataCentre == m_local ? 0 : internal::remoteSeconds;
-        const double cost = placed.seconds + penalty + remote + internal::failureSeconds * it.failures.valueAt(now);
+        // What only this host knows to be elsewhere moves no prefix from the upstream that all hosts agree on.
+        const bool agreed = prefix.holder == nullptr || prefix.holder == &it || prefix.tokens < internal::leastTokensToFetch;
+        const double disagreement = agreed ? 0 : internal::disagreementSeconds;
+        const double cost = placed.seconds + penalty + remote + disagreement + internal::failureSeconds * it.failures.valueAt(now);
         if (trial || cost < leastCost) {
             best = placed;
             leastCost = trial ? -1 : cost;
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -20,7 +20,7 @@
 // A request is refused after it was on so many broken connections; the first may be another request's doing.
 constexpr std::uint32_t brokenConnectionsBeforeQuarantine = 2;
 // A peer that was not heard for this long has died or is cut off; its work is unknown.
-constexpr Milliseconds peerWorkHolds{1'500};
+constexpr Milliseconds peerWorkHolds{4'000};
 
 } // namespace internal
 
--- a/src/guavafield/protocol/peer/table_text.cpp
+++ b/src/guavafield/protocol/peer/table_text.cpp
@@ -40,7 +40,7 @@
 
 } // namespace internal
 
-std::string formatTable(const TableMirror &mirror, RowVersion after, SteadyTime now)
+std::string formatRows(const TableMirror &mirror, RowVersion after)
 {
     auto changes = mirror.changesAfter(after);
     const bool whole = !changes.has_value();
@@ -48,9 +48,16 @@
     for (const auto &it : whole ? mirror.rows() : *changes) {
         rows.push_back(internal::toJson(it));
     }
+    return std::string(R"("whole":)") + (whole ? "true" : "false") + R"(,"rows":)" + json::serialize(rows);
+}
+
+std::string formatTable(const TableMirror &mirror, std::string_view rows, SteadyTime now)
+{
     const auto knowledge = mirror.knowledge(now);
-    return json::serialize(json::object{
-        {"rows", std::move(rows)}, {"complete", knowledge.complete}, {"age_ms", mirror.known() ? knowledge.age.count() : -1}, {"whole", whole}});
+    const auto age = mirror.known() ? knowledge.age.count() : -1;
+    std::string text = R"({"complete":)" + std::to_string(knowledge.complete) + R"(,"age_ms":)" + std::to_string(age) + ",";
+    text.append(rows).append("}");
+    return text;
 }
 
 Result<TableText> parseTable(std::string_view text)
--- a/src/guavafield/protocol/peer/table_text.hpp
+++ b/src/guavafield/protocol/peer/table_text.hpp
@@ -21,8 +21,10 @@
     bool whole{false};
 };
 
-/*! @brief Writes what a peer lacks that has the changes up to a version. */
-[[nodiscard]] std::string formatTable(const TableMirror &mirror, RowVersion after, SteadyTime now);
+/*! @brief Writes the rows that a peer lacks which has the changes up to a version. */
+[[nodiscard]] std::string formatRows(const TableMirror &mirror, RowVersion after);
+/*! @brief Writes the whole text from rows that formatRows() wrote, with the mirror's present age. */
+[[nodiscard]] std::string formatTable(const TableMirror &mirror, std::string_view rows, SteadyTime now);
 /*! @brief Reads what formatTable() wrote; PeerMessageInvalid for anything else. */
 [[nodiscard]] Result<TableText> parseTable(std::string_view text);
 
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -18,9 +18,9 @@
 namespace internal {
 
 // How long a call waits for a change; bounds how old the knowledge gets while nothing changes.
-constexpr Milliseconds feedWait{400};
+constexpr Milliseconds feedWait{600};
 // A host whose knowledge is older reads for itself.
-constexpr Milliseconds staleAfter{800};
+constexpr Milliseconds staleAfter{1'000};
 // A peer that was not heard for this long does not read for others.
 constexpr Milliseconds peerHeard{1'000};
 constexpr Milliseconds idleStep{50};
@@ -50,9 +50,15 @@
     return mirror(table).knowledge(m_dependencies.clock.now());
 }
 
-std::string DirectoryService::format(DirectoryTable table, RowVersion after) const
+std::string DirectoryService::format(DirectoryTable table, RowVersion after)
 {
-    return formatTable(mirror(table), after, m_dependencies.clock.now());
+    auto &text = m_texts[static_cast<std::size_t>(table)];
+    const auto now = m_dependencies.clock.now();
+    // After a change all peers ask for the same rows.
+    if (text.content != mirror(table).content() || text.after != after || text.rows.empty()) {
+        text = FormattedRows{mirror(table).content(), after, formatRows(mirror(table), after)};
+    }
+    return formatTable(mirror(table), text.rows, now);
 }
 
 bool DirectoryService::reads() const
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -67,7 +67,7 @@
         return mirror(table).known();
     }
     /*! @brief Writes for a peer what it lacks. */
-    [[nodiscard]] std::string format(DirectoryTable table, RowVersion after) const;
+    [[nodiscard]] std::string format(DirectoryTable table, RowVersion after);
     /*! @brief Returns whether this host reads the feeds for the others. */
     [[nodiscard]] bool reads() const;
 
@@ -79,6 +79,14 @@
         bool fresh{false};
     };
 
+    // What was formatted last.
+    struct FormattedRows
+    {
+        RowVersion content{0};
+        RowVersion after{0};
+        std::string rows{};
+    };
+
     [[nodiscard]] TableMirror &mirror(DirectoryTable table) noexcept
     {
         return m_mirrors[static_cast<std::size_t>(table)];
@@ -98,6 +106,7 @@
     DirectoryDependencies m_dependencies;
     FleetDirectory m_directory;
     std::array<TableMirror, 2> m_mirrors;
+    std::array<FormattedRows, 2> m_texts;
     std::array<bool, 2> m_fetching{};
     std::array<bool, 2> m_available{true, true};
     StringMap<Peer> m_peers;
--- a/src/guavafield/transport/peer/peer_service.cpp
+++ b/src/guavafield/transport/peer/peer_service.cpp
@@ -181,9 +181,10 @@
         message.kind = PeerMessageKind::Report;
         message.self = m_membership.self();
         message.report = std::move(report);
+        const auto datagram = encode(message);
         for (const auto &[id, entry] : m_membership.table().entries()) {
-            if (entry.member.state != MemberState::Dead) {
-                performOne(SendPeerMessage{entry.member.address, message});
+            if (datagram && entry.member.state != MemberState::Dead) {
+                sendTo(entry.member.address, *datagram);
             }
         }
     }
@@ -251,20 +252,31 @@
         }
     }
 
-    void performOne(const SendPeerMessage &action)
+    std::optional<std::vector<std::uint8_t>> encode(const PeerMessage &message) const
     {
-        const auto datagram = capture([&] { return m_codec.encode(action.message); });
+        auto datagram = capture([&] { return m_codec.encode(message); });
         if (!datagram) {
             logEvent(LogLevel::Warning, "peer:", "", "A datagram was not sent: " + datagram.error.message);
-            return;
         }
+        return std::move(datagram.value);
+    }
+
+    void sendTo(const PeerAddress &to, std::span<const std::uint8_t> datagram)
+    {
         boost::system::error_code ec;
         const auto family = m_socket.local_endpoint(ec).protocol();
         // A full send buffer drops the datagram like the network does.
         m_socket.non_blocking(true, ec);
-        m_socket.send_to(asio::buffer(*datagram.value), toEndpoint(action.to, family), 0, ec);
+        m_socket.send_to(asio::buffer(datagram.data(), datagram.size()), toEndpoint(to, family), 0, ec);
         m_counters.add(CounterId::PeerDatagramsSent);
-        m_counters.add(CounterId::PeerBytesSent, datagram.value->size());
+        m_counters.add(CounterId::PeerBytesSent, datagram.size());
+    }
+
+    void performOne(const SendPeerMessage &action)
+    {
+        if (const auto datagram = encode(action.message)) {
+            sendTo(action.to, *datagram);
+        }
     }
 
     void performOne(const MemberChanged &action)
--- /dev/null
+++ b/test/coordination/fleet/fleet_clock_test.cpp
@@ -0,0 +1,63 @@
+// Tests of the agreed time of day.
+#include <guavafield/coordination/fleet/fleet_clock.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace guavafield {
+
+class FleetClockTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetClockTest);
+    CPPUNIT_TEST(aStepOfAMinorityMovesNothing);
+    CPPUNIT_TEST(ownStepMovesNothing);
+    CPPUNIT_TEST(silentHostsLoseTheirSay);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against usage that is counted in the wrong window when the clocks of some hosts jump.
+    void aStepOfAMinorityMovesNothing()
+    {
+        for (int n = 0; n < 9; ++n) {
+            const auto step = n < 3 ? std::chrono::seconds{40} : std::chrono::seconds{0};
+            m_clock.onHost("h" + std::to_string(n), wallAt(0) + step, at(0));
+        }
+        CPPUNIT_ASSERT(*m_clock.now(at(0)) == wallAt(0));
+        CPPUNIT_ASSERT(*m_clock.now(at(2'000)) == wallAt(2'000));
+    }
+
+    // Guards against a host that trusts its own clock more than those of the others.
+    void ownStepMovesNothing()
+    {
+        for (const auto *host : {"own", "h1", "h2"}) {
+            m_clock.onHost(host, wallAt(0), at(0));
+        }
+        m_clock.onHost("own", wallAt(500) - std::chrono::seconds{30}, at(500));
+        CPPUNIT_ASSERT(*m_clock.now(at(500)) == wallAt(500));
+    }
+
+    // Guards against clocks of hosts that are gone and outvote the living.
+    void silentHostsLoseTheirSay()
+    {
+        for (const auto *host : {"d1", "d2", "d3"}) {
+            m_clock.onHost(host, wallAt(0) + std::chrono::seconds{60}, at(0));
+        }
+        m_clock.onHost("own", wallAt(10'000), at(10'000));
+        CPPUNIT_ASSERT(*m_clock.now(at(10'000)) == wallAt(10'000));
+    }
+
+private:
+    static SteadyTime at(int milliseconds)
+    {
+        return SteadyTime{Milliseconds{milliseconds}};
+    }
+    static WallTime wallAt(int milliseconds)
+    {
+        return WallTime{std::chrono::seconds{1'700'000'000} + Milliseconds{milliseconds}};
+    }
+
+    FleetClock m_clock;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetClockTest);
+
+} // namespace guavafield
--- /dev/null
+++ b/test/coordination/fleet/fleet_directory_test.cpp
@@ -0,0 +1,163 @@
+// Tests of the configuration that is put together from mirrored rows.
+#include <guavafield/coordination/fleet/fleet_directory.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace guavafield {
+
+namespace {
+
+// Document rows are "<revision>", upstream rows "<pool>", "leaving" or "bad".
+DirectoryCodec testCodec()
+{
+    DirectoryCodec codec;
+    codec.documentKey = "document";
+    codec.document = [](std::string_view text) -> Result<Configuration> {
+        if (text == "bad") {
+            return fail(ResultCode::PlatformAnswerInvalid, "not a document");
+        }
+        Configuration result;
+        result.revision = std::stoul(std::string(text));
+        result.pools["p"].id = "p";
+        return result;
+    };
+    codec.upstream = [](std::string_view id, std::string_view text) -> Result<UpstreamEntry> {
+        if (text == "bad") {
+            return fail(ResultCode::PlatformAnswerInvalid, "not an entry");
+        }
+        UpstreamEntry entry;
+        entry.upstream.id = std::string(id);
+        entry.upstream.leaving = text == "leaving";
+        entry.upstream.pool = text == "leaving" ? "p" : std::string(text);
+        return entry;
+    };
+    return codec;
+}
+
+} // namespace
+
+class FleetDirectoryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetDirectoryTest);
+    CPPUNIT_TEST(documentNeverReverts);
+    CPPUNIT_TEST(badRowsNameNothingAndHarmNothing);
+    CPPUNIT_TEST(restoredLapsesAreForgiven);
+    CPPUNIT_TEST(lapseAfterAnOutageEnds);
+    CPPUNIT_TEST(removalInCalmTimesCountsAtOnce);
+    CPPUNIT_TEST(leavingEntryIsNotKept);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_directory.emplace(testCodec());
+        m_document = TableMirror();
+        m_upstreams = TableMirror();
+        m_now = SteadyTime{std::chrono::seconds{100}};
+        m_version = 0;
+        document("7");
+        entry("u1", "p");
+        CPPUNIT_ASSERT(update() != nullptr);
+    }
+
+    // Guards against a row of an older revision that is written later, and against a document that cannot be read.
+    void documentNeverReverts()
+    {
+        document("9");
+        CPPUNIT_ASSERT_EQUAL(Revision{9}, update()->revision);
+        document("8");
+        CPPUNIT_ASSERT(update() == nullptr);
+        document("bad");
+        CPPUNIT_ASSERT(update() == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_directory->takeFaults().size());
+    }
+
+    // Guards against an entry of another writer that takes the good ones with it.
+    void badRowsNameNothingAndHarmNothing()
+    {
+        entry("u2", "bad");
+        entry("u3", "unknown pool");
+        entry("u4", "p");
+        const auto configuration = update();
+        CPPUNIT_ASSERT(configuration != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, configuration->upstreams.size());
+        CPPUNIT_ASSERT(configuration->upstreams.contains("u1") && configuration->upstreams.contains("u4"));
+        CPPUNIT_ASSERT_EQUAL(std::string("u2"), m_directory->takeFaults().at(0).key);
+    }
+
+    // Guards against an outage that takes living upstreams out of use because nobody could renew their entries.
+    void restoredLapsesAreForgiven()
+    {
+        m_now += std::chrono::seconds{5};
+        remove("u1");
+        CPPUNIT_ASSERT(update() == nullptr);
+        m_now += Milliseconds{1'000};
+        entry("u1", "p");
+        CPPUNIT_ASSERT(update() == nullptr);
+        CPPUNIT_ASSERT(!m_directory->nextWakeup().has_value());
+    }
+
+    // Guards against an upstream that died in an outage and is kept for good.
+    void lapseAfterAnOutageEnds()
+    {
+        m_now += std::chrono::seconds{5};
+        remove("u1");
+        CPPUNIT_ASSERT(update() == nullptr);
+        const auto due = m_directory->nextWakeup();
+        CPPUNIT_ASSERT(due.has_value() && *due - m_now <= std::chrono::seconds{3});
+        m_now = *due;
+        const auto configuration = update();
+        CPPUNIT_ASSERT(configuration != nullptr && configuration->upstreams.empty());
+    }
+
+    // Guards against the grace of an outage at other times: a removed upstream must get nothing more.
+    void removalInCalmTimesCountsAtOnce()
+    {
+        m_now += Milliseconds{400};
+        remove("u1");
+        const auto configuration = update();
+        CPPUNIT_ASSERT(configuration != nullptr && configuration->upstreams.empty());
+    }
+
+    // Guards against an upstream that had said that it leaves and is taken for lapsed.
+    void leavingEntryIsNotKept()
+    {
+        entry("u1", "leaving");
+        CPPUNIT_ASSERT(update()->upstreams.at("u1").leaving);
+        m_now += std::chrono::seconds{5};
+        remove("u1");
+        const auto configuration = update();
+        CPPUNIT_ASSERT(configuration != nullptr && configuration->upstreams.empty());
+    }
+
+private:
+    void document(const std::string &text)
+    {
+        ++m_version;
+        m_document.apply(std::vector<MirroredRow>{{"document", m_version, text}}, m_version, m_now);
+    }
+    void entry(const std::string &id, const std::string &text)
+    {
+        ++m_version;
+        m_upstreams.apply(std::vector<MirroredRow>{{id, m_version, text}}, m_version, m_now);
+    }
+    void remove(const std::string &id)
+    {
+        ++m_version;
+        m_upstreams.apply(std::vector<MirroredRow>{{id, m_version, std::nullopt}}, m_version, m_now);
+    }
+    std::shared_ptr<const Configuration> update()
+    {
+        return m_directory->update(m_document, m_upstreams, m_now);
+    }
+
+    std::optional<FleetDirectory> m_directory;
+    TableMirror m_document;
+    TableMirror m_upstreams;
+    SteadyTime m_now{};
+    RowVersion m_version{0};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetDirectoryTest);
+
+} // namespace guavafield
--- /dev/null
+++ b/test/coordination/fleet/table_mirror_test.cpp
@@ -0,0 +1,99 @@
+// Tests of the mirrored table: what is known never goes back, and a peer can be told what it lacks.
+#include <guavafield/coordination/fleet/table_mirror.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace guavafield {
+
+class TableMirrorTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TableMirrorTest);
+    CPPUNIT_TEST(staleReadingChangesNothing);
+    CPPUNIT_TEST(olderRowDoesNotReplaceNewer);
+    CPPUNIT_TEST(readingRemovesMissingRows);
+    CPPUNIT_TEST(removalReachesPeers);
+    CPPUNIT_TEST(forgottenRemovalAsksForAllRows);
+    CPPUNIT_TEST(confirmationNeverGoesBack);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a store that answers with an old state: its rows must not come back into force.
+    void staleReadingChangesNothing()
+    {
+        TableMirror mirror;
+        mirror.replace(std::vector<MirroredRow>{{"a", 5, "new"}}, 9, at(0));
+        CPPUNIT_ASSERT(!mirror.replace(std::vector<MirroredRow>{{"a", 3, "old"}, {"b", 2, "gone"}}, 4, at(1)));
+        CPPUNIT_ASSERT(mirror.rows() == (std::vector<MirroredRow>{{"a", 5, "new"}}));
+        CPPUNIT_ASSERT_EQUAL(RowVersion{9}, mirror.complete());
+    }
+
+    // Guards against changes that arrive twice or out of order through two peers.
+    void olderRowDoesNotReplaceNewer()
+    {
+        TableMirror mirror;
+        mirror.apply(std::vector<MirroredRow>{{"a", 7, "seven"}}, 7, at(0));
+        CPPUNIT_ASSERT(!mirror.apply(std::vector<MirroredRow>{{"a", 6, "six"}}, 6, at(1)));
+        CPPUNIT_ASSERT_EQUAL(std::string("seven"), *mirror.rows().front().value);
+        CPPUNIT_ASSERT_EQUAL(RowVersion{7}, mirror.content());
+    }
+
+    // Guards against an upstream that stays in use because its row vanished while the history was lost.
+    void readingRemovesMissingRows()
+    {
+        TableMirror mirror;
+        mirror.replace(std::vector<MirroredRow>{{"a", 1, "x"}, {"b", 2, "y"}}, 2, at(0));
+        CPPUNIT_ASSERT(mirror.replace(std::vector<MirroredRow>{{"a", 1, "x"}}, 8, at(1)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, mirror.rows().size());
+        CPPUNIT_ASSERT_EQUAL(RowVersion{8}, mirror.content());
+    }
+
+    // Guards against a peer that never learns of a removal.
+    void removalReachesPeers()
+    {
+        TableMirror reader;
+        reader.replace(std::vector<MirroredRow>{{"a", 1, "x"}, {"b", 2, "y"}}, 2, at(0));
+        TableMirror follower = reader;
+        reader.apply(std::vector<MirroredRow>{{"b", 3, std::nullopt}}, 3, at(1));
+        const auto changes = reader.changesAfter(follower.content());
+        CPPUNIT_ASSERT(changes.has_value());
+        follower.apply(*changes, reader.complete(), at(1));
+        CPPUNIT_ASSERT(follower.rows() == reader.rows());
+        CPPUNIT_ASSERT_EQUAL(reader.content(), follower.content());
+    }
+
+    // Guards against a list of changes that lacks removals which the sender has forgotten.
+    void forgottenRemovalAsksForAllRows()
+    {
+        TableMirror mirror;
+        mirror.replace({}, 1, at(0));
+        constexpr RowVersion rows = 3'000;
+        for (RowVersion n = 0; n < rows; ++n) {
+            const auto key = "k" + std::to_string(n);
+            mirror.apply(std::vector<MirroredRow>{{key, 2 + 2 * n, "v"}}, 2 + 2 * n, at(0));
+            mirror.apply(std::vector<MirroredRow>{{key, 3 + 2 * n, std::nullopt}}, 3 + 2 * n, at(0));
+        }
+        CPPUNIT_ASSERT(!mirror.changesAfter(2).has_value());
+        CPPUNIT_ASSERT(mirror.changesAfter(mirror.content() - 2).has_value());
+    }
+
+    // Guards against knowledge that looks fresher than it is, or older after a late message.
+    void confirmationNeverGoesBack()
+    {
+        TableMirror mirror;
+        CPPUNIT_ASSERT(!mirror.known());
+        mirror.replace({}, 4, at(100));
+        mirror.confirm(3, at(50));
+        CPPUNIT_ASSERT_EQUAL(RowVersion{4}, mirror.complete());
+        CPPUNIT_ASSERT(mirror.knowledge(at(130)).age == Milliseconds{30});
+    }
+
+private:
+    static SteadyTime at(int milliseconds)
+    {
+        return SteadyTime{Milliseconds{milliseconds}};
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TableMirrorTest);
+
+} // namespace guavafield
--- /dev/null
+++ b/test/coordination/request/placement_test.cpp
@@ -0,0 +1,344 @@
+// Tests of pools whose upstreams queue by themselves: where requests go, what is learnt, and when they may go again.
+#include <guavafield/coordination/request/request_scheduler.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+namespace guavafield {
+
+namespace {
+
+constexpr std::uint32_t sharedTokens = 12'000;
+
+// One host's scheduler with a pool of engines on manual time.
+struct Host
+{
+    explicit Host(std::uint64_t seed, std::uint32_t upstreams = 6) : scheduler(SchedulerSettings{"dc", 1, seed})
+    {
+        auto &pool = configuration.pools["p"];
+        pool.id = "p";
+        pool.engine = EngineFacts{600'000, 18'432, 80'000};
+        for (std::uint32_t n = 0; n < upstreams; ++n) {
+            addUpstream("u" + std::to_string(n));
+        }
+        apply();
+    }
+
+    void addUpstream(const std::string &id)
+    {
+        Upstream upstream;
+        upstream.id = id;
+        upstream.pool = "p";
+        upstream.dataCentre = "dc";
+        upstream.slots = 64;
+        configuration.upstreams[id] = upstream;
+    }
+
+    void apply()
+    {
+        scheduler.applyConfiguration(configuration, now);
+    }
+
+    RequestInfo request(std::uint64_t prefix)
+    {
+        RequestInfo info;
+        info.id = "r" + std::to_string(++lastId);
+        info.team = "t";
+        info.className = "p";
+        info.model = "p";
+        info.firstTokenTarget = Milliseconds{1'000};
+        info.totalTarget = Milliseconds{10'000};
+        info.promptTokens = sharedTokens + 1'000;
+        info.prefixHashes = {prefix};
+        info.prefixTokens = {sharedTokens};
+        info.resumable = true;
+        info.maxAttempts = 2;
+        info.fingerprint[0] = static_cast<std::uint8_t>(lastId);
+        info.fingerprint[1] = static_cast<std::uint8_t>(lastId >> 8U);
+        return info;
+    }
+
+    // Submits and returns the dispatch, if there is one.
+    std::optional<DispatchAction> send(RequestInfo info)
+    {
+        refused.reset();
+        const auto admission = scheduler.submit(std::move(info), now);
+        if (const auto *refusal = std::get_if<Refused>(&admission)) {
+            refused = refusal->code;
+            return std::nullopt;
+        }
+        return step();
+    }
+
+    std::optional<DispatchAction> step()
+    {
+        std::optional<DispatchAction> result;
+        for (const auto &it : scheduler.step(now)) {
+            if (const auto *dispatch = std::get_if<DispatchAction>(&it)) {
+                result = *dispatch;
+            } else if (const auto *shed = std::get_if<ShedAction>(&it)) {
+                refused = shed->refusal.code;
+            }
+        }
+        return result;
+    }
+
+    void complete(const DispatchAction &dispatch, Milliseconds firstToken)
+    {
+        now += firstToken;
+        scheduler.onFirstToken(dispatch.request, dispatch.upstream, now);
+        scheduler.onTokens(dispatch.request, 1, now);
+        for (int n = 0; n < 20; ++n) {
+            now += Milliseconds{50};
+            // The driver may tell of the first token with every event.
+            scheduler.onFirstToken(dispatch.request, dispatch.upstream, now);
+            scheduler.onTokens(dispatch.request, 1, now);
+        }
+        (void)scheduler.onAttemptEnded(dispatch.request, dispatch.upstream, AttemptCompleted{}, now);
+    }
+
+    Configuration configuration;
+    RequestScheduler scheduler;
+    SteadyTime now{std::chrono::seconds{1'000}};
+    std::uint32_t lastId{0};
+    std::optional<ResultCode> refused;
+};
+
+AttemptFailed broken()
+{
+    AttemptFailed failure{ResultCode::UpstreamIncomplete, RetryReason::AnswerIncomplete};
+    failure.upstreamCrashed = true;
+    return failure;
+}
+
+} // namespace
+
+class PlacementTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlacementTest);
+    CPPUNIT_TEST(hostsAgreeOnTheOwnerOfAPrefix);
+    CPPUNIT_TEST(busyOwnerIsRelievedByACopy);
+    CPPUNIT_TEST(newOwnerCopiesFromTheOldOne);
+    CPPUNIT_TEST(readingSpeedIsLearntFromTheFirstTokenOnly);
+    CPPUNIT_TEST(peersWorkCounts);
+    CPPUNIT_TEST(leavingUpstreamGetsNothing);
+    CPPUNIT_TEST(retryGoesElsewhere);
+    CPPUNIT_TEST(unrepeatableRequestIsNotSentAgain);
+    CPPUNIT_TEST(requestThatWasNotRunIsSentAgain);
+    CPPUNIT_TEST(requestOnTwoBrokenConnectionsIsRefused);
+    CPPUNIT_TEST(retriesAreBoundedWithTheFleet);
+    CPPUNIT_TEST(noUpstreamIsRefusedEarly);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a shared prefix that each host has read by another engine.
+    void hostsAgreeOnTheOwnerOfAPrefix()
+    {
+        Host first(1);
+        Host second(2);
+        std::set<UpstreamId> owners;
+        for (std::uint64_t prefix = 1; prefix <= 60; ++prefix) {
+            const auto one = first.send(first.request(prefix * 7'919));
+            const auto other = second.send(second.request(prefix * 7'919));
+            first.complete(*one, Milliseconds{200});
+            second.complete(*other, Milliseconds{200});
+            CPPUNIT_ASSERT_EQUAL(one->upstream, other->upstream);
+            owners.insert(one->upstream);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, owners.size());
+    }
+
+    // Guards against a hot prefix that waits at its owner while other engines are idle, or is read again there.
+    void busyOwnerIsRelievedByACopy()
+    {
+        Host host(1);
+        const auto first = host.send(host.request(99));
+        std::optional<DispatchAction> other;
+        for (int n = 0; n < 60 && !other; ++n) {
+            auto dispatch = host.send(host.request(99));
+            if (dispatch->upstream != first->upstream) {
+                other = dispatch;
+            }
+        }
+        CPPUNIT_ASSERT(other.has_value());
+        CPPUNIT_ASSERT_EQUAL(first->upstream, other->fetchFrom);
+    }
+
+    // Guards against a new engine that reads all prefixes of its share while the engine before still has them.
+    void newOwnerCopiesFromTheOldOne()
+    {
+        Host host(1, 3);
+        host.now += std::chrono::seconds{30};
+        StringMap<UpstreamId> before;
+        for (std::uint64_t prefix = 1; prefix <= 40; ++prefix) {
+            const auto dispatch = host.send(host.request(prefix * 7'919));
+            before[std::to_string(prefix)] = dispatch->upstream;
+            host.complete(*dispatch, Milliseconds{200});
+        }
+        host.addUpstream("u9");
+        host.apply();
+        // Until the fleet has settled, the engine before keeps its prefixes unless it is busy.
+        host.now += std::chrono::seconds{11};
+        int moved = 0;
+        for (std::uint64_t prefix = 1; prefix <= 40; ++prefix) {
+            const auto dispatch = host.send(host.request(prefix * 7'919));
+            if (dispatch->upstream == "u9") {
+                ++moved;
+                CPPUNIT_ASSERT_EQUAL(before[std::to_string(prefix)], dispatch->fetchFrom);
+            }
+            host.scheduler.cancel(dispatch->request, host.now);
+        }
+        CPPUNIT_ASSERT(moved > 0);
+    }
+
+    // Guards against a speed that is learnt from the time of later events, which made waits look several times too long.
+    void readingSpeedIsLearntFromTheFirstTokenOnly()
+    {
+        Host host(1);
+        Milliseconds expected{0};
+        for (int n = 0; n < 40; ++n) {
+            const auto dispatch = host.send(host.request(static_cast<std::uint64_t>(1'000 + n)));
+            expected = dispatch->expected;
+            host.complete(*dispatch, Milliseconds{90});
+        }
+        CPPUNIT_ASSERT(expected > Milliseconds{20} && expected < Milliseconds{300});
+    }
+
+    // Guards against all hosts sending to the engine that looks idle to each of them.
+    void peersWorkCounts()
+    {
+        Host host(1);
+        auto info = host.request(5);
+        info.prefixHashes.clear();
+        info.prefixTokens.clear();
+        std::vector<PeerWork> work;
+        for (int n = 0; n < 6; ++n) {
+            if (n != 4) {
+                work.push_back({workKey("u" + std::to_string(n)), 200'000, 20});
+            }
+        }
+        host.scheduler.onPeerWork("h2", work, host.now);
+        CPPUNIT_ASSERT_EQUAL(UpstreamId("u4"), host.send(info)->upstream);
+        host.now += std::chrono::seconds{10};
+        (void)host.step();
+        CPPUNIT_ASSERT(host.scheduler.poolLoads(host.now).at("p").queueSeconds < 0.2);
+    }
+
+    // Guards against new work for an engine that will go away.
+    void leavingUpstreamGetsNothing()
+    {
+        Host host(1);
+        const auto owner = host.send(host.request(42))->upstream;
+        host.configuration.upstreams[owner].leaving = true;
+        host.apply();
+        const auto next = host.send(host.request(42));
+        CPPUNIT_ASSERT(next->upstream != owner);
+        CPPUNIT_ASSERT_EQUAL(owner, next->fetchFrom);
+    }
+
+    // Guards against a retry at the engine that just failed, and against more runs than the route allows.
+    void retryGoesElsewhere()
+    {
+        Host host(1);
+        const auto first = host.send(host.request(42));
+        const AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
+        const auto verdict = host.scheduler.onAttemptEnded(first->request, first->upstream, failure, host.now);
+        CPPUNIT_ASSERT(std::holds_alternative<RetryQueued>(verdict));
+        const auto second = host.step();
+        CPPUNIT_ASSERT(second->upstream != first->upstream);
+        const auto last = host.scheduler.onAttemptEnded(second->request, second->upstream, failure, host.now);
+        CPPUNIT_ASSERT(std::holds_alternative<Refused>(last));
+    }
+
+    // Guards against a booking that runs twice.
+    void unrepeatableRequestIsNotSentAgain()
+    {
+        Host host(1);
+        auto info = host.request(42);
+        info.repeatable = false;
+        info.resumable = false;
+        const auto first = host.send(info);
+        const auto verdict = host.scheduler.onAttemptEnded(first->request, first->upstream, broken(), host.now);
+        CPPUNIT_ASSERT(std::holds_alternative<Refused>(verdict));
+        CPPUNIT_ASSERT(!host.step().has_value());
+    }
+
+    // Guards against a refusal by one full engine that ends a request which it certainly did not run.
+    void requestThatWasNotRunIsSentAgain()
+    {
+        Host host(1);
+        auto info = host.request(42);
+        info.repeatable = false;
+        info.resumable = false;
+        info.maxAttempts = 1;
+        const auto first = host.send(info);
+        AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
+        failure.notExecuted = true;
+        const auto verdict = host.scheduler.onAttemptEnded(first->request, first->upstream, failure, host.now);
+        CPPUNIT_ASSERT(std::holds_alternative<RetryQueued>(verdict));
+        CPPUNIT_ASSERT(host.step()->upstream != first->upstream);
+    }
+
+    // Guards against a request that takes out one engine after the other, by whichever host its caller sends it.
+    void requestOnTwoBrokenConnectionsIsRefused()
+    {
+        Host host(1);
+        auto info = host.request(42);
+        info.resumable = false;
+        info.repeatable = false;
+        const auto first = host.send(info);
+        (void)host.scheduler.onAttemptEnded(first->request, first->upstream, broken(), host.now);
+        const auto told = host.scheduler.takeCrashes();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
+        CPPUNIT_ASSERT(host.scheduler.takeCrashes().empty());
+
+        Host other(2);
+        other.scheduler.onPeerCrash(told.front(), other.now);
+        info.id = "again";
+        const auto second = other.send(info);
+        CPPUNIT_ASSERT(second.has_value());
+        (void)other.scheduler.onAttemptEnded(second->request, second->upstream, broken(), other.now);
+        info.id = "once more";
+        CPPUNIT_ASSERT(!other.send(info).has_value());
+        CPPUNIT_ASSERT(other.refused == ResultCode::CrashSuspectRefused);
+        info.id = "another body";
+        info.fingerprint[5] = 1;
+        CPPUNIT_ASSERT(other.send(info).has_value());
+    }
+
+    // Guards against retries that multiply an overload: all hosts together stay below a fifth of the requests and a few dozen.
+    void retriesAreBoundedWithTheFleet()
+    {
+        constexpr std::uint32_t hosts = 27;
+        constexpr int requests = 100;
+        int retries = 0;
+        Host host(1, 30);
+        host.scheduler.setFleetHosts(hosts);
+        for (int n = 0; n < requests; ++n) {
+            const auto first = host.send(host.request(static_cast<std::uint64_t>(n)));
+            const AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
+            const auto verdict = host.scheduler.onAttemptEnded(first->request, first->upstream, failure, host.now);
+            if (std::holds_alternative<RetryQueued>(verdict)) {
+                ++retries;
+                host.scheduler.cancel(first->request, host.now);
+            }
+            host.now += Milliseconds{20};
+        }
+        CPPUNIT_ASSERT(retries <= 0.2 * requests + 58.0 / hosts);
+    }
+
+    // Guards against a refusal that is held back until the caller gives up.
+    void noUpstreamIsRefusedEarly()
+    {
+        Host host(1, 0);
+        CPPUNIT_ASSERT(!host.send(host.request(42)).has_value());
+        host.now += Milliseconds{1'000} / 8;
+        (void)host.step();
+        CPPUNIT_ASSERT(host.refused == ResultCode::NoUpstream);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
+
+} // namespace guavafield
--- /dev/null
+++ b/test/coordination/usage/window_test.cpp
@@ -0,0 +1,105 @@
+// Tests of counts by billing window and of the order in which windows are sealed and reported.
+#include <guavafield/coordination/usage/window_reporter.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace guavafield {
+
+class WindowTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(WindowTest);
+    CPPUNIT_TEST(repeatedReportsAddNothing);
+    CPPUNIT_TEST(countsOfADeadHostStay);
+    CPPUNIT_TEST(lostReportIsMadeUpFor);
+    CPPUNIT_TEST(onlySealedFiguresAreReported);
+    CPPUNIT_TEST(firstSealHolds);
+    CPPUNIT_TEST(windowsOfAnEarlierHolderAreNotRepeated);
+    CPPUNIT_TEST(failedReportWaitsAndIsNotForgotten);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against requests that are billed twice because a host told its counts twice, or late.
+    void repeatedReportsAddNothing()
+    {
+        const std::vector<WindowCounts> early{{200, {{teamKey("a"), 2}}}};
+        const std::vector<WindowCounts> late{{200, {{teamKey("a"), 5}}}};
+        m_ledger.onReport("h1/1", late);
+        m_ledger.onReport("h1/1", early);
+        m_ledger.onReport("h1/1", late);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, m_ledger.totals(200, m_teams).at("a"));
+    }
+
+    // Guards against the loss of what a host counted before it died, and of its second life's counts.
+    void countsOfADeadHostStay()
+    {
+        m_ledger.onReport("h1/1", std::vector<WindowCounts>{{200, {{teamKey("a"), 5}}}});
+        m_ledger.onReport("h1/2", std::vector<WindowCounts>{{200, {{teamKey("a"), 1}}}});
+        m_ledger.count("a", m_ledger.endOf(200) - Milliseconds{1});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, m_ledger.totals(200, m_teams).at("a"));
+    }
+
+    // Guards against counts of the end of a window that one lost datagram takes away.
+    void lostReportIsMadeUpFor()
+    {
+        m_ledger.count("a", m_ledger.endOf(200) - Milliseconds{1});
+        const auto next = m_ledger.endOf(200) + Milliseconds{100};
+        bool told = false;
+        for (std::uint64_t turn = 0; turn < 3; ++turn) {
+            for (const auto &it : m_ledger.ownCounts(next, turn)) {
+                told = told || it.window == 200;
+            }
+        }
+        CPPUNIT_ASSERT(told);
+    }
+
+    // Guards against two reports of a window with different figures.
+    void onlySealedFiguresAreReported()
+    {
+        m_ledger.count("a", m_ledger.endOf(200) - Milliseconds{1});
+        const auto now = m_ledger.endOf(200) + std::chrono::seconds{3};
+        CPPUNIT_ASSERT(!m_reporter.due(m_ledger, m_ledger.endOf(200)).has_value());
+        CPPUNIT_ASSERT(!m_reporter.due(m_ledger, now)->sealed.has_value());
+        m_reporter.onSealed(200, {{"a", 1}});
+        m_ledger.count("a", m_ledger.endOf(200) - Milliseconds{1});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_reporter.due(m_ledger, now)->sealed->at("a"));
+        m_reporter.onReported(200);
+        CPPUNIT_ASSERT(!m_reporter.due(m_ledger, now).has_value());
+    }
+
+    // Guards against a second sealing that replaces the figures of the first.
+    void firstSealHolds()
+    {
+        m_ledger.count("a", m_ledger.endOf(200) - Milliseconds{1});
+        m_reporter.onSealed(200, {{"a", 1}});
+        m_reporter.onSealed(200, {{"a", 2}});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_reporter.due(m_ledger, m_ledger.endOf(200) + std::chrono::seconds{3})->sealed->at("a"));
+    }
+
+    // Guards against a new holder that spends its first seconds on windows which are reported.
+    void windowsOfAnEarlierHolderAreNotRepeated()
+    {
+        m_ledger.onReport("h1/1", std::vector<WindowCounts>{{200, {{teamKey("a"), 5}}}, {202, {{teamKey("a"), 1}}}});
+        m_reporter.onReportedUpTo(201);
+        CPPUNIT_ASSERT_EQUAL(BillingWindow{202}, m_reporter.due(m_ledger, m_ledger.endOf(202) + std::chrono::seconds{3})->window);
+    }
+
+    // Guards against a report that is given up after a lost answer, and against a call in every step.
+    void failedReportWaitsAndIsNotForgotten()
+    {
+        m_ledger.count("a", m_ledger.endOf(200) - Milliseconds{1});
+        m_reporter.onSealed(200, {{"a", 1}});
+        const auto now = m_ledger.endOf(200) + std::chrono::seconds{3};
+        m_reporter.onFailed(200, now);
+        CPPUNIT_ASSERT(!m_reporter.due(m_ledger, now + Milliseconds{10}).has_value());
+        CPPUNIT_ASSERT_EQUAL(BillingWindow{200}, m_reporter.due(m_ledger, now + std::chrono::seconds{1})->window);
+    }
+
+private:
+    std::vector<TeamId> m_teams{"a", "b"};
+    WindowLedger m_ledger{std::chrono::seconds{5}};
+    WindowReporter m_reporter{WindowReporterSettings{}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WindowTest);
+
+} // namespace guavafield
--- /dev/null
+++ b/test/platform/directory_codec_test.cpp
@@ -0,0 +1,141 @@
+// Tests of the decoding of the platform's rows; what cannot be used gives an error and nothing else.
+#include "platform/directory_codec.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <iostream>
+#include <random>
+
+namespace guavafield {
+
+namespace {
+
+constexpr std::uint64_t testSeed = 20'261;
+
+const std::string document = R"({"version":7,"routes":[
+  {"name":"r1","host":"h.example","prefix":"/chat/","kind":"stream","timeoutMs":5000,"targetLatencyMs":1000,"priority":1,
+   "service":"s1","maxAttempts":1,"public":false,"sticky":true,"resumable":false,"gapAimMs":300},
+  {"name":"r2","host":"h.example","prefix":"/sum/","kind":"stream","timeoutMs":10000,"targetLatencyMs":1500,"priority":2,
+   "backends":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2,"public":true,"resumable":true},
+  {"name":"r3","host":"h.example","prefix":"/order/","kind":"non_idempotent","timeoutMs":800,"service":"s2","new field":[1]}],
+ "services":[{"name":"s1","healthPath":"/health","maxConns":370,"engine":{"slots":64,"kvCapacity":620762,"tokenKvBytes":18432,
+   "linkMbps":88000.0},"scaling":{"min":1,"max":8,"bootS":4.0,"spotPrice":0.18,"zonePrices":{"a":1.0,"b":0.8}}},
+  {"name":"s2","healthPath":"/health","maxConns":110}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t1","apiKeys":["key-one","key-two"],"priority":1},{"name":"t2","apiKeys":[]}]})";
+
+const std::string entry = R"({"service":"s1","address":"10.1.2.3:8080","zone":"a","version":"v1","slots":64,"state":"ready","coldLeftMs":0,
+ "seqNo":4,"born":1700000000000,"spot":true})";
+
+} // namespace
+
+class DirectoryCodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DirectoryCodecTest);
+    CPPUNIT_TEST(readsTheWholeDocument);
+    CPPUNIT_TEST(keepsNoKeyInPlainText);
+    CPPUNIT_TEST(faultNamesItsPlace);
+    CPPUNIT_TEST(readsServers);
+    CPPUNIT_TEST(unusableServersAreErrors);
+    CPPUNIT_TEST(damagedTextsNeverPass);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against fields that are lost or read as something else on their way into the product's types.
+    void readsTheWholeDocument()
+    {
+        const auto read = capture([&] { return m_codec.document(document); });
+        CPPUNIT_ASSERT_MESSAGE(read.error.message + " " + read.error.place, read);
+        const auto &configuration = *read.value;
+        CPPUNIT_ASSERT_EQUAL(Revision{7}, configuration.revision);
+        const auto &chat = std::get<PoolTarget>(configuration.routes.at("r1").target);
+        CPPUNIT_ASSERT(chat.stream && chat.repeat == Repeat::Never && chat.rank == 1 && chat.gapTarget == Milliseconds{300});
+        const auto &summary = std::get<PoolTarget>(configuration.routes.at("r2").target);
+        CPPUNIT_ASSERT(summary.repeat == Repeat::Resume && summary.maxAttempts == 2 && summary.pools.size() == 2);
+        CPPUNIT_ASSERT(configuration.routes.at("r2").open && summary.pools.at(1).weight == 10);
+        CPPUNIT_ASSERT(!std::get<PoolTarget>(configuration.routes.at("r3").target).stream);
+        CPPUNIT_ASSERT(configuration.pools.at("s1").engine->bytesPerToken == 18'432 && !configuration.pools.at("s2").engine);
+        CPPUNIT_ASSERT(configuration.pools.at("s1").scaling->prices.at("b") == 0.8);
+        CPPUNIT_ASSERT(configuration.callerLimits->idleTime == Milliseconds{15'000});
+        CPPUNIT_ASSERT(configuration.keysRequired && configuration.keys.size() == 2);
+        // Teams go before routes in rank.
+        CPPUNIT_ASSERT(configuration.ranks.front() == std::pair(0U, 0U) && configuration.ranks.back() == std::pair(1U, 2U));
+    }
+
+    // Guards against API keys that lie in memory as they were presented.
+    void keepsNoKeyInPlainText()
+    {
+        const auto read = capture([&] { return m_codec.document(document); });
+        const auto digest = KeyHasher("secret").digest("key-one");
+        CPPUNIT_ASSERT(read.value->keys.at(toHex(digest)).team == "t1");
+        for (const auto &[id, key] : read.value->keys) {
+            CPPUNIT_ASSERT(id.find("key-") == std::string::npos && key.id == id);
+        }
+    }
+
+    // Guards against a document that is taken in part, or refused without saying where.
+    void faultNamesItsPlace()
+    {
+        auto text = document;
+        text.replace(text.find("\"non_idempotent\""), 16, "\"sometimes\"");
+        const auto read = capture([&] { return m_codec.document(text); });
+        CPPUNIT_ASSERT(!read);
+        CPPUNIT_ASSERT_EQUAL(std::string("routes[2].kind"), read.error.place);
+    }
+
+    void readsServers()
+    {
+        const auto read = capture([&] { return m_codec.upstream("i-1", entry); });
+        CPPUNIT_ASSERT(read);
+        const auto &upstream = read.value->upstream;
+        CPPUNIT_ASSERT(upstream.address == "10.1.2.3" && upstream.port == 8080 && upstream.pool == "s1" && upstream.dataCentre == "a");
+        CPPUNIT_ASSERT(upstream.kind == UpstreamKind::Cheap && !upstream.leaving && upstream.incarnation == 1'700'000'000'000);
+        auto leaving = entry;
+        leaving.replace(leaving.find("\"ready\""), 7, "\"draining\",\"leaves_ms\":1800");
+        const auto second = capture([&] { return m_codec.upstream("i-1", leaving); });
+        CPPUNIT_ASSERT(second.value->upstream.leaving && second.value->leavesIn == Milliseconds{1'800});
+    }
+
+    // Guards against an entry of another writer that is taken for a server.
+    void unusableServersAreErrors()
+    {
+        for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{{"\"ready\"", "\"asleep\""},
+                                                                                         {"\"ready\"", "7"},
+                                                                                         {"\"10.1.2.3:8080\"", "\"10.1.2.3\""},
+                                                                                         {"\"10.1.2.3:8080\"", "\"10.1.2.3:0\""},
+                                                                                         {"\"10.1.2.3:8080\"", "\"10.1.2.3:99999\""},
+                                                                                         {"\"slots\":64", "\"slots\":\"many\""},
+                                                                                         {"\"slots\":64", "\"slots\":-1"},
+                                                                                         {"\"service\":\"s1\",", ""},
+                                                                                         {"\"spot\":true", "\"spot\":\"yes\""},
+                                                                                         {"{", "["}}) {
+            auto text = entry;
+            text.replace(text.find(from), from.size(), to);
+            CPPUNIT_ASSERT_MESSAGE(text, !capture([&] { return m_codec.upstream("i-1", text); }));
+        }
+    }
+
+    // Guards against a crash or a half-read document on any bytes.
+    void damagedTextsNeverPass()
+    {
+        std::cout << " seed " << testSeed << std::flush;
+        std::mt19937_64 random(testSeed);
+        for (int n = 0; n < 4'000; ++n) {
+            auto text = n % 2 == 0 ? document : entry;
+            for (auto changes = 1 + random() % 4; changes > 0; --changes) {
+                text[random() % text.size()] = static_cast<char>(random());
+            }
+            text.resize(random() % 3 == 0 ? random() % text.size() : text.size());
+            const auto read = capture([&] { return m_codec.document(text); });
+            CPPUNIT_ASSERT(!read || read.value->revision > 0 || text.find("version\":0") != std::string::npos || text.size() == document.size());
+            (void)capture([&] { return m_codec.upstream("i-1", text); });
+        }
+    }
+
+private:
+    DirectoryCodec m_codec{platform::directoryCodec(KeyHasher("secret"))};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryCodecTest);
+
+} // namespace guavafield
