--- a/apps/guavafieldd/daemon.cpp
+++ b/apps/guavafieldd/daemon.cpp
@@ -98,8 +98,11 @@
 
 void Daemon::announcePorts() const
 {
-    std::cout << "caller_port=" << m_path->endpoint().port() << " operator_port=" << m_operators->endpoint().port()
-              << " peer_port=" << (m_peerServices ? m_peerServices->port() : m_machineServices ? m_machineServices->port() : 0) << std::endl;
+    std::cout << "caller_port=" << m_path->endpoint().port() << " operator_port=" << m_operators->endpoint().port() << " peer_port="
+              << (m_peerServices          ? m_peerServices->port()
+                      : m_machineServices ? m_machineServices->port()
+                                          : 0)
+              << std::endl;
 }
 
 void Daemon::addOperatorHandlers()
--- a/apps/guavafieldd/machine_services.cpp
+++ b/apps/guavafieldd/machine_services.cpp
@@ -44,6 +44,7 @@
 std::vector<PeerAddress> peerAddresses(const std::vector<SocketAddress> &addresses)
 {
     std::vector<PeerAddress> result;
+    result.reserve(addresses.size());
     for (const auto &it : addresses) {
         result.push_back(toPeerAddress(asio::ip::make_address(it.address), it.port));
     }
@@ -124,16 +125,14 @@
     result.self = LeaseHolder{settings.host.id, m_dependencies.incarnation};
     result.holderGap = settings.platform.holderGap;
     result.windowLength = std::chrono::seconds{settings.platform.usageWindowSeconds};
-    DutyDependencies dependencies{m_dependencies.executor,
-                                  m_bootClock,
-                                  m_dependencies.counters,
-                                  platform::storeAccess(m_store),
-                                  platform::dutyCalls(m_dutyClient),
-                                  [this] { return m_dependencies.configuration.load(); },
-                                  [this] {
-                                      return m_path->driver().withScheduler(
-                                          [](RequestScheduler &scheduler, SteadyTime now) { return scheduler.poolLoads(now); });
-                                  }};
+    DutyDependencies dependencies{
+        m_dependencies.executor,
+        m_bootClock,
+        m_dependencies.counters,
+        platform::storeAccess(m_store),
+        platform::dutyCalls(m_dutyClient),
+        [this] { return m_dependencies.configuration.load(); },
+        [this] { return m_path->driver().withScheduler([](RequestScheduler &scheduler, SteadyTime now) { return scheduler.poolLoads(now); }); }};
     return std::make_shared<DutyService>(std::move(dependencies), std::move(result));
 }
 
--- a/src/guavafield/coordination/order/fleet_plan.cpp
+++ b/src/guavafield/coordination/order/fleet_plan.cpp
@@ -43,8 +43,8 @@
         // Single long prompts are no burst, so each look counts in part.
         pressure.present += 0.25 * (load.queueSeconds - pressure.present);
         const bool held = now - pressure.peakAt < internal::pressureHeld;
-        const double faded = held ? pressure.queueSeconds
-                                  : pressure.queueSeconds * std::exp2(-secondsBetween(pressure.at, now) / internal::pressureHalfLifeSeconds);
+        const double faded =
+            held ? pressure.queueSeconds : pressure.queueSeconds * std::exp2(-secondsBetween(pressure.at, now) / internal::pressureHalfLifeSeconds);
         pressure.at = now;
         pressure.queueSeconds = std::max(faded, pressure.present);
         if (pressure.present >= faded) {
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -24,7 +24,6 @@
     std::uint64_t seed{1};
 };
 
-
 /*!
  * @brief Decides which request runs next and where.
  *
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler_core.cpp
@@ -105,7 +105,8 @@
 
 void RequestScheduler::Impl::rebuildPools(const Configuration &configuration)
 {
-    std::erase_if(m_pools, [&](const auto &it) { return it.second.idle() && !configuration.models.contains(it.first) && !configuration.pools.contains(it.first); });
+    std::erase_if(m_pools,
+                  [&](const auto &it) { return it.second.idle() && !configuration.models.contains(it.first) && !configuration.pools.contains(it.first); });
     for (auto &[id, pool] : m_pools) {
         pool.upstreams = {};
     }
--- a/src/guavafield/protocol/settings/settings_table.cpp
+++ b/src/guavafield/protocol/settings/settings_table.cpp
@@ -221,9 +221,12 @@
         integerRow("listen", "caller_port", {}, 0, maxPort, "port for callers; 0 lets the system choose", GUAVAFIELD_MEMBER(listen.callerPort)),
         integerRow("listen", "operator_port", {}, 0, maxPort, "port for operators and metrics", GUAVAFIELD_MEMBER(listen.operatorPort)),
         integerRow("listen", "peer_port", {}, 0, maxPort, "port for peers, UDP and TCP", GUAVAFIELD_MEMBER(listen.peerPort)),
-        listenRow("callers", "address and port for callers in one", [](DaemonSettings &it) -> auto & { return it.listen.callerPort; }),
-        listenRow("operators", "address and port for operators in one", [](DaemonSettings &it) -> auto & { return it.listen.operatorPort; }),
-        listenRow("peers", "address and port for peers in one", [](DaemonSettings &it) -> auto & { return it.listen.peerPort; }),
+        listenRow(
+            "callers", "address and port for callers in one", [](DaemonSettings & it) -> auto & { return it.listen.callerPort; }),
+        listenRow(
+            "operators", "address and port for operators in one", [](DaemonSettings & it) -> auto & { return it.listen.operatorPort; }),
+        listenRow(
+            "peers", "address and port for peers in one", [](DaemonSettings & it) -> auto & { return it.listen.peerPort; }),
         textRow("listen", "ready_path", Text, false, "path of the readiness check, besides /readyz", GUAVAFIELD_MEMBER(listen.readyPath)),
         integerRow("limits", "header_bytes", "bytes", 1024, mebibyte, "size of a request header", GUAVAFIELD_MEMBER(limits.headerBytes)),
         integerRow("limits", "body_bytes", "bytes", 1024, 1024 * mebibyte, "size of a request body", GUAVAFIELD_MEMBER(limits.bodyBytes)),
--- a/src/guavafield/transport/durable/lease_driver.cpp
+++ b/src/guavafield/transport/durable/lease_driver.cpp
@@ -19,7 +19,12 @@
 } // namespace internal
 
 LeaseDriver::LeaseDriver(boost::asio::any_io_executor strand, TableAccess table, const Clock &clock, Counters &counters, LeaseSettings settings)
-    : m_strand(std::move(strand)), m_table(std::move(table)), m_clock(clock), m_counters(counters), m_settings(settings), m_keeper(std::move(settings), leaseCodec())
+    : m_strand(std::move(strand))
+    , m_table(std::move(table))
+    , m_clock(clock)
+    , m_counters(counters)
+    , m_settings(settings)
+    , m_keeper(std::move(settings), leaseCodec())
 {
 }
 
--- a/src/guavafield/transport/durable/order_service.cpp
+++ b/src/guavafield/transport/durable/order_service.cpp
@@ -1,8 +1,8 @@
 // Coroutines of orders.
 #include <guavafield/protocol/records/order_codec.hpp>
 #include <guavafield/transport/durable/order_service.hpp>
-#include <guavafield/transport/platform/platform_client.hpp>
 #include <guavafield/transport/durable/sleep.hpp>
+#include <guavafield/transport/platform/platform_client.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -30,10 +30,7 @@
 
 } // namespace internal
 
-DirectoryService::DirectoryService(DirectoryDependencies dependencies)
-    : m_dependencies(std::move(dependencies)), m_directory(m_dependencies.codec)
-{
-}
+DirectoryService::DirectoryService(DirectoryDependencies dependencies) : m_dependencies(std::move(dependencies)), m_directory(m_dependencies.codec) { }
 
 void DirectoryService::start()
 {
@@ -65,9 +62,8 @@
 {
     const auto now = m_dependencies.clock.now();
     const auto own = workKey(m_dependencies.host);
-    return std::ranges::none_of(m_peers, [&](const auto &it) {
-        return it.second.fresh && now - it.second.heard < internal::peerHeard && workKey(it.first) < own;
-    });
+    return std::ranges::none_of(m_peers,
+                                [&](const auto &it) { return it.second.fresh && now - it.second.heard < internal::peerHeard && workKey(it.first) < own; });
 }
 
 asio::awaitable<void> DirectoryService::follow(DirectoryTable table)
--- a/src/guavafield/transport/http/caller_connection.cpp
+++ b/src/guavafield/transport/http/caller_connection.cpp
@@ -297,14 +297,15 @@
     co_await request.run();
 }
 
-asio::awaitable<void> CallerConnection::runForwardCall(
-    Parser &parser, CallerAnswer &answer, const RequestId &id, AccessGrant grant, std::shared_ptr<Mailbox> mailbox)
+asio::awaitable<void>
+CallerConnection::runForwardCall(Parser &parser, CallerAnswer &answer, const RequestId &id, AccessGrant grant, std::shared_ptr<Mailbox> mailbox)
 {
     auto &message = parser.get();
     ForwardPlan plan;
     plan.id = id;
     plan.received = m_received;
-    plan.fingerprint = m_context->hasher.digest((grant.team != nullptr ? grant.team->id : TeamId()) + "\n" + std::string(message.target()) + "\n" + message.body());
+    plan.fingerprint =
+        m_context->hasher.digest((grant.team != nullptr ? grant.team->id : TeamId()) + "\n" + std::string(message.target()) + "\n" + message.body());
     plan.method = message.method_string();
     plan.target = message.target();
     plan.headers = std::move(static_cast<boost::beast::http::fields &>(message));
--- a/src/guavafield/transport/http/connection_pool.cpp
+++ b/src/guavafield/transport/http/connection_pool.cpp
@@ -44,8 +44,7 @@
     const std::string_view value = header[boost::beast::http::field::keep_alive];
     const auto at = value.find(parameter);
     long seconds = 0;
-    if (at != std::string_view::npos
-        && std::from_chars(value.data() + at + parameter.size(), value.data() + value.size(), seconds).ec == std::errc()) {
+    if (at != std::string_view::npos && std::from_chars(value.data() + at + parameter.size(), value.data() + value.size(), seconds).ec == std::errc()) {
         keepAlive = std::chrono::seconds{seconds};
     }
 }
@@ -99,7 +98,8 @@
     const auto oldest = std::chrono::steady_clock::now() - m_settings.idleTime;
     const std::scoped_lock lock(m_mutex);
     for (auto it = m_idle.begin(); it != m_idle.end();) {
-        std::erase_if(it->second, [&](const auto &connection) { return connection->idleSince < oldest || connection->expires(std::chrono::steady_clock::now()); });
+        std::erase_if(it->second,
+                      [&](const auto &connection) { return connection->idleSince < oldest || connection->expires(std::chrono::steady_clock::now()); });
         it = it->second.empty() ? m_idle.erase(it) : std::next(it);
     }
 }
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -31,11 +31,8 @@
 
 } // namespace internal
 
-ForwardRequest::ForwardRequest(std::shared_ptr<PathContext> context,
-                               const boost::asio::any_io_executor &strand,
-                               CallerAnswer &answer,
-                               std::shared_ptr<Mailbox> mailbox,
-                               ForwardPlan plan)
+ForwardRequest::ForwardRequest(
+    std::shared_ptr<PathContext> context, const boost::asio::any_io_executor &strand, CallerAnswer &answer, std::shared_ptr<Mailbox> mailbox, ForwardPlan plan)
     : m_context(std::move(context))
     , m_strand(strand)
     , m_answer(&answer)
--- a/src/guavafield/transport/http/mailbox.hpp
+++ b/src/guavafield/transport/http/mailbox.hpp
@@ -69,8 +69,17 @@
 {
 };
 
-using RequestEvent = std::
-    variant<SchedulerAction, AnswerStarted, AnswerHead, AnswerEvents, AnswerCompleted, AnswerFailed, ServiceOutcome, CallerGone, KeyClosed, HostEnding, DeadlineReached>;
+using RequestEvent = std::variant<SchedulerAction,
+                                  AnswerStarted,
+                                  AnswerHead,
+                                  AnswerEvents,
+                                  AnswerCompleted,
+                                  AnswerFailed,
+                                  ServiceOutcome,
+                                  CallerGone,
+                                  KeyClosed,
+                                  HostEnding,
+                                  DeadlineReached>;
 
 /*! @brief Queue of events with one reader, which runs on the mailbox's strand. */
 class Mailbox : public std::enable_shared_from_this<Mailbox>
--- a/src/guavafield/transport/platform/platform_client.cpp
+++ b/src/guavafield/transport/platform/platform_client.cpp
@@ -14,8 +14,8 @@
 
 #include <ctime>
 #include <map>
-#include <optional>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 namespace guavafield {
--- a/test/coordination/order/fleet_plan_test.cpp
+++ b/test/coordination/order/fleet_plan_test.cpp
@@ -153,7 +153,7 @@
     std::vector<FleetSize> fulfil()
     {
         m_now += Milliseconds{1'100};
-        const auto orders = allOrders();
+        auto orders = allOrders();
         for (const auto &order : orders) {
             std::erase_if(m_configuration.upstreams, [&](const auto &it) { return it.second.dataCentre == order.dataCentre && it.second.kind == order.kind; });
             add(order.dataCentre, order.kind, order.count);
--- a/test/coordination/request/placement_test.cpp
+++ b/test/coordination/request/placement_test.cpp
@@ -198,7 +198,7 @@
         Host host(1);
         Milliseconds expected{0};
         for (int n = 0; n < 40; ++n) {
-            const auto dispatch = host.send(host.request(static_cast<std::uint64_t>(1'000 + n)));
+            const auto dispatch = host.send(host.request(std::uint64_t{1'000} + static_cast<std::uint64_t>(n)));
             expected = dispatch->expected;
             host.complete(*dispatch, Milliseconds{90});
         }
--- a/test/platform/directory_codec_test.cpp
+++ b/test/platform/directory_codec_test.cpp
@@ -100,15 +100,15 @@
     void unusableServersAreErrors()
     {
         for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{{"\"ready\"", "\"asleep\""},
-                                                                                         {"\"ready\"", "7"},
-                                                                                         {"\"10.1.2.3:8080\"", "\"10.1.2.3\""},
-                                                                                         {"\"10.1.2.3:8080\"", "\"10.1.2.3:0\""},
-                                                                                         {"\"10.1.2.3:8080\"", "\"10.1.2.3:99999\""},
-                                                                                         {"\"slots\":64", "\"slots\":\"many\""},
-                                                                                         {"\"slots\":64", "\"slots\":-1"},
-                                                                                         {"\"service\":\"s1\",", ""},
-                                                                                         {"\"spot\":true", "\"spot\":\"yes\""},
-                                                                                         {"{", "["}}) {
+                                                                                       {"\"ready\"", "7"},
+                                                                                       {"\"10.1.2.3:8080\"", "\"10.1.2.3\""},
+                                                                                       {"\"10.1.2.3:8080\"", "\"10.1.2.3:0\""},
+                                                                                       {"\"10.1.2.3:8080\"", "\"10.1.2.3:99999\""},
+                                                                                       {"\"slots\":64", "\"slots\":\"many\""},
+                                                                                       {"\"slots\":64", "\"slots\":-1"},
+                                                                                       {"\"service\":\"s1\",", ""},
+                                                                                       {"\"spot\":true", "\"spot\":\"yes\""},
+                                                                                       {"{", "["}}) {
             auto text = entry;
             text.replace(text.find(from), from.size(), to);
             CPPUNIT_ASSERT_MESSAGE(text, !capture([&] { return m_codec.upstream("i-1", text); }));
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -62,7 +62,7 @@
             return result;
         };
         dependencies.codec.upstream = [](std::string_view, std::string_view) -> Result<UpstreamEntry> { return UpstreamEntry{}; };
-        dependencies.apply = [this](std::shared_ptr<const Configuration> it) { revision = it->revision; };
+        dependencies.apply = [this](const std::shared_ptr<const Configuration> &it) { revision = it->revision; };
         dependencies.confirm = [](SteadyTime) {};
         dependencies.announce = [] {};
         dependencies.fetch = [this](PeerAddress address, DirectoryTable table, RowVersion after) -> asio::awaitable<Outcome<std::string>> {
@@ -170,8 +170,7 @@
 private:
     [[nodiscard]] std::size_t readers() const
     {
-        return static_cast<std::size_t>(
-            std::ranges::count_if(m_hosts, [&](const auto &it) { return it->name != m_silent && it->service->reads(); }));
+        return static_cast<std::size_t>(std::ranges::count_if(m_hosts, [&](const auto &it) { return it->name != m_silent && it->service->reads(); }));
     }
     [[nodiscard]] bool everyoneHas(Revision revision) const
     {
--- a/test/transport/http/forward_test.cpp
+++ b/test/transport/http/forward_test.cpp
@@ -46,7 +46,8 @@
     if (!key.empty()) {
         text += "Authorization: Token " + std::string(key) + "\r\n";
     }
-    return text + std::string(headers) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+    text.append(headers).append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+    return text;
 }
 
 } // namespace
