--- /dev/null
+++ b/test/system/deploy_test.py
@@ -0,0 +1,58 @@
+"""Guards the template of the settings on the machines: what it gives must be valid, and a faulty value must be named with its line."""
+import os
+import re
+import subprocess
+import tempfile
+
+from fleet import BIN_DIR, run_tests
+
+TEMPLATE = os.path.join(os.environ["GUAVAFIELD_SOURCE_DIR"], "deploy", "host.ini.template")
+FIELDS = {
+    "nodeName": "front-a-1", "zone": "a", "region": "r", "listen": {"front": "10.1.0.19:8227", "ready": "10.1.0.19:8220", "control": "10.1.0.19:8229"},
+    "provider": {"address": "10.200.1.7:8223"}, "cloud": {"address": "10.200.0.61:8223"}, "seeds": ["10.1.0.19:8229", "10.2.0.36:8229"],
+    "bounds": {"leaseMs": 3000, "usageWindowS": 5, "graceS": 8},
+}
+
+
+def value_of(fields, path):
+    for part in path.split("."):
+        fields = fields.get(part) if fields is not None else None
+    return fields
+
+
+def render(fields):
+    """The part of the platform's templates that ours uses: values, lists and sections of one value."""
+    with open(TEMPLATE) as file:
+        text = file.read()
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", lambda it: it[2] if value_of(fields, it[1]) else "", text, flags=re.S)
+
+    def text_of(it):
+        value = value_of(fields, it[1])
+        return ",".join(value) if isinstance(value, list) else "" if value is None else str(value)
+
+    return re.sub(r"\{\{([\w.]+)\}\}", text_of, text)
+
+
+def check(text):
+    with tempfile.TemporaryDirectory() as folder:
+        path = os.path.join(folder, "host.ini")
+        with open(path, "w") as file:
+            file.write(text)
+        return subprocess.run([os.path.join(BIN_DIR, "guavafieldd"), "--settings", path, "--check"], capture_output=True, text=True)
+
+
+def test_rendered_template_is_valid():
+    for fields in (FIELDS, {**FIELDS, "cloud": None}, {**FIELDS, "seeds": []}, {**FIELDS, "bounds": {**FIELDS["bounds"], "graceS": 2.5}}):
+        result = check(render(fields))
+        assert result.returncode == 0, result.stderr
+
+
+def test_faults_name_line_and_key():
+    text = render({**FIELDS, "provider": {"address": "10.200.1.7"}})
+    result = check(text)
+    line = next(n for n, it in enumerate(text.splitlines(), 1) if it.startswith("endpoint"))
+    assert result.returncode == 2 and f":{line}:" in result.stderr and "endpoint" in result.stderr, result.stderr
+
+
+if __name__ == "__main__":
+    run_tests(globals())
--- a/tools/install-packages.sh
+++ b/tools/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs everything that the build, the tests and the checks need on a fresh Debian machine.
 set -euo pipefail
 packages=(
-    g++ cmake ninja-build pkg-config ccache clang-format clang-tidy curl python3
+    g++ cmake ninja-build lld pkg-config ccache clang-format clang-tidy curl python3
     libboost1.81-dev libcapnp-dev capnproto libcli11-dev libeasyloggingpp-dev
     libcppunit-dev libssl-dev libxxhash-dev liburcu-dev libbenchmark-dev librapidcheck-dev
 )
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -3,6 +3,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 ./tools/install-packages.sh
+# Compilations are found again by a build in another folder.
+export CCACHE_BASEDIR=${CCACHE_BASEDIR:-$PWD} CCACHE_NOHASHDIR=1
 cmake --preset release > /dev/null
 cmake --build --preset release -j "$(nproc)"
 ctest --preset release -j 4 -E '^bench_targets$'
