Count a daemon's earlier announcements before it starts

Ruled out: a lost or torn line; the printed output holds it whole, before later lines.

Conclusion: a race of the test's own; the wait and its limit are unchanged.

--- a/test/system/fleet.py
+++ b/test/system/fleet.py
@@ -215,9 +215,14 @@
         self.start()
 
     def start(self):
+        # Announcements of earlier starts, counted before the daemon can add its own.
+        output = os.path.join(self.fleet.folder, self.name + ".out")
+        start = 0
+        if os.path.exists(output):
+            with open(output) as file:
+                start = len(re.findall(r"caller_port=", file.read()))
         self.child = Child(self.fleet.folder, self.name, [os.path.join(BIN_DIR, "guavafieldd"), "--settings", self.settings])
         self.fleet.children.append(self.child)
-        start = len(re.findall(r"caller_port=", self.child.output())) if os.path.exists(self.child.out_path) else 0
         ports = wait_until(lambda: self._ports(start), f"ports of {self.name}")
         self.caller_port, self.operator_port, self.peer_port = ports
 
