Push the changes of upstreams in parts, and tell a first reading from states that may lack a removal

The test of the pushed parts then showed a fault of the mirror: two hosts with the same newest row took their tables for equal although one of them had a row that was removed before the other's first reading; it could keep a removed upstream.

Change: the reading host sends changes in as many reports as they need, followers wait 450 ms for them before they read themselves; a first reading counts as a change at its version, and a host that takes a peer's rows adopts the version of its latest change.

Proved to fail: unseenRemovalIsNotTakenForAgreement and changesArePushedInOrder fail without the changes.

--- a/apps/guavafieldd/machine_services.cpp
+++ b/apps/guavafieldd/machine_services.cpp
@@ -223,7 +223,6 @@
     }
     if (m_directory->known(DirectoryTable::Upstreams)) {
         report.upstreams = m_directory->knowledge(DirectoryTable::Upstreams);
-        m_directory->addChanges(report);
     }
     m_path->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) {
         report.work = scheduler.localWork();
@@ -247,12 +246,18 @@
 
 void MachineServices::sendReport()
 {
+    for (auto &it : m_directory->changeReports()) {
+        m_peers->sendReport(std::move(it));
+    }
     m_peers->sendReport(makeReport());
 }
 
 void MachineServices::onReport(const Member &from, const HostReport &report)
 {
     m_directory->onReport(from, report);
+    if (report.changesOnly) {
+        return;
+    }
     if (m_duties) {
         m_duties->onReport(from.id, from.incarnation, report);
     }
--- a/src/guavafield/coordination/fleet/host_report.hpp
+++ b/src/guavafield/coordination/fleet/host_report.hpp
@@ -43,7 +43,9 @@
     // Of the operators' document and of the upstreams, as far as known.
     std::optional<TableKnowledge> document;
     std::optional<TableKnowledge> upstreams;
-    // Latest changes of the upstreams, complete after a version; empty if they are too many for a report.
+    // Carries changes of the upstreams and nothing else.
+    bool changesOnly{false};
+    // Changes of the upstreams after a version; none is missing up to the version of the last one.
     RowVersion changesAfter{0};
     std::vector<MirroredRow> changes;
     std::vector<PeerWork> work;
--- a/src/guavafield/coordination/fleet/table_mirror.cpp
+++ b/src/guavafield/coordination/fleet/table_mirror.cpp
@@ -74,7 +74,11 @@
     for (const auto &it : gone) {
         changed |= take(MirroredRow{it, complete, std::nullopt});
     }
-    m_horizon = m_confirmed ? m_horizon : complete;
+    if (!m_confirmed) {
+        // What was removed before is not known, so that this state differs from any that has only its rows.
+        m_horizon = complete;
+        adopt(complete);
+    }
     confirm(complete, confirmed);
     return changed;
 }
@@ -85,6 +89,11 @@
     m_confirmed = m_confirmed ? std::max(*m_confirmed, confirmed) : confirmed;
 }
 
+void TableMirror::adopt(RowVersion content)
+{
+    m_content = std::max(m_content, content);
+}
+
 std::optional<std::vector<MirroredRow>> TableMirror::changesAfter(RowVersion version) const
 {
     if (version < m_horizon) {
--- a/src/guavafield/coordination/fleet/table_mirror.hpp
+++ b/src/guavafield/coordination/fleet/table_mirror.hpp
@@ -53,6 +53,9 @@
     /*! @brief Notes that nothing changed up to a version. */
     void confirm(RowVersion complete, SteadyTime confirmed);
 
+    /*! @brief Notes that all changes up to a version were taken, whether or not a row is left of them. */
+    void adopt(RowVersion content);
+
     /*! @brief Returns the changes after a version; empty if some of them are no longer known. */
     [[nodiscard]] std::optional<std::vector<MirroredRow>> changesAfter(RowVersion version) const;
     /*! @brief Returns all rows, removed ones left out. */
--- a/src/guavafield/protocol/peer/peer.capnp
+++ b/src/guavafield/protocol/peer/peer.capnp
@@ -101,6 +101,7 @@
   reportedUpTo @6 :UInt64;
   changesAfter @7 :UInt64;
   changes @8 :List(Row);
+  changesOnly @9 :Bool;
 }
 
 # The only capability of a new connection. Both sides prove that they know the fleet secret.
--- a/src/guavafield/protocol/peer/peer.capnp.h
+++ b/src/guavafield/protocol/peer/peer.capnp.h
@@ -223,7 +223,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 3, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1596,6 +1596,8 @@
   inline bool hasChanges() const;
   inline  ::capnp::List< ::guavafield::wire::Row,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
 
+  inline bool getChangesOnly() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1675,6 +1677,9 @@
   inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::guavafield::wire::Row,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::Row,  ::capnp::Kind::STRUCT>> disownChanges();
 
+  inline bool getChangesOnly();
+  inline void setChangesOnly(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3967,6 +3972,20 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool HostReport::Reader::getChangesOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool HostReport::Builder::getChangesOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void HostReport::Builder::setChangesOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/guavafield/protocol/peer/peer_codec.cpp
+++ b/src/guavafield/protocol/peer/peer_codec.cpp
@@ -102,6 +102,7 @@
     builder.setReportedUpTo(report.reportedUpTo);
     write(report.document, builder.initDocument());
     write(report.upstreams, builder.initUpstreams());
+    builder.setChangesOnly(report.changesOnly);
     builder.setChangesAfter(report.changesAfter);
     auto changes = builder.initChanges(static_cast<unsigned>(report.changes.size()));
     for (unsigned n = 0; n < changes.size(); ++n) {
@@ -239,6 +240,7 @@
     report.reportedUpTo = reader.getReportedUpTo();
     report.document = readKnowledge(reader.getDocument());
     report.upstreams = readKnowledge(reader.getUpstreams());
+    report.changesOnly = reader.getChangesOnly();
     report.changesAfter = reader.getChangesAfter();
     for (const auto it : limited(reader.getChanges())) {
         const auto key = it.getKey();
--- a/src/guavafield/protocol/peer/table_text.cpp
+++ b/src/guavafield/protocol/peer/table_text.cpp
@@ -55,7 +55,8 @@
 {
     const auto knowledge = mirror.knowledge(now);
     const auto age = mirror.known() ? knowledge.age.count() : -1;
-    std::string text = R"({"complete":)" + std::to_string(knowledge.complete) + R"(,"age_ms":)" + std::to_string(age) + ",";
+    std::string text = R"({"content":)" + std::to_string(knowledge.content) + R"(,"complete":)" + std::to_string(knowledge.complete) + R"(,"age_ms":)"
+        + std::to_string(age) + ",";
     text.append(rows).append("}");
     return text;
 }
@@ -66,15 +67,17 @@
     const auto value = json::parse(text, ec);
     const auto *object = ec ? nullptr : value.if_object();
     const auto *rows = object != nullptr ? object->if_contains("rows") : nullptr;
+    const auto *content = object != nullptr ? object->if_contains("content") : nullptr;
     const auto *complete = object != nullptr ? object->if_contains("complete") : nullptr;
     const auto *age = object != nullptr ? object->if_contains("age_ms") : nullptr;
     const auto *whole = object != nullptr ? object->if_contains("whole") : nullptr;
-    const bool valid = rows != nullptr && rows->is_array() && complete != nullptr && complete->is_number() && age != nullptr && age->is_int64()
-        && age->get_int64() >= 0 && whole != nullptr && whole->is_bool();
+    const bool valid = rows != nullptr && rows->is_array() && content != nullptr && content->is_number() && complete != nullptr && complete->is_number()
+        && age != nullptr && age->is_int64() && age->get_int64() >= 0 && whole != nullptr && whole->is_bool();
     if (!valid) {
         return fail(ResultCode::PeerMessageInvalid, "not a table", "table");
     }
     TableText result;
+    result.content = content->to_number<RowVersion>();
     result.complete = complete->to_number<RowVersion>();
     result.age = Milliseconds{age->get_int64()};
     result.whole = whole->get_bool();
--- a/src/guavafield/protocol/peer/table_text.hpp
+++ b/src/guavafield/protocol/peer/table_text.hpp
@@ -14,6 +14,8 @@
 struct TableText
 {
     std::vector<MirroredRow> rows;
+    // Of the latest change.
+    RowVersion content{0};
     RowVersion complete{0};
     // Since the sender knew that nothing is missing.
     Milliseconds age{0};
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -25,7 +25,11 @@
 constexpr Milliseconds peerHeard{1'000};
 // Changes of upstreams are repeated in reports for this long, in case one was lost, and only while they are few.
 constexpr Milliseconds changesRepeated{700};
-constexpr std::size_t maxChangesBytes = 700;
+constexpr std::size_t maxChangesBytes = 900;
+// More changes at once, as at the start of a fleet, are read by each host itself.
+constexpr std::size_t maxPushedRows = 60;
+// A host that lacks a change waits this long for it to be pushed before it reads by itself.
+constexpr Milliseconds pushWait{450};
 constexpr std::size_t rowOverheadBytes = 24;
 // A reader serves the changes to so many peers by itself.
 constexpr std::size_t hostsServedByOne = 16;
@@ -140,20 +144,37 @@
     }
 }
 
-void DirectoryService::addChanges(HostReport &report) const
+std::vector<HostReport> DirectoryService::changeReports() const
 {
-    if (m_recent.empty() || m_dependencies.clock.now() - m_recent.back().first > internal::changesRepeated) {
-        return;
+    const auto now = m_dependencies.clock.now();
+    if (!reads() || m_recent.empty() || now - m_recent.back().first > internal::changesRepeated) {
+        return {};
     }
-    auto changes = mirror(DirectoryTable::Upstreams).changesAfter(m_recent.front().second);
+    const auto base = m_recent.front().second;
+    auto changes = mirror(DirectoryTable::Upstreams).changesAfter(base).value_or(std::vector<MirroredRow>());
+    if (changes.size() > internal::maxPushedRows) {
+        return {};
+    }
+    std::ranges::sort(changes, {}, &MirroredRow::version);
+    auto known = mirror(DirectoryTable::Upstreams).knowledge(now);
+    std::vector<HostReport> result;
     std::size_t bytes = 0;
-    for (const auto &it : changes.value_or(std::vector<MirroredRow>())) {
-        bytes += it.key.size() + it.value.value_or(std::string()).size() + internal::rowOverheadBytes;
+    for (auto &it : changes) {
+        const auto size = it.key.size() + (it.value ? it.value->size() : 0) + internal::rowOverheadBytes;
+        if (result.empty() || bytes + size > internal::maxChangesBytes) {
+            auto &part = result.emplace_back();
+            part.changesOnly = true;
+            part.changesAfter = result.size() == 1 ? base : result[result.size() - 2].upstreams->content;
+            bytes = 0;
+        }
+        bytes += size;
+        result.back().upstreams = TableKnowledge{it.version, it.version, known.age};
+        result.back().changes.push_back(std::move(it));
     }
-    if (changes && bytes <= internal::maxChangesBytes) {
-        report.changesAfter = m_recent.front().second;
-        report.changes = std::move(*changes);
+    if (!result.empty()) {
+        result.back().upstreams = known;
     }
+    return result;
 }
 
 void DirectoryService::update()
@@ -188,7 +209,9 @@
 {
     const auto now = m_dependencies.clock.now();
     const auto isFresh = [](const std::optional<TableKnowledge> &it) { return it && it->age < internal::staleAfter; };
-    m_peers[from.id] = Peer{now, isFresh(report.document) && isFresh(report.upstreams)};
+    if (!report.changesOnly) {
+        m_peers[from.id] = Peer{now, isFresh(report.document) && isFresh(report.upstreams)};
+    }
     std::erase_if(m_peers, [now](const auto &it) { return now - it.second.heard > internal::peerHeard; });
     auto &upstreams = mirror(DirectoryTable::Upstreams);
     const bool pushed = upstreams.known() && !report.changes.empty() && report.upstreams && upstreams.content() >= report.changesAfter
@@ -196,9 +219,12 @@
     if (pushed) {
         const auto confirmed = now - report.upstreams->age - internal::answerDelay;
         take(DirectoryTable::Upstreams, TablePage{report.changes, report.upstreams->complete}, confirmed, false);
+        upstreams.adopt(report.upstreams->content);
+    }
+    if (!report.changesOnly) {
+        consider(from, DirectoryTable::Document, report.document);
+        consider(from, DirectoryTable::Upstreams, report.upstreams);
     }
-    consider(from, DirectoryTable::Document, report.document);
-    consider(from, DirectoryTable::Upstreams, report.upstreams);
 }
 
 void DirectoryService::consider(const Member &from, DirectoryTable table, const std::optional<TableKnowledge> &knowledge)
@@ -208,13 +234,21 @@
     }
     auto &own = mirror(table);
     if (!own.known() || knowledge->content > own.content()) {
+        auto &since = m_behindSince[static_cast<std::size_t>(table)];
+        const auto now = m_dependencies.clock.now();
         if (m_hosts > internal::hostsServedByOne && m_available[static_cast<std::size_t>(table)]) {
-            m_behind[static_cast<std::size_t>(table)] = true;
+            since = since.value_or(now);
+            const auto patience = table == DirectoryTable::Upstreams ? internal::pushWait : Milliseconds{0};
+            if (now - *since >= patience) {
+                m_behind[static_cast<std::size_t>(table)] = true;
+                since.reset();
+            }
         } else if (!std::exchange(m_fetching[static_cast<std::size_t>(table)], true)) {
             asio::co_spawn(
                 m_dependencies.strand, [self = shared_from_this(), from, table] { return self->fetchFrom(from, table); }, asio::detached);
         }
     } else if (knowledge->content == own.content()) {
+        m_behindSince[static_cast<std::size_t>(table)].reset();
         own.confirm(knowledge->complete, m_dependencies.clock.now() - knowledge->age - internal::answerDelay);
         update();
     }
@@ -232,6 +266,7 @@
     }
     const auto confirmed = m_dependencies.clock.now() - parsed.value->age - internal::answerDelay;
     take(table, TablePage{parsed.value->rows, parsed.value->complete}, confirmed, parsed.value->whole || after == 0);
+    mirror(table).adopt(parsed.value->content);
 }
 
 } // namespace guavafield
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -69,8 +69,8 @@
     }
     /*! @brief Writes for a peer what it lacks. */
     [[nodiscard]] std::string format(DirectoryTable table, RowVersion after);
-    /*! @brief Adds the latest changes of the upstreams to a report, if they are few. */
-    void addChanges(HostReport &report) const;
+    /*! @brief Returns reports with the latest changes of the upstreams, for the peers to apply in this order; empty if others read for them. */
+    [[nodiscard]] std::vector<HostReport> changeReports() const;
     /*! @brief Sets the number of live hosts; in large fleets hosts that lack a change read it themselves, since one peer cannot serve all. */
     void setHosts(std::size_t hosts) noexcept
     {
@@ -118,6 +118,7 @@
     std::array<bool, 2> m_fetching{};
     // A peer has a newer state.
     std::array<bool, 2> m_behind{};
+    std::array<std::optional<SteadyTime>, 2> m_behindSince;
     // Changes of the upstreams of the last moments: when each was taken and the content before it.
     std::deque<std::pair<SteadyTime, RowVersion>> m_recent;
     std::size_t m_hosts{1};
--- a/test/coordination/fleet/table_mirror_test.cpp
+++ b/test/coordination/fleet/table_mirror_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(readingRemovesMissingRows);
     CPPUNIT_TEST(removalReachesPeers);
     CPPUNIT_TEST(forgottenRemovalAsksForAllRows);
+    CPPUNIT_TEST(unseenRemovalIsNotTakenForAgreement);
     CPPUNIT_TEST(confirmationNeverGoesBack);
     CPPUNIT_TEST_SUITE_END();
 
@@ -76,6 +77,20 @@
         CPPUNIT_ASSERT(mirror.changesAfter(mirror.content() - 2).has_value());
     }
 
+    // Guards against two hosts that take their tables for equal although one of them still has a row which was removed.
+    void unseenRemovalIsNotTakenForAgreement()
+    {
+        TableMirror old;
+        old.replace(std::vector<MirroredRow>{{"a", 1, "x"}, {"b", 2, "y"}}, 2, at(0));
+        TableMirror fresh;
+        fresh.replace(std::vector<MirroredRow>{{"b", 2, "y"}}, 3, at(1));
+        CPPUNIT_ASSERT(old.content() < fresh.content());
+        CPPUNIT_ASSERT(!fresh.changesAfter(old.content()).has_value());
+        old.replace(fresh.rows(), fresh.complete(), at(1));
+        old.adopt(fresh.content());
+        CPPUNIT_ASSERT(old.rows() == fresh.rows() && old.content() == fresh.content());
+    }
+
     // Guards against knowledge that looks fresher than it is, or older after a late message.
     void confirmationNeverGoesBack()
     {
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(cutOffHostFollowsItsPeers);
     CPPUNIT_TEST(silentReaderIsReplaced);
     CPPUNIT_TEST(historyThatIsGoneIsReadAgain);
+    CPPUNIT_TEST(changesArePushedInOrder);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -167,6 +168,32 @@
         CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(3); }));
     }
 
+    // Guards against a follower that takes the second part of pushed changes without the first, and thinks itself complete.
+    void changesArePushedInOrder()
+    {
+        const auto reader = std::ranges::find_if(m_hosts, [](const auto &it) { return it->service->reads(); });
+        for (int n = 0; n < 20; ++n) {
+            m_store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), std::string(200, 'x'), m_clock.now());
+        }
+        std::vector<HostReport> parts;
+        CPPUNIT_ASSERT(runUntil([&] {
+            parts = (*reader)->service->changeReports();
+            return parts.size() > 3 && parts.back().changes.back().key == "u19";
+        }));
+        Host follower(*m_io, m_clock, m_store, "follower");
+        follower.service->onReport(Member{}, parts[1]);
+        CPPUNIT_ASSERT(!follower.service->known(DirectoryTable::Upstreams));
+        const auto all = (*reader)->service->format(DirectoryTable::Upstreams, 0);
+        auto late = std::make_shared<TableMirror>();
+        late->replace({}, parts.front().changesAfter, m_clock.now());
+        for (const auto &part : parts) {
+            CPPUNIT_ASSERT_EQUAL(late->content() == 0 ? parts.front().changesAfter : late->content(), part.changesAfter);
+            late->apply(part.changes, part.upstreams->complete, m_clock.now());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, late->rows().size());
+        CPPUNIT_ASSERT(!all.empty());
+    }
+
 private:
     [[nodiscard]] std::size_t readers() const
     {
