--- /dev/null
+++ b/apps/guavafieldctl/explain.cpp
@@ -0,0 +1,144 @@
+// Selection and order of log lines, and the cause that the last line names.
+#include "apps/guavafieldctl/explain.hpp"
+
+#include <guavafield/state/result.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <set>
+
+namespace guavafield::ctl {
+
+namespace internal {
+
+// Returns the time in a line, e.g. 2026-03-10T01:46:27.000; empty if it has none.
+std::string_view timeOf(std::string_view line)
+{
+    constexpr std::string_view form = "0000-00-00T00:00:00.000";
+    for (std::size_t n = 0; n + form.size() <= line.size(); ++n) {
+        const auto part = line.substr(n, form.size());
+        const bool fits = std::equal(part.begin(), part.end(), form.begin(), [](char it, char expected) {
+            return expected == '0' ? std::isdigit(static_cast<unsigned char>(it)) != 0 : it == expected;
+        });
+        if (fits) {
+            return part;
+        }
+    }
+    return {};
+}
+
+bool hasWord(std::string_view line, std::string_view word)
+{
+    for (auto at = line.find(word); at != std::string_view::npos; at = line.find(word, at + 1)) {
+        const auto end = at + word.size();
+        if ((at == 0 || line[at - 1] == ' ') && (end == line.size() || line[end] == ' ')) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Returns the value of a field of a line; empty if it has none.
+std::string_view fieldOf(std::string_view line, std::string_view name)
+{
+    const auto key = " " + std::string(name) + "=";
+    const auto at = line.find(key);
+    if (at == std::string_view::npos) {
+        return {};
+    }
+    auto value = line.substr(at + key.size());
+    if (value.starts_with('"')) {
+        value.remove_prefix(1);
+        return value.substr(0, value.find('"'));
+    }
+    return value.substr(0, value.find(' '));
+}
+
+std::optional<ResultCode> codeOf(std::string_view line)
+{
+    const auto text = fieldOf(line, "code");
+    unsigned number = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (text.empty() || ec != std::errc()) {
+        return std::nullopt;
+    }
+    const auto codes = resultCodes();
+    const auto it = std::ranges::find(codes, static_cast<ResultCode>(number), &ResultCodeInfo::code);
+    return it == codes.end() ? std::nullopt : std::optional(it->code);
+}
+
+} // namespace internal
+
+void Explanation::take(std::string_view line)
+{
+    const Line kept{std::string(internal::timeOf(line)), std::string(line)};
+    if (internal::hasWord(line, m_request)) {
+        m_lines.push_back(kept);
+    } else if (line.find("fleet: upstream ") != std::string_view::npos) {
+        m_upstreams.push_back(kept);
+    }
+}
+
+bool Explanation::write(std::ostream &output) const
+{
+    std::set<std::string, std::less<>> upstreams;
+    for (const auto &it : m_lines) {
+        upstreams.emplace(internal::fieldOf(it.text, "upstream"));
+    }
+    auto story = m_lines;
+    std::ranges::copy_if(m_upstreams, std::back_inserter(story), [&](const Line &it) { return upstreams.contains(internal::fieldOf(it.text, "upstream")); });
+    std::ranges::stable_sort(story, {}, &Line::time);
+    for (const auto &it : story) {
+        output << it.text << "\n";
+    }
+    if (!m_lines.empty()) {
+        output << "cause: " << cause() << "\n";
+    }
+    return !m_lines.empty();
+}
+
+std::string Explanation::cause() const
+{
+    const auto last = std::ranges::max_element(m_lines, {}, &Line::time);
+    const auto ended = std::ranges::find_if(m_lines, [](const Line &it) { return it.text.find(" ended, ") != std::string::npos; });
+    const auto &line = ended != m_lines.end() ? ended->text : last->text;
+    std::string text = ended != m_lines.end() ? std::string(internal::fieldOf(line, "outcome")) : "no end is on record";
+    if (const auto code = internal::codeOf(line); code && *code != ResultCode::Ok) {
+        text += ", " + std::string(describe(*code).name) + ": " + std::string(describe(*code).meaning);
+    }
+    for (const auto &it : m_lines) {
+        if (it.text.find("attempt failed") != std::string::npos) {
+            text += "; attempt " + std::string(internal::fieldOf(it.text, "attempt")) + " at " + std::string(internal::fieldOf(it.text, "upstream")) + ": "
+                + std::string(internal::fieldOf(it.text, "cause"));
+        }
+    }
+    return text;
+}
+
+bool explainRequest(const std::string &requestId, const std::vector<std::string> &files)
+{
+    Explanation explanation(requestId);
+    const auto read = [&](std::istream &input) {
+        std::string line;
+        while (std::getline(input, line)) {
+            explanation.take(line);
+        }
+    };
+    for (const auto &it : files) {
+        std::ifstream file(it);
+        if (!file) {
+            std::cerr << "guavafieldctl: " << it << ": cannot be read\n";
+        }
+        read(file);
+    }
+    if (files.empty()) {
+        read(std::cin);
+    }
+    return explanation.write(std::cout);
+}
+
+} // namespace guavafield::ctl
--- a/apps/guavafieldctl/main.cpp
+++ b/apps/guavafieldctl/main.cpp
@@ -1,5 +1,6 @@
 // guavafieldctl: the operators' tool.
 #include "apps/guavafieldctl/commands.hpp"
+#include "apps/guavafieldctl/explain.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -21,6 +22,7 @@
     std::string id;
     std::string team;
     std::string file;
+    std::vector<std::string> files;
     std::optional<std::uint64_t> expected;
     bool offline{false};
     std::vector<std::unique_ptr<FieldTexts>> texts;
@@ -164,6 +166,14 @@
         add(m_app, "status", "Show the revision in force at each known host", [](const CommandContext &context) { showStatus(context); });
         add(m_app, "counters", "Show the counters that are not 0", [](const CommandContext &context) { showCounters(context); });
         add(m_app, "refusals", "Show refused requests by code", [](const CommandContext &context) { showRefusals(context); });
+        auto *explain = add(m_app, "explain", "Tell one request's story from logs", [this](const CommandContext &) {
+            if (!explainRequest(m_arguments.id, m_arguments.files)) {
+                throw CommandError(Failed, "no line concerns request " + m_arguments.id);
+            }
+        });
+        explain->add_option("id", m_arguments.id, "Id of the request")->required();
+        explain->add_option("files", m_arguments.files, "Logs of hosts; none: standard input");
+        explain->footer("Example:\n  guavafieldctl explain 7760c9c4ba5745d6 host-*.log");
         add(m_app, "drain", "Stop the host gracefully", [](const CommandContext &context) { drain(context); });
     }
 
--- a/apps/guavafieldd/daemon.cpp
+++ b/apps/guavafieldd/daemon.cpp
@@ -118,9 +118,13 @@
 
 void Daemon::applyConfiguration(std::shared_ptr<const Configuration> configuration)
 {
-    logEvent(LogLevel::Info, "main:", {}, "configuration revision " + std::to_string(configuration->revision) + " is in force");
+    const auto before = m_configuration.load()->revision;
+    if (before != configuration->revision) {
+        const auto text = "configuration revision " + std::to_string(configuration->revision) + " is in force, before=" + std::to_string(before);
+        logEvent(LogLevel::Info, "main:", {}, text);
+        m_counters.add(CounterId::ConfigurationApplied);
+    }
     m_configuration.store(std::move(configuration));
-    m_counters.add(CounterId::ConfigurationApplied);
     m_path->configurationChanged();
 }
 
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -181,6 +181,8 @@
 {
     const auto now = m_dependencies.clock.now();
     if (auto configuration = m_directory.update(mirror(DirectoryTable::Document), mirror(DirectoryTable::Upstreams), now)) {
+        logChanges(*configuration);
+        m_applied = configuration;
         m_dependencies.apply(std::move(configuration));
     }
     for (const auto &it : m_directory.takeFaults()) {
@@ -194,6 +196,36 @@
     }
 }
 
+void DirectoryService::logChanges(const Configuration &configuration) const
+{
+    const auto version = std::to_string(mirror(DirectoryTable::Upstreams).content());
+    const auto log = [&](const Upstream &it, std::string_view state) {
+        const auto kind = it.kind == UpstreamKind::Cheap ? "cheap" : "durable";
+        logEvent(LogLevel::Info,
+                 "fleet:",
+                 {},
+                 "upstream " + std::string(state) + ", upstream=" + it.id + " pool=" + it.pool + " data_centre=" + it.dataCentre + " kind=" + kind
+                     + " version=" + version);
+    };
+    static const StringMap<Upstream> none;
+    const auto &before = m_applied ? m_applied->upstreams : none;
+    for (const auto &[id, it] : configuration.upstreams) {
+        const auto known = before.find(id);
+        if (known == before.end()) {
+            log(it, it.leaving ? "found leaving" : "found");
+        } else if (it.incarnation != known->second.incarnation) {
+            log(it, "restarted");
+        } else if (it.leaving && !known->second.leaving) {
+            log(it, "leaving");
+        }
+    }
+    for (const auto &[id, it] : before) {
+        if (!configuration.upstreams.contains(id)) {
+            log(it, "gone");
+        }
+    }
+}
+
 asio::awaitable<void> DirectoryService::watchOutages()
 {
     while (!m_stopped) {
@@ -214,8 +246,8 @@
     }
     std::erase_if(m_peers, [now](const auto &it) { return now - it.second.heard > internal::peerHeard; });
     auto &upstreams = mirror(DirectoryTable::Upstreams);
-    const bool pushed = upstreams.known() && !report.changes.empty() && report.upstreams && upstreams.content() >= report.changesAfter
-        && report.upstreams->content > upstreams.content();
+    const bool pushed = upstreams.known() && !report.changes.empty() && report.upstreams && upstreams.complete() >= report.changesAfter
+        && report.upstreams->content > upstreams.complete();
     if (pushed) {
         const auto confirmed = now - report.upstreams->age - internal::answerDelay;
         take(DirectoryTable::Upstreams, TablePage{report.changes, report.upstreams->complete}, confirmed, false);
@@ -233,7 +265,7 @@
         return;
     }
     auto &own = mirror(table);
-    if (!own.known() || knowledge->content > own.content()) {
+    if (!own.known() || knowledge->content > own.complete()) {
         auto &since = m_behindSince[static_cast<std::size_t>(table)];
         const auto now = m_dependencies.clock.now();
         if (m_hosts > internal::hostsServedByOne && m_available[static_cast<std::size_t>(table)]) {
@@ -247,7 +279,8 @@
             asio::co_spawn(
                 m_dependencies.strand, [self = shared_from_this(), from, table] { return self->fetchFrom(from, table); }, asio::detached);
         }
-    } else if (knowledge->content == own.content()) {
+    } else {
+        // The peer's latest change is one of those that this host has, and there was none after it.
         m_behindSince[static_cast<std::size_t>(table)].reset();
         own.confirm(knowledge->complete, m_dependencies.clock.now() - knowledge->age - internal::answerDelay);
         update();
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -109,10 +109,13 @@
     void consider(const Member &from, DirectoryTable table, const std::optional<TableKnowledge> &knowledge);
     void take(DirectoryTable table, TableReply reply, SteadyTime confirmed, bool whole);
     void update();
+    void logChanges(const Configuration &configuration) const;
     void noteSource(DirectoryTable table, bool available, const std::string &cause);
 
     DirectoryDependencies m_dependencies;
     FleetDirectory m_directory;
+    // Null before the first configuration.
+    std::shared_ptr<const Configuration> m_applied;
     std::array<TableMirror, 2> m_mirrors;
     std::array<FormattedRows, 2> m_texts;
     std::array<bool, 2> m_fetching{};
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(silentReaderIsReplaced);
     CPPUNIT_TEST(historyThatIsGoneIsReadAgain);
     CPPUNIT_TEST(changesArePushedInOrder);
+    CPPUNIT_TEST(hostsThatAgreeAskForNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -194,6 +195,40 @@
         CPPUNIT_ASSERT(!all.empty());
     }
 
+    // Guards against calls without end in a large fleet whose hosts began to read at different versions.
+    void hostsThatAgreeAskForNothing()
+    {
+        for (int n = 0; n < 5; ++n) {
+            m_store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), "x", m_clock.now());
+        }
+        Host late(*m_io, m_clock, m_store, "late");
+        late.service->setHosts(100);
+        late.service->start();
+        CPPUNIT_ASSERT(runUntil([&] { return late.service->known(DirectoryTable::Document) && late.service->known(DirectoryTable::Upstreams); }));
+        for (const auto &it : m_hosts) {
+            it->service->setHosts(100);
+        }
+        CPPUNIT_ASSERT(runUntil([&] { return readers() == 1; }));
+        int calls = 0;
+        for (int n = 0; n < 60; ++n) {
+            HostReport report;
+            report.document = knowledgeOf(late, DirectoryTable::Document);
+            report.upstreams = knowledgeOf(late, DirectoryTable::Upstreams);
+            for (const auto &it : m_hosts) {
+                Member member;
+                member.id = late.name;
+                calls -= it->service->reads() ? 0 : it->calls;
+                it->service->onReport(member, report);
+                exchangeReports();
+                m_io->run_for(Milliseconds{10});
+                calls += it->service->reads() ? 0 : it->calls;
+            }
+        }
+        late.service->stop();
+        // One reading of each table by each host that does not read for the others.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(calls) + " calls", calls <= 2 * 3);
+    }
+
 private:
     [[nodiscard]] std::size_t readers() const
     {
