Keep a large fleet at its first requests and its reader within a slow link

Cause: four faults, found on the grown site (84 hosts, 93 upstreams). - The plan of the fleet took the first few running requests for the load and went from 141 ordered upstreams to 18 within a second, just before a burst. The fleet that was there now counts as running load and fades like one. - A reader repeated up to 60 changed rows to all 83 peers. On a link of 10 Mbit/s its calls to the platform timed out, hosts that did not hear it read and pushed as well. Changes are pushed only while they stay below 250 KB for all hosts; beyond that each host reads them. - A host that could not reach the platform looked fresh through the reports of others, so the others waited for it to read. Reports now say so, and it tries the platform again every 1.5 s. - Hosts that start together did not know each other for about a second; their addresses are now in the table `hosts`.

--- a/apps/guavafieldd/machine_services.cpp
+++ b/apps/guavafieldd/machine_services.cpp
@@ -7,6 +7,7 @@
 #include "platform/request_dialect.hpp"
 #include "platform/store.hpp"
 
+#include <guavafield/protocol/settings/settings_table.hpp>
 #include <guavafield/transport/durable/sleep.hpp>
 #include <guavafield/transport/log/log.hpp>
 #include <guavafield/transport/peer/endpoints.hpp>
@@ -25,6 +26,10 @@
 
 namespace internal {
 
+// Table with the peer address of each host.
+constexpr std::string_view hostTable = "hosts";
+constexpr Milliseconds firstAddressReading{700};
+constexpr Milliseconds addressInterval{60'000};
 constexpr Milliseconds reportInterval{200};
 // Up to this number of hosts, every host reports at each interval.
 constexpr std::size_t hostsAtFullRate = 12;
@@ -132,7 +137,7 @@
         platform::storeAccess(m_store),
         platform::dutyCalls(m_dutyClient),
         [this] { return m_dependencies.configuration.load(); },
-        [this] { return m_path->driver().withScheduler([](RequestScheduler &scheduler, SteadyTime now) { return scheduler.poolLoads(now); }); }};
+        [this] { return m_path->driver().withScheduler([](RequestScheduler &scheduler, SteadyTime /*now*/) { return scheduler.poolLoads(); }); }};
     return std::make_shared<DutyService>(std::move(dependencies), std::move(result));
 }
 
@@ -184,8 +189,10 @@
     if (m_duties) {
         m_duties->start();
     }
-    asio::co_spawn(
-        m_dependencies.executor, [this] { return reportLoop(); }, asio::detached);
+    for (auto loop : {&MachineServices::reportLoop, &MachineServices::registerHost}) {
+        asio::co_spawn(
+            m_dependencies.executor, [this, loop] { return (this->*loop)(); }, asio::detached);
+    }
 }
 
 std::optional<std::string> MachineServices::unreadyReason() const
@@ -208,7 +215,9 @@
     while (!m_stopped) {
         sendReport();
         // The host that reads the tables is heard often by all; the others' reports stay a bounded load for each host at any number of hosts.
-        const auto slowdown = m_directory->reads() ? 1 : std::max<std::size_t>(1, m_hosts / internal::hostsAtFullRate);
+        const auto hosts = m_addresses.heard(m_dependencies.clock.now()) + 1;
+        m_directory->setHosts(hosts);
+        const auto slowdown = m_directory->reads() ? 1 : std::max<std::size_t>(1, hosts / internal::hostsAtFullRate);
         co_await sleepFor(internal::reportInterval * static_cast<int>(slowdown));
     }
 }
@@ -218,6 +227,7 @@
     const auto now = m_dependencies.clock.now();
     HostReport report;
     report.wall = m_dependencies.clock.wallNow();
+    report.withoutPlatform = !m_directory->reachesPlatform();
     if (m_directory->known(DirectoryTable::Document)) {
         report.document = m_directory->knowledge(DirectoryTable::Document);
     }
@@ -246,14 +256,55 @@
 
 void MachineServices::sendReport()
 {
+    const auto now = m_dependencies.clock.now();
     for (auto &it : m_directory->changeReports()) {
-        m_peers->sendReport(std::move(it));
+        m_peers->sendReport(std::move(it), m_addresses.addresses(now));
+    }
+    m_peers->sendReport(makeReport(), m_addresses.addresses(now));
+}
+
+asio::awaitable<bool> MachineServices::writeAddress()
+{
+    const auto &settings = m_dependencies.settings;
+    const RowKey key{std::string(internal::hostTable), settings.host.id};
+    Transaction transaction;
+    transaction.writes.push_back({key, settings.listen.address + ":" + std::to_string(m_peers->port())});
+    const auto reply = co_await platform::storeAccess(m_store).transact(std::move(transaction));
+    co_return std::holds_alternative<TransactionCommitted>(reply);
+}
+
+asio::awaitable<void> MachineServices::readAddresses()
+{
+    const auto reply = co_await platform::storeFeed(m_store).readAll(std::string(internal::hostTable));
+    const auto *page = std::get_if<TablePage>(&reply);
+    if (page == nullptr) {
+        co_return;
+    }
+    const auto now = m_dependencies.clock.now();
+    for (const auto &row : page->rows) {
+        std::vector<SocketAddress> addresses;
+        if (row.value && row.key != m_dependencies.settings.host.id && parseSocketAddresses(*row.value, addresses) && addresses.size() == 1) {
+            m_addresses.onRow(row.key, internal::peerAddresses(addresses).front(), now);
+        }
+    }
+}
+
+asio::awaitable<void> MachineServices::registerHost()
+{
+    bool written = false;
+    // The first readings are close to each other, since all hosts of a fleet may start at once.
+    for (auto pause = internal::firstAddressReading; !m_stopped; pause = std::min(pause * 3, internal::addressInterval)) {
+        if (!written) {
+            written = co_await writeAddress();
+        }
+        co_await sleepFor(pause);
+        co_await readAddresses();
     }
-    m_peers->sendReport(makeReport());
 }
 
 void MachineServices::onReport(const Member &from, const HostReport &report)
 {
+    m_addresses.onHeard(from.id, from.address, m_dependencies.clock.now());
     m_directory->onReport(from, report);
     if (report.changesOnly) {
         return;
@@ -284,9 +335,7 @@
             candidates.push_back(it.id);
         }
     }
-    m_hosts = candidates.size();
-    m_directory->setHosts(m_hosts);
-    const auto hosts = static_cast<std::uint32_t>(m_hosts);
+    const auto hosts = static_cast<std::uint32_t>(candidates.size());
     m_path->driver().withScheduler([hosts](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.setFleetHosts(hosts); });
     if (m_duties) {
         m_duties->setCandidates(candidates);
--- a/apps/guavafieldd/machine_services.hpp
+++ b/apps/guavafieldd/machine_services.hpp
@@ -3,6 +3,7 @@
 
 #include "apps/guavafieldd/daemon_service.hpp"
 
+#include <guavafield/coordination/fleet/address_book.hpp>
 #include <guavafield/protocol/settings/daemon_settings.hpp>
 #include <guavafield/state/clock.hpp>
 #include <guavafield/state/counters.hpp>
@@ -69,6 +70,10 @@
     [[nodiscard]] boost::asio::awaitable<Outcome<std::string>> fetchTable(PeerAddress peer, DirectoryTable table, RowVersion after);
     [[nodiscard]] boost::asio::awaitable<void> reportLoop();
     [[nodiscard]] HostReport makeReport();
+    // Writes this host's address into the hosts' table and reads those of the others.
+    [[nodiscard]] boost::asio::awaitable<void> registerHost();
+    [[nodiscard]] boost::asio::awaitable<bool> writeAddress();
+    [[nodiscard]] boost::asio::awaitable<void> readAddresses();
     void sendReport();
     void onReport(const Member &from, const HostReport &report);
     void onMember();
@@ -83,8 +88,7 @@
     std::unique_ptr<PeerService> m_peers;
     std::shared_ptr<DirectoryService> m_directory;
     std::shared_ptr<DutyService> m_duties;
-    // Live hosts of the fleet, this one included.
-    std::size_t m_hosts{1};
+    AddressBook m_addresses;
     std::deque<Broken> m_broken;
     std::uint64_t m_lastBroken{0};
     // Number of the last broken request that each life of a peer told.
--- /dev/null
+++ b/src/guavafield/coordination/fleet/address_book.cpp
@@ -0,0 +1,45 @@
+// Entries and their age.
+#include <guavafield/coordination/fleet/address_book.hpp>
+
+#include <algorithm>
+
+namespace guavafield {
+
+namespace internal {
+
+// A host that was not heard for this long gets no more reports until it is heard again.
+constexpr Milliseconds addressHolds{10'000};
+
+} // namespace internal
+
+void AddressBook::onRow(std::string_view host, const PeerAddress &address, SteadyTime now)
+{
+    const auto [it, added] = m_entries.try_emplace(std::string(host), Entry{address, now, false});
+    if (!added && it->second.address != address) {
+        it->second = Entry{address, now, false};
+    }
+}
+
+void AddressBook::onHeard(std::string_view host, const PeerAddress &address, SteadyTime now)
+{
+    m_entries[std::string(host)] = Entry{address, now, true};
+}
+
+std::vector<PeerAddress> AddressBook::addresses(SteadyTime now) const
+{
+    std::vector<PeerAddress> result;
+    for (const auto &[host, entry] : m_entries) {
+        if (now - entry.at < internal::addressHolds) {
+            result.push_back(entry.address);
+        }
+    }
+    return result;
+}
+
+std::size_t AddressBook::heard(SteadyTime now) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_entries, [now](const auto &it) { return it.second.heard && now - it.second.at < internal::addressHolds; }));
+}
+
+} // namespace guavafield
--- a/src/guavafield/coordination/fleet/fwd.hpp
+++ b/src/guavafield/coordination/fleet/fwd.hpp
@@ -3,6 +3,7 @@
 
 namespace guavafield {
 
+class AddressBook;
 class FleetClock;
 class FleetDirectory;
 class TableMirror;
--- a/src/guavafield/coordination/fleet/host_report.hpp
+++ b/src/guavafield/coordination/fleet/host_report.hpp
@@ -43,6 +43,8 @@
     // Of the operators' document and of the upstreams, as far as known.
     std::optional<TableKnowledge> document;
     std::optional<TableKnowledge> upstreams;
+    // The sender cannot read the platform's tables, so that what it knows comes from others.
+    bool withoutPlatform{false};
     // Carries changes of the upstreams and nothing else.
     bool changesOnly{false};
     // Changes of the upstreams after a version; none is missing up to the version of the last one.
--- a/src/guavafield/coordination/order/fleet_plan.cpp
+++ b/src/guavafield/coordination/order/fleet_plan.cpp
@@ -38,7 +38,9 @@
     for (const auto &[pool, load] : loads) {
         const auto [it, first] = m_pressures.try_emplace(pool, Pressure{internal::pressureAtStart, 0, 0, now, now});
         auto &pressure = it->second;
-        m_loaded = m_loaded || load.running > 0;
+        if (!m_loaded && load.running > 0) {
+            startOfLoad();
+        }
         if (!m_loaded) {
             pressure.at = now;
             pressure.peakAt = now;
@@ -59,6 +61,18 @@
     }
 }
 
+void FleetPlan::startOfLoad()
+{
+    m_loaded = true;
+    // The first requests are few at any load, so the fleet that was there counts as needed and fades like a load that has passed.
+    for (auto &[pool, pressure] : m_pressures) {
+        const auto start = m_starts.find(pool);
+        if (start != m_starts.end()) {
+            pressure.running = internal::runningPerUpstream * start->second.perDataCentre * static_cast<double>(start->second.dataCentres);
+        }
+    }
+}
+
 std::uint32_t FleetPlan::cheapWanted(const UpstreamPool &pool, std::size_t dataCentres) const
 {
     const auto it = m_pressures.find(pool.id);
@@ -67,8 +81,8 @@
     double base = std::max<double>(internal::leastCheapPerDataCentre, std::ceil(ordinary));
     if (!m_loaded) {
         // Before the first requests, the fleet that was there says best what will be needed.
-        const auto start = m_startCounts.find(pool.id);
-        base = std::max<double>(base, start == m_startCounts.end() ? 0 : start->second);
+        const auto start = m_starts.find(pool.id);
+        base = std::max<double>(base, start == m_starts.end() ? 0 : start->second.perDataCentre);
     }
     const double further = pressureOf(pool.id) / internal::queueSecondsPerCheap * base / internal::leastCheapPerDataCentre;
     return static_cast<std::uint32_t>(base + std::floor(further));
@@ -109,9 +123,11 @@
     if (m_loaded) {
         return;
     }
-    auto &most = m_startCounts[pool.id];
-    for (const auto &[dataCentre, place] : places(pool, configuration, now)) {
-        most = std::max(most, place.present.durable);
+    const auto all = places(pool, configuration, now);
+    auto &start = m_starts[pool.id];
+    start.dataCentres = all.size();
+    for (const auto &[dataCentre, place] : all) {
+        start.perDataCentre = std::max(start.perDataCentre, place.present.durable);
     }
 }
 
--- a/src/guavafield/coordination/order/fleet_plan.hpp
+++ b/src/guavafield/coordination/order/fleet_plan.hpp
@@ -96,14 +96,22 @@
         SteadyTime peakAt{};
     };
 
+    // The fleet that was there before the first requests.
+    struct Start
+    {
+        // Most durable upstreams of a data centre.
+        std::uint32_t perDataCentre{0};
+        std::size_t dataCentres{1};
+    };
+
+    void startOfLoad();
     [[nodiscard]] double pressureOf(const PoolId &pool) const;
     [[nodiscard]] std::uint32_t cheapWanted(const UpstreamPool &pool, std::size_t dataCentres) const;
     void noteStart(const UpstreamPool &pool, const Configuration &configuration, SteadyTime now);
 
     std::map<Key, Ordered> m_ordered;
     StringMap<Pressure> m_pressures;
-    // Most durable upstreams of a data centre that were there before the first requests.
-    StringMap<std::uint32_t> m_startCounts;
+    StringMap<Start> m_starts;
     // Requests have run.
     bool m_loaded{false};
 };
--- a/src/guavafield/coordination/request/placement.hpp
+++ b/src/guavafield/coordination/request/placement.hpp
@@ -31,7 +31,6 @@
     // Time in which the pool would read the prompts that wait, all upstreams working evenly.
     double queueSeconds{0};
     double running{0};
-    double speed{0};
 };
 
 /*! @brief Where a request goes. */
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -94,9 +94,9 @@
     return m_impl->localWork();
 }
 
-StringMap<PoolLoad> RequestScheduler::poolLoads(SteadyTime now) const
+StringMap<PoolLoad> RequestScheduler::poolLoads() const
 {
-    return m_impl->poolLoads(now);
+    return m_impl->poolLoads();
 }
 
 void RequestScheduler::onPeerCrash(const Digest &fingerprint, SteadyTime now)
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -86,7 +86,7 @@
     [[nodiscard]] std::vector<PeerWork> localWork() const;
 
     /*! @brief Returns the load of the self-queueing pools over all hosts, by pool. */
-    [[nodiscard]] StringMap<PoolLoad> poolLoads(SteadyTime now) const;
+    [[nodiscard]] StringMap<PoolLoad> poolLoads() const;
 
     /*! @brief A peer saw a request of this fingerprint break the connection to an upstream of a self-queueing pool. */
     void onPeerCrash(const Digest &fingerprint, SteadyTime now);
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -37,7 +37,7 @@
     void onUpstreamLeaving(std::string_view upstream, Milliseconds notice, SteadyTime now);
     void onPeerWork(std::string_view host, std::span<const PeerWork> work, SteadyTime now);
     [[nodiscard]] std::vector<PeerWork> localWork() const;
-    [[nodiscard]] StringMap<PoolLoad> poolLoads(SteadyTime now) const;
+    [[nodiscard]] StringMap<PoolLoad> poolLoads() const;
     [[nodiscard]] std::vector<Digest> takeCrashes();
     // Counts a broken connection against a request and returns whether it is refused from now on.
     bool onBrokenConnection(const Digest &fingerprint, SteadyTime now);
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -166,7 +166,7 @@
     }
 }
 
-StringMap<PoolLoad> RequestScheduler::Impl::poolLoads(SteadyTime /*now*/) const
+StringMap<PoolLoad> RequestScheduler::Impl::poolLoads() const
 {
     StringMap<PoolLoad> result;
     for (const auto &[id, pool] : m_pools) {
@@ -183,7 +183,6 @@
                 tokens += entry->started() ? 0 : entry->readTokens;
             }
         });
-        load.speed = pool.selfQueueing->placement.tokensPerSecond();
         load.queueSeconds = tokens / pool.selfQueueing->placement.tokensPerSecond() / std::max(1U, load.upstreams);
     }
     return result;
--- a/src/guavafield/protocol/peer/peer.capnp
+++ b/src/guavafield/protocol/peer/peer.capnp
@@ -102,6 +102,7 @@
   changesAfter @7 :UInt64;
   changes @8 :List(Row);
   changesOnly @9 :Bool;
+  withoutPlatform @10 :Bool;
 }
 
 # The only capability of a new connection. Both sides prove that they know the fleet secret.
--- a/src/guavafield/protocol/peer/peer.capnp.h
+++ b/src/guavafield/protocol/peer/peer.capnp.h
@@ -1598,6 +1598,8 @@
 
   inline bool getChangesOnly() const;
 
+  inline bool getWithoutPlatform() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1680,6 +1682,9 @@
   inline bool getChangesOnly();
   inline void setChangesOnly(bool value);
 
+  inline bool getWithoutPlatform();
+  inline void setWithoutPlatform(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3986,6 +3991,20 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HostReport::Reader::getWithoutPlatform() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool HostReport::Builder::getWithoutPlatform() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void HostReport::Builder::setWithoutPlatform(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/guavafield/protocol/peer/peer_codec.cpp
+++ b/src/guavafield/protocol/peer/peer_codec.cpp
@@ -103,6 +103,7 @@
     write(report.document, builder.initDocument());
     write(report.upstreams, builder.initUpstreams());
     builder.setChangesOnly(report.changesOnly);
+    builder.setWithoutPlatform(report.withoutPlatform);
     builder.setChangesAfter(report.changesAfter);
     auto changes = builder.initChanges(static_cast<unsigned>(report.changes.size()));
     for (unsigned n = 0; n < changes.size(); ++n) {
@@ -241,6 +242,7 @@
     report.document = readKnowledge(reader.getDocument());
     report.upstreams = readKnowledge(reader.getUpstreams());
     report.changesOnly = reader.getChangesOnly();
+    report.withoutPlatform = reader.getWithoutPlatform();
     report.changesAfter = reader.getChangesAfter();
     for (const auto it : limited(reader.getChanges())) {
         const auto key = it.getKey();
--- a/src/guavafield/protocol/settings/settings_table.cpp
+++ b/src/guavafield/protocol/settings/settings_table.cpp
@@ -266,6 +266,11 @@
     return table;
 }
 
+bool parseSocketAddresses(std::string_view text, std::vector<SocketAddress> &result)
+{
+    return internal::readSocketAddresses(text, result);
+}
+
 std::string describeRange(const SettingInfo &info)
 {
     switch (info.kind) {
--- a/src/guavafield/protocol/settings/settings_table.hpp
+++ b/src/guavafield/protocol/settings/settings_table.hpp
@@ -8,6 +8,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace guavafield {
 
@@ -51,6 +52,9 @@
 /*! @brief Returns all settings, grouped by section. */
 [[nodiscard]] std::span<const SettingInfo> settingsTable();
 
+/*! @brief Reads addresses with ports, separated by commas; false if one has another form. */
+[[nodiscard]] bool parseSocketAddresses(std::string_view text, std::vector<SocketAddress> &result);
+
 /*! @brief Returns the range or form of a setting in words, e.g. "1 to 65535". */
 [[nodiscard]] std::string describeRange(const SettingInfo &info);
 
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -19,6 +19,8 @@
 
 // How long a call waits for a change; bounds how old the knowledge gets while nothing changes.
 constexpr Milliseconds feedWait{600};
+// In a large fleet a lost report would make many hosts read at once, so that the reader confirms its knowledge more often.
+constexpr Milliseconds feedWaitLargeFleet{350};
 // A host whose knowledge is older reads for itself.
 constexpr Milliseconds staleAfter{1'000};
 // A peer that was not heard for this long does not read for others.
@@ -26,15 +28,19 @@
 // Changes of upstreams are repeated in reports for this long, in case one was lost, and only while they are few.
 constexpr Milliseconds changesRepeated{700};
 constexpr std::size_t maxChangesBytes = 900;
-// More changes at once, as at the start of a fleet, are read by each host itself.
+// More changes at once, as at the start of a fleet, are read by each host itself. A reader on a slow link that pushed them to a large fleet
+// would delay its own reading and the reports that tell the others that it reads.
 constexpr std::size_t maxPushedRows = 60;
+constexpr std::size_t maxPushedBytesToAll = 250'000;
 // A host that lacks a change waits this long for it to be pushed before it reads by itself.
-constexpr Milliseconds pushWait{450};
+constexpr Milliseconds pushWait{150};
 constexpr std::size_t rowOverheadBytes = 24;
 // A reader serves the changes to so many peers by itself.
 constexpr std::size_t hostsServedByOne = 16;
 constexpr Milliseconds idleStep{50};
 constexpr Milliseconds retryPause{250};
+// A host that follows its peers tries the platform again at this interval after a failure, so that it can read for others again.
+constexpr Milliseconds tryInterval{1'500};
 // What an answer says was true a little before it arrived.
 constexpr Milliseconds answerDelay{20};
 
@@ -70,27 +76,38 @@
 
 bool DirectoryService::reads() const
 {
+    // A host that cannot reach the platform would slow the others down with reports that tell them nothing.
+    if (!reachesPlatform()) {
+        return false;
+    }
     const auto now = m_dependencies.clock.now();
     const auto own = workKey(m_dependencies.host);
     return std::ranges::none_of(m_peers,
                                 [&](const auto &it) { return it.second.fresh && now - it.second.heard < internal::peerHeard && workKey(it.first) < own; });
 }
 
+Milliseconds DirectoryService::feedWait() const
+{
+    return m_hosts > internal::hostsServedByOne ? internal::feedWaitLargeFleet : internal::feedWait;
+}
+
 asio::awaitable<void> DirectoryService::follow(DirectoryTable table)
 {
-    const auto &name = m_dependencies.tables[static_cast<std::size_t>(table)];
+    const auto index = static_cast<std::size_t>(table);
+    const auto &name = m_dependencies.tables[index];
     bool whole = true;
     while (!m_stopped) {
         const auto known = knowledge(table);
         const bool reader = mirror(table).known() && reads();
-        const bool behind = std::exchange(m_behind[static_cast<std::size_t>(table)], false);
-        if (mirror(table).known() && !reader && !behind && known.age < internal::staleAfter) {
+        const bool behind = std::exchange(m_behind[index], false);
+        const bool tryAgain = !m_available[index] && m_dependencies.clock.now() >= m_tryAt[index];
+        if (mirror(table).known() && !reader && !behind && !tryAgain && known.age < internal::staleAfter) {
             co_await sleepFor(internal::idleStep);
             continue;
         }
         whole = whole || !mirror(table).known();
-        auto call = whole ? m_dependencies.feed.readAll(name)
-                          : m_dependencies.feed.follow(name, mirror(table).complete(), reader ? internal::feedWait : Milliseconds{0});
+        auto call =
+            whole ? m_dependencies.feed.readAll(name) : m_dependencies.feed.follow(name, mirror(table).complete(), reader ? feedWait() : Milliseconds{0});
         auto reply = co_await std::move(call);
         const bool gap = std::holds_alternative<TableGap>(reply);
         const auto *failure = std::get_if<TableUnavailable>(&reply);
@@ -101,6 +118,9 @@
         }
         // After a failed reading the rest may be missing too, so only a gap asks for all rows.
         whole = gap;
+        if (failed) {
+            m_tryAt[index] = m_dependencies.clock.now() + internal::tryInterval;
+        }
         if (failed || (!reader && !gap)) {
             co_await sleepFor(internal::retryPause);
         }
@@ -155,12 +175,20 @@
     if (changes.size() > internal::maxPushedRows) {
         return {};
     }
+    const auto rowBytes = [](const MirroredRow &it) { return it.key.size() + (it.value ? it.value->size() : 0) + internal::rowOverheadBytes; };
+    std::size_t allBytes = 0;
+    for (const auto &it : changes) {
+        allBytes += rowBytes(it);
+    }
+    if (allBytes * m_hosts > internal::maxPushedBytesToAll) {
+        return {};
+    }
     std::ranges::sort(changes, {}, &MirroredRow::version);
     auto known = mirror(DirectoryTable::Upstreams).knowledge(now);
     std::vector<HostReport> result;
     std::size_t bytes = 0;
     for (auto &it : changes) {
-        const auto size = it.key.size() + (it.value ? it.value->size() : 0) + internal::rowOverheadBytes;
+        const auto size = rowBytes(it);
         if (result.empty() || bytes + size > internal::maxChangesBytes) {
             auto &part = result.emplace_back();
             part.changesOnly = true;
@@ -242,7 +270,7 @@
     const auto now = m_dependencies.clock.now();
     const auto isFresh = [](const std::optional<TableKnowledge> &it) { return it && it->age < internal::staleAfter; };
     if (!report.changesOnly) {
-        m_peers[from.id] = Peer{now, isFresh(report.document) && isFresh(report.upstreams)};
+        m_peers[from.id] = Peer{now, !report.withoutPlatform && isFresh(report.document) && isFresh(report.upstreams)};
     }
     std::erase_if(m_peers, [now](const auto &it) { return now - it.second.heard > internal::peerHeard; });
     auto &upstreams = mirror(DirectoryTable::Upstreams);
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -76,6 +76,11 @@
     {
         m_hosts = hosts;
     }
+    /*! @brief Returns whether the last readings of both tables succeeded. */
+    [[nodiscard]] bool reachesPlatform() const noexcept
+    {
+        return m_available[0] && m_available[1];
+    }
     /*! @brief Returns whether this host reads the feeds for the others. */
     [[nodiscard]] bool reads() const;
 
@@ -103,6 +108,7 @@
     {
         return m_mirrors[static_cast<std::size_t>(table)];
     }
+    [[nodiscard]] Milliseconds feedWait() const;
     [[nodiscard]] boost::asio::awaitable<void> follow(DirectoryTable table);
     [[nodiscard]] boost::asio::awaitable<void> fetchFrom(Member peer, DirectoryTable table);
     [[nodiscard]] boost::asio::awaitable<void> watchOutages();
@@ -126,6 +132,8 @@
     std::deque<std::pair<SteadyTime, RowVersion>> m_recent;
     std::size_t m_hosts{1};
     std::array<bool, 2> m_available{true, true};
+    // When a table that could not be read is tried again.
+    std::array<SteadyTime, 2> m_tryAt{};
     StringMap<Peer> m_peers;
     bool m_stopped{false};
 };
--- a/src/guavafield/transport/peer/peer_service.cpp
+++ b/src/guavafield/transport/peer/peer_service.cpp
@@ -126,11 +126,11 @@
     SnapshotCell<std::vector<Member>> members;
     std::atomic<std::uint32_t> hostsInDataCentre{1};
 
-    void postReport(HostReport report)
+    void postReport(HostReport report, std::vector<PeerAddress> further)
     {
-        asio::post(m_strand, [self = shared_from_this(), report = std::move(report)]() mutable {
+        asio::post(m_strand, [self = shared_from_this(), report = std::move(report), further = std::move(further)]() mutable {
             if (self->m_socket.is_open()) {
-                self->sendReport(std::move(report));
+                self->sendReport(std::move(report), std::move(further));
             }
         });
     }
@@ -175,18 +175,27 @@
         perform(m_membership.onMessage(*message.value, from, m_clock.now()));
     }
 
-    void sendReport(HostReport report)
+    void sendReport(HostReport report, std::vector<PeerAddress> targets)
     {
         PeerMessage message;
         message.kind = PeerMessageKind::Report;
         message.self = m_membership.self();
         message.report = std::move(report);
         const auto datagram = encode(message);
+        if (!datagram) {
+            return;
+        }
         for (const auto &[id, entry] : m_membership.table().entries()) {
-            if (datagram && entry.member.state != MemberState::Dead) {
-                sendTo(entry.member.address, *datagram);
+            if (entry.member.state != MemberState::Dead) {
+                targets.push_back(entry.member.address);
             }
         }
+        std::ranges::sort(targets, {}, [](const PeerAddress &it) { return std::tuple(it.high, it.low, it.port); });
+        targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+        std::erase(targets, message.self.address);
+        for (const auto &it : targets) {
+            sendTo(it, *datagram);
+        }
     }
 
     void reject(const PeerAddress &from, const std::string &reason)
@@ -398,9 +407,9 @@
     m_impl->post([record](Membership &membership, SteadyTime now) { return membership.announceCrash(record, now); });
 }
 
-void PeerService::sendReport(HostReport report)
+void PeerService::sendReport(HostReport report, std::vector<PeerAddress> further)
 {
-    m_impl->postReport(std::move(report));
+    m_impl->postReport(std::move(report), std::move(further));
 }
 
 void PeerService::leave()
--- a/src/guavafield/transport/peer/peer_service.hpp
+++ b/src/guavafield/transport/peer/peer_service.hpp
@@ -83,8 +83,8 @@
     void setSeeds(std::vector<PeerAddress> seeds);
     void announceWithdrawal(KeyId key);
     void announceCrash(CrashRecord record);
-    /*! @brief Sends a report to all members that are not dead. */
-    void sendReport(HostReport report);
+    /*! @brief Sends a report to all members that are not dead and to further addresses. */
+    void sendReport(HostReport report, std::vector<PeerAddress> further);
     /*! @brief Announces that this host stops. */
     void leave();
     void onPlatformHosts(std::vector<PlatformHost> hosts);
--- a/test/coordination/order/fleet_plan_test.cpp
+++ b/test/coordination/order/fleet_plan_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(lostUpstreamsAreMadeUpForElsewhere);
     CPPUNIT_TEST(durableStandInWhenNoneAreToBeHad);
     CPPUNIT_TEST(limitsHold);
+    CPPUNIT_TEST(firstRequestsKeepTheFleetThatWasThere);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -113,6 +114,25 @@
         }
     }
 
+    // Guards against a large fleet that is cut down at the first requests, whose number says nothing about the load to come.
+    void firstRequestsKeepTheFleetThatWasThere()
+    {
+        m_configuration.pools["p"].scaling->most = 60;
+        for (const auto *dataCentre : {"a", "b", "c"}) {
+            add(dataCentre, UpstreamKind::Durable, 26);
+        }
+        for (int n = 0; n < 4; ++n) {
+            fulfil();
+        }
+        CPPUNIT_ASSERT(present(UpstreamKind::Cheap) >= 90);
+        load(0.0, 5);
+        fulfil();
+        CPPUNIT_ASSERT(present(UpstreamKind::Cheap) >= 60);
+        load(0.0, 300);
+        fulfil();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{12}, present(UpstreamKind::Cheap));
+    }
+
 private:
     void add(const DataCentreId &dataCentre, UpstreamKind kind, std::uint32_t count)
     {
--- a/test/coordination/request/placement_test.cpp
+++ b/test/coordination/request/placement_test.cpp
@@ -222,7 +222,7 @@
         CPPUNIT_ASSERT_EQUAL(UpstreamId("u4"), host.send(info)->upstream);
         host.now += std::chrono::seconds{10};
         (void)host.step();
-        CPPUNIT_ASSERT(host.scheduler.poolLoads(host.now).at("p").queueSeconds < 0.2);
+        CPPUNIT_ASSERT(host.scheduler.poolLoads().at("p").queueSeconds < 0.2);
     }
 
     // Guards against new work for an engine that will go away.
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -90,6 +90,8 @@
     CPPUNIT_TEST(historyThatIsGoneIsReadAgain);
     CPPUNIT_TEST(changesArePushedInOrder);
     CPPUNIT_TEST(hostsThatAgreeAskForNothing);
+    CPPUNIT_TEST(hostWithoutThePlatformIsNoReader);
+    CPPUNIT_TEST(largeFleetReadsManyChangesItself);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -229,6 +231,28 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(calls) + " calls", calls <= 2 * 3);
     }
 
+    // Guards against a host that cannot reach the platform and still reports at the rate of a reader.
+    void hostWithoutThePlatformIsNoReader()
+    {
+        const auto reader = std::ranges::find_if(m_hosts, [](const auto &it) { return it->service->reads(); });
+        (*reader)->cut = true;
+        CPPUNIT_ASSERT(runUntil([&] { return !(*reader)->service->reads() && readers() == 1; }));
+        (*reader)->cut = false;
+        CPPUNIT_ASSERT(runUntil([&] { return (*reader)->service->reads() && readers() == 1; }));
+    }
+
+    // Guards against a reader whose link is full of the same changes for each of many hosts, so that its own calls time out.
+    void largeFleetReadsManyChangesItself()
+    {
+        const auto reader = std::ranges::find_if(m_hosts, [](const auto &it) { return it->service->reads(); });
+        for (int n = 0; n < 20; ++n) {
+            m_store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), std::string(200, 'x'), m_clock.now());
+        }
+        CPPUNIT_ASSERT(runUntil([&] { return !(*reader)->service->changeReports().empty(); }));
+        (*reader)->service->setHosts(100);
+        CPPUNIT_ASSERT((*reader)->service->changeReports().empty());
+    }
+
 private:
     [[nodiscard]] std::size_t readers() const
     {
@@ -260,6 +284,7 @@
                 continue;
             }
             HostReport report;
+            report.withoutPlatform = !m_hosts[from]->service->reachesPlatform();
             report.document = knowledgeOf(*m_hosts[from], DirectoryTable::Document);
             report.upstreams = knowledgeOf(*m_hosts[from], DirectoryTable::Upstreams);
             for (std::size_t to = 0; to < m_hosts.size(); ++to) {
--- a/test/transport/http/forward_test.cpp
+++ b/test/transport/http/forward_test.cpp
@@ -399,7 +399,7 @@
             auto client = fixture->connect();
             client.send(text);
             const auto all = client.readAll();
-            CPPUNIT_ASSERT_MESSAGE(text + "\n->\n" + all, all.starts_with("HTTP/1.1 4"));
+            CPPUNIT_ASSERT_MESSAGE(std::string{text}.append("\n->\n").append(all), all.starts_with("HTTP/1.1 4"));
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, upstream.calls());
     }
