Share the setup of peers and the names of upstream kinds

Cause: both wirings of the daemon built the settings of the peer service, the peers' addresses and the candidates of the leases with the same code, four places spelled the kinds of upstreams, a report computed the addresses of the peers once for each of its parts, and a dispatch loaded the configuration up to three times.

Ruled out: one wiring for both platforms; their services have little else in common.

Change: peer_setup serves both wirings, describe(UpstreamKind) all records and logs, a dispatch works on one configuration.

--- a/apps/guavafieldd/machine_services.cpp
+++ b/apps/guavafieldd/machine_services.cpp
@@ -1,6 +1,7 @@
 // Wiring of the services on the machines' platform.
 #include "apps/guavafieldd/machine_services.hpp"
 
+#include "apps/guavafieldd/peer_setup.hpp"
 #include "platform/directory_codec.hpp"
 #include "platform/duties.hpp"
 #include "platform/names.hpp"
@@ -10,11 +11,9 @@
 #include <guavafield/protocol/settings/settings_table.hpp>
 #include <guavafield/transport/durable/sleep.hpp>
 #include <guavafield/transport/log/log.hpp>
-#include <guavafield/transport/peer/endpoints.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -46,16 +45,6 @@
     return settings;
 }
 
-std::vector<PeerAddress> peerAddresses(const std::vector<SocketAddress> &addresses)
-{
-    std::vector<PeerAddress> result;
-    result.reserve(addresses.size());
-    for (const auto &it : addresses) {
-        result.push_back(toPeerAddress(asio::ip::make_address(it.address), it.port));
-    }
-    return result;
-}
-
 constexpr Milliseconds storeConnectTimeout{300};
 constexpr Milliseconds dutyConnectTimeout{300};
 constexpr Milliseconds releaseLimit{500};
@@ -82,16 +71,6 @@
 
 std::unique_ptr<PeerService> MachineServices::makePeers()
 {
-    const auto &settings = m_dependencies.settings;
-    PeerServiceSettings result;
-    result.membership.id = settings.host.id;
-    result.membership.dataCentre = settings.host.dataCentre;
-    result.membership.incarnation = m_dependencies.incarnation;
-    result.membership.seed = m_dependencies.incarnation;
-    result.listenAddress = settings.listen.address;
-    result.port = settings.listen.peerPort;
-    result.fleetSecret = settings.host.fleetSecret;
-    result.seeds = internal::peerAddresses(settings.peers.seeds);
     PeerHooks hooks;
     hooks.onMember = [this](const Member &) { onMember(); };
     hooks.onReport = [this](const Member &from, const HostReport &report) { onReport(from, report); };
@@ -105,7 +84,11 @@
     hooks.rpc.changes = [this](Revision after) { return m_directory->format(DirectoryTable::Upstreams, after); };
     hooks.rpc.snapshot = [this] { return m_directory->format(DirectoryTable::Document, 0); };
     hooks.rpc.status = [this] { return std::to_string(m_dependencies.configuration.load()->revision); };
-    return std::make_unique<PeerService>(m_dependencies.executor, std::move(result), std::move(hooks), m_dependencies.clock, m_dependencies.counters);
+    return std::make_unique<PeerService>(m_dependencies.executor,
+                                         peerServiceSettings(m_dependencies.settings, m_dependencies.incarnation),
+                                         std::move(hooks),
+                                         m_dependencies.clock,
+                                         m_dependencies.counters);
 }
 
 std::shared_ptr<DirectoryService> MachineServices::makeDirectory()
@@ -179,7 +162,7 @@
 
 void MachineServices::setSeeds(const std::vector<SocketAddress> &seeds)
 {
-    m_peers->setSeeds(internal::peerAddresses(seeds));
+    m_peers->setSeeds(peerAddresses(seeds));
 }
 
 void MachineServices::start()
@@ -256,11 +239,11 @@
 
 void MachineServices::sendReport()
 {
-    const auto now = m_dependencies.clock.now();
+    const auto addresses = m_addresses.addresses(m_dependencies.clock.now());
     for (auto &it : m_directory->changeReports()) {
-        m_peers->sendReport(std::move(it), m_addresses.addresses(now));
+        m_peers->sendReport(std::move(it), addresses);
     }
-    m_peers->sendReport(makeReport(), m_addresses.addresses(now));
+    m_peers->sendReport(makeReport(), addresses);
 }
 
 asio::awaitable<bool> MachineServices::writeAddress()
@@ -284,7 +267,7 @@
     for (const auto &row : page->rows) {
         std::vector<SocketAddress> addresses;
         if (row.value && row.key != m_dependencies.settings.host.id && parseSocketAddresses(*row.value, addresses) && addresses.size() == 1) {
-            m_addresses.onRow(row.key, internal::peerAddresses(addresses).front(), now);
+            m_addresses.onRow(row.key, peerAddresses(addresses).front(), now);
         }
     }
 }
@@ -329,12 +312,7 @@
 
 void MachineServices::onMember()
 {
-    std::vector<HostId> candidates{m_dependencies.settings.host.id};
-    for (const auto &it : m_peers->members()) {
-        if (it.state == MemberState::Alive) {
-            candidates.push_back(it.id);
-        }
-    }
+    const auto candidates = leaseCandidates(m_dependencies.settings.host.id, m_peers->members());
     const auto hosts = static_cast<std::uint32_t>(candidates.size());
     m_path->driver().withScheduler([hosts](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.setFleetHosts(hosts); });
     if (m_duties) {
--- a/apps/guavafieldd/peer_services.cpp
+++ b/apps/guavafieldd/peer_services.cpp
@@ -1,11 +1,11 @@
 // Wiring of gossip and RPC between peers.
 #include "apps/guavafieldd/peer_services.hpp"
 
+#include "apps/guavafieldd/peer_setup.hpp"
+
 #include <guavafield/protocol/configuration/configuration_json.hpp>
 #include <guavafield/protocol/peer/peer_texts.hpp>
-#include <guavafield/transport/peer/endpoints.hpp>
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -30,28 +30,15 @@
 
 PeerServices::PeerServices(PeerServicesDependencies dependencies)
     : m_dependencies(std::move(dependencies))
-    , m_peers(std::make_unique<PeerService>(m_dependencies.executor, peerSettings(), peerHooks(), m_dependencies.clock, m_dependencies.counters))
+    , m_peers(std::make_unique<PeerService>(m_dependencies.executor,
+                                            peerServiceSettings(m_dependencies.settings, m_dependencies.incarnation),
+                                            peerHooks(),
+                                            m_dependencies.clock,
+                                            m_dependencies.counters))
 {
     m_dependencies.platform.setPeers(configurationHooks(), [this] { return statuses(); });
 }
 
-PeerServiceSettings PeerServices::peerSettings() const
-{
-    const auto &settings = m_dependencies.settings;
-    PeerServiceSettings result;
-    result.membership.id = settings.host.id;
-    result.membership.dataCentre = settings.host.dataCentre;
-    result.membership.incarnation = m_dependencies.incarnation;
-    result.membership.seed = m_dependencies.incarnation;
-    result.listenAddress = settings.listen.address;
-    result.port = settings.listen.peerPort;
-    result.fleetSecret = settings.host.fleetSecret;
-    for (const auto &it : settings.peers.seeds) {
-        result.seeds.push_back(toPeerAddress(asio::ip::make_address(it.address), it.port));
-    }
-    return result;
-}
-
 PeerHooks PeerServices::peerHooks()
 {
     auto &configuration = m_dependencies.platform.configuration();
@@ -59,7 +46,7 @@
     hooks.onMember = [this](const Member &) {
         const auto hosts = m_peers->hostsInDataCentre();
         m_dependencies.path->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.setHostsInDataCentre(hosts, now); });
-        m_dependencies.platform.setCandidates(leaseCandidates());
+        m_dependencies.platform.setCandidates(leaseCandidates(m_dependencies.settings.host.id, m_peers->members()));
     };
     hooks.onRevision = [&configuration](const HostId &, const RevisionKnowledge &knowledge) {
         configuration.onPeerRevision(knowledge.revision, knowledge.age);
@@ -119,17 +106,6 @@
     return result;
 }
 
-std::vector<HostId> PeerServices::leaseCandidates() const
-{
-    std::vector<HostId> result{m_dependencies.settings.host.id};
-    for (const auto &it : m_peers->members()) {
-        if (it.state == MemberState::Alive) {
-            result.push_back(it.id);
-        }
-    }
-    return result;
-}
-
 std::vector<PeerConfigurationStatus> PeerServices::statuses() const
 {
     std::vector<PeerConfigurationStatus> result;
--- a/apps/guavafieldd/peer_services.hpp
+++ b/apps/guavafieldd/peer_services.hpp
@@ -46,12 +46,9 @@
     }
 
 private:
-    [[nodiscard]] PeerServiceSettings peerSettings() const;
     [[nodiscard]] PeerHooks peerHooks();
     [[nodiscard]] ConfigurationHooks configurationHooks();
     [[nodiscard]] std::vector<PeerConfigurationStatus> statuses() const;
-    // Hosts that may hold the fleet's leases: this one and all that are alive.
-    [[nodiscard]] std::vector<HostId> leaseCandidates() const;
     // Returns an alive peer; those known to have more than this revision come first, then those of this data centre.
     [[nodiscard]] std::optional<Member> choosePeer(Revision revision) const;
     [[nodiscard]] boost::asio::awaitable<Outcome<std::vector<std::string>>> fetchChanges(Revision after);
--- a/src/guavafield/protocol/configuration/item_json.cpp
+++ b/src/guavafield/protocol/configuration/item_json.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::string_view durableKind = "durable";
-constexpr std::string_view cheapKind = "cheap";
 constexpr std::string_view modelTarget = "models";
 constexpr std::string_view serviceTarget = "service";
 
@@ -168,9 +166,9 @@
     upstream.port = static_cast<std::uint16_t>(reader.integer("port", std::nullopt, maxPort));
     upstream.dataCentre = reader.text("data_centre");
     upstream.zone = reader.text("zone", "");
-    const auto kind = reader.text("kind", durableKind);
-    upstream.kind = kind == cheapKind ? UpstreamKind::Cheap : UpstreamKind::Durable;
-    if (kind != cheapKind && kind != durableKind) {
+    const auto kind = reader.text("kind", describe(UpstreamKind::Durable));
+    upstream.kind = kind == describe(UpstreamKind::Cheap) ? UpstreamKind::Cheap : UpstreamKind::Durable;
+    if (kind != describe(upstream.kind)) {
         reader.addFault("kind", "a kind is \"durable\" or \"cheap\"");
     }
     upstream.slots = static_cast<std::uint32_t>(reader.integer("slots", upstream.slots, maxSlots));
@@ -189,7 +187,7 @@
             {"port", item.port},
             {"data_centre", item.dataCentre},
             {"zone", item.zone},
-            {"kind", item.kind == UpstreamKind::Cheap ? cheapKind : durableKind},
+            {"kind", describe(item.kind)},
             {"slots", item.slots},
             {"cost_per_hour", item.costPerHour},
             {"models", writeTexts(item.models)},
--- a/src/guavafield/protocol/records/order_codec.cpp
+++ b/src/guavafield/protocol/records/order_codec.cpp
@@ -8,11 +8,6 @@
 
 constexpr std::array<std::string_view, 3> orderStates{"issued", "done", "failed"};
 
-std::string_view kindName(UpstreamKind kind)
-{
-    return kind == UpstreamKind::Durable ? "durable" : "cheap";
-}
-
 boost::json::object encodeKind(const OrderKind &order)
 {
     if (const auto *model = std::get_if<ModelOrder>(&order)) {
@@ -22,7 +17,7 @@
         return {{"kind", "role"}, {"upstream", role->upstream}, {"role", role->role}};
     }
     const auto &fleet = std::get<FleetOrder>(order);
-    return {{"kind", fleet.start ? "start" : "return"}, {"upstream_kind", kindName(fleet.kind)}, {"count", fleet.count}};
+    return {{"kind", fleet.start ? "start" : "return"}, {"upstream_kind", describe(fleet.kind)}, {"count", fleet.count}};
 }
 
 OrderKind decodeKind(const boost::json::object &object)
@@ -35,10 +30,10 @@
         return RoleOrder{textField(object, "upstream"), textField(object, "role")};
     }
     const auto upstreamKind = textField(object, "upstream_kind");
-    if ((kind != "start" && kind != "return") || (upstreamKind != "durable" && upstreamKind != "cheap")) {
+    if ((kind != "start" && kind != "return") || (upstreamKind != describe(UpstreamKind::Durable) && upstreamKind != describe(UpstreamKind::Cheap))) {
         throw std::invalid_argument("unknown kind of order");
     }
-    const auto which = upstreamKind == "durable" ? UpstreamKind::Durable : UpstreamKind::Cheap;
+    const auto which = upstreamKind == describe(UpstreamKind::Durable) ? UpstreamKind::Durable : UpstreamKind::Cheap;
     return FleetOrder{kind == "start", which, numberField<std::uint32_t>(object, "count")};
 }
 
--- a/src/guavafield/state/configuration.hpp
+++ b/src/guavafield/state/configuration.hpp
@@ -153,6 +153,12 @@
     Cheap,
 };
 
+/*! @brief Returns the kind as records, configurations and logs write it. */
+[[nodiscard]] constexpr std::string_view describe(UpstreamKind kind) noexcept
+{
+    return kind == UpstreamKind::Cheap ? "cheap" : "durable";
+}
+
 /*! @brief A model engine or a plain service. */
 struct Upstream
 {
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -228,7 +228,7 @@
 {
     const auto version = std::to_string(mirror(DirectoryTable::Upstreams).content());
     const auto log = [&](const Upstream &it, std::string_view state) {
-        const auto kind = it.kind == UpstreamKind::Cheap ? "cheap" : "durable";
+        const auto kind = std::string(describe(it.kind));
         logEvent(LogLevel::Info,
                  "fleet:",
                  {},
--- a/src/guavafield/transport/fleet/duty_service.cpp
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -198,7 +198,7 @@
     const auto outcome = co_await m_dependencies.calls.orderUpstreams(*sender, size, internal::dutyCallTimeout);
     constexpr std::array<std::string_view, 3> names{"accepted", "unavailable", "failed"};
     std::string text = "upstreams ordered, pool=" + size.pool + " data_centre=" + size.dataCentre;
-    text += std::string(" kind=") + (size.kind == UpstreamKind::Cheap ? "cheap" : "durable") + " count=" + std::to_string(size.count);
+    text += " kind=" + std::string(describe(size.kind)) + " count=" + std::to_string(size.count);
     text += " fence=" + std::to_string(sender->fence) + " outcome=" + std::string(names[static_cast<std::size_t>(outcome)]);
     logEvent(LogLevel::Info, "order:", {}, text);
     m_plan.onOutcome(size, outcome, m_dependencies.clock.now());
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -102,14 +102,13 @@
     }
 }
 
-std::string ForwardRequest::endpointText(const UpstreamId &upstream) const
+std::string ForwardRequest::endpointText(const Configuration &configuration, const UpstreamId &upstream)
 {
-    const auto configuration = m_context->currentConfiguration();
-    const auto it = configuration->upstreams.find(upstream);
-    return it == configuration->upstreams.end() ? std::string() : it->second.address + ":" + std::to_string(it->second.port);
+    const auto it = configuration.upstreams.find(upstream);
+    return it == configuration.upstreams.end() ? std::string() : it->second.address + ":" + std::to_string(it->second.port);
 }
 
-ForwardAttemptPlan ForwardRequest::attemptPlan(const DispatchAction &dispatch, const Upstream &upstream) const
+ForwardAttemptPlan ForwardRequest::attemptPlan(const Configuration &configuration, const DispatchAction &dispatch, const Upstream &upstream) const
 {
     const auto &target = m_call.target;
     const auto left = timeLeft();
@@ -130,13 +129,12 @@
     }
     ForwardInstructions instructions{m_call.envelope, {}, dispatch.upstream, left, {}, {}, {}};
     instructions.team = m_plan.grant.team != nullptr ? std::string_view(m_plan.grant.team->id) : std::string_view();
-    const auto configuration = m_context->currentConfiguration();
-    const auto pool = configuration->pools.find(m_call.pool);
-    if (pool != configuration->pools.end() && pool->second.engine) {
+    const auto pool = configuration.pools.find(m_call.pool);
+    if (pool != configuration.pools.end() && pool->second.engine) {
         instructions.enginePriority = dispatch.enginePriority;
     }
     if (!dispatch.fetchFrom.empty()) {
-        instructions.fetchFrom = endpointText(dispatch.fetchFrom);
+        instructions.fetchFrom = endpointText(configuration, dispatch.fetchFrom);
     }
     instructions.resumeAfter = m_lastEvent;
     plan.request.method_string(m_plan.method);
@@ -159,7 +157,7 @@
         co_await failAttempt(failure);
         co_return;
     }
-    auto plan = attemptPlan(dispatch, it->second);
+    auto plan = attemptPlan(*configuration, dispatch, it->second);
     ++m_nextAttempt;
     std::string text = "dispatched, upstream=" + dispatch.upstream + " pool=" + m_call.pool + " route=" + m_call.route;
     text += " team=" + (m_plan.grant.team != nullptr ? m_plan.grant.team->id : std::string("-"));
--- a/src/guavafield/transport/http/forward_request.hpp
+++ b/src/guavafield/transport/http/forward_request.hpp
@@ -70,8 +70,8 @@
     [[nodiscard]] Awaitable on(KeyClosed &event);
 
     [[nodiscard]] Awaitable startAttempt(const DispatchAction &dispatch);
-    [[nodiscard]] ForwardAttemptPlan attemptPlan(const DispatchAction &dispatch, const Upstream &upstream) const;
-    [[nodiscard]] std::string endpointText(const UpstreamId &upstream) const;
+    [[nodiscard]] ForwardAttemptPlan attemptPlan(const Configuration &configuration, const DispatchAction &dispatch, const Upstream &upstream) const;
+    [[nodiscard]] static std::string endpointText(const Configuration &configuration, const UpstreamId &upstream);
     [[nodiscard]] Awaitable failAttempt(AttemptFailed failure);
     [[nodiscard]] Awaitable finishWith(ResultCode code, std::optional<Milliseconds> retryAfter = {});
     [[nodiscard]] Awaitable sendWhole(AnswerCompleted &event);
