Keep the work of peers as sums and look through tables only after changes

Cause: every report of a peer summed the work of all peers anew over a fresh index of all upstreams, and copied and compared all rows of both mirrored tables, although most reports change neither. With 84 hosts that is done 60 times a second on each of them. Both attempts at upstreams also held the same code for the delivery of events and the wait for a slow caller.

Ruled out: a summing on demand; there are about as many dispatches as reports.

Change: a report replaces what the same peer told before in sums kept at the upstreams; a mirror counts the changes of its rows, and the directory looks through the rows when the count moved or a lapsed entry is due; AttemptOutlet serves both attempts.

The new test of peers' work passes on the code before and after.

--- a/src/guavafield/coordination/fleet/fleet_directory.cpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.cpp
@@ -2,6 +2,7 @@
 #include <guavafield/coordination/fleet/fleet_directory.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace guavafield {
 
@@ -32,6 +33,9 @@
 
 bool FleetDirectory::updateDocument(const TableMirror &mirror)
 {
+    if (std::exchange(m_documentChanges, mirror.changes()) == mirror.changes()) {
+        return false;
+    }
     bool changed = false;
     for (const auto &row : mirror.rows()) {
         if (row.key != m_codec.documentKey || row.version <= m_documentVersion) {
@@ -60,7 +64,12 @@
 bool FleetDirectory::updateUpstreams(const TableMirror &mirror, SteadyTime now)
 {
     noticeOutage(mirror, now);
+    const bool rowsChanged = std::exchange(m_upstreamChanges, mirror.changes()) != mirror.changes();
+    if (!rowsChanged && (!m_wakeup || now < *m_wakeup)) {
+        return false;
+    }
     bool changed = false;
+    m_wakeup.reset();
     const auto rows = mirror.rows();
     for (const auto &row : rows) {
         changed |= takeEntry(row, now);
@@ -81,6 +90,7 @@
             changed |= known.upstream.has_value();
             it = m_upstreams.erase(it);
         } else {
+            m_wakeup = std::min(m_wakeup.value_or(*known.goneAt), *known.goneAt);
             ++it;
         }
     }
@@ -113,17 +123,6 @@
     return changed;
 }
 
-std::optional<SteadyTime> FleetDirectory::nextWakeup() const
-{
-    std::optional<SteadyTime> result;
-    for (const auto &[id, known] : m_upstreams) {
-        if (known.goneAt && (!result || *known.goneAt < *result)) {
-            result = known.goneAt;
-        }
-    }
-    return result;
-}
-
 std::vector<DirectoryFault> FleetDirectory::takeFaults()
 {
     return std::exchange(m_faults, {});
--- a/src/guavafield/coordination/fleet/fleet_directory.hpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.hpp
@@ -51,13 +51,16 @@
     explicit FleetDirectory(DirectoryCodec codec) : m_codec(std::move(codec)) { }
 
     /*!
-     * @brief Takes the tables as they are now.
+     * @brief Takes the tables as they are now; always the same two mirrors.
      * @return The new configuration; null if nothing changed or there is no document yet.
      */
     [[nodiscard]] std::shared_ptr<const Configuration> update(const TableMirror &document, const TableMirror &upstreams, SteadyTime now);
 
     /*! @brief Returns when update() has to be called without another change; empty if it need not. */
-    [[nodiscard]] std::optional<SteadyTime> nextWakeup() const;
+    [[nodiscard]] const std::optional<SteadyTime> &nextWakeup() const noexcept
+    {
+        return m_wakeup;
+    }
     /*! @brief Returns the rows that could not be used since the last call. */
     [[nodiscard]] std::vector<DirectoryFault> takeFaults();
 
@@ -80,6 +83,11 @@
     Configuration m_document;
     RowVersion m_documentVersion{0};
     StringMap<Known> m_upstreams;
+    // changes() of the tables when they were last looked through.
+    std::uint64_t m_documentChanges{0};
+    std::uint64_t m_upstreamChanges{0};
+    // The earliest goneAt.
+    std::optional<SteadyTime> m_wakeup;
     std::optional<SteadyTime> m_lastConfirmed;
     // The upstreams' table was read again after an outage.
     std::optional<SteadyTime> m_restored;
--- a/src/guavafield/coordination/fleet/table_mirror.cpp
+++ b/src/guavafield/coordination/fleet/table_mirror.cpp
@@ -25,6 +25,7 @@
         return false;
     }
     m_rows[row.key] = row;
+    ++m_changes;
     if (!row.value && hadValue) {
         remember(row.key);
     }
--- a/src/guavafield/coordination/fleet/table_mirror.hpp
+++ b/src/guavafield/coordination/fleet/table_mirror.hpp
@@ -73,6 +73,11 @@
     {
         return m_complete;
     }
+    /*! @brief Returns a number that rises with each change of a row. */
+    [[nodiscard]] std::uint64_t changes() const noexcept
+    {
+        return m_changes;
+    }
     /*! @brief Returns when the table was last known to have no other rows; empty before the first reading. */
     [[nodiscard]] std::optional<SteadyTime> confirmed() const noexcept
     {
@@ -92,6 +97,7 @@
     // Changes up to this version may be forgotten.
     RowVersion m_horizon{0};
     RowVersion m_content{0};
+    std::uint64_t m_changes{0};
     RowVersion m_complete{0};
     std::optional<SteadyTime> m_confirmed;
 };
--- a/src/guavafield/coordination/request/scheduler_checks.cpp
+++ b/src/guavafield/coordination/request/scheduler_checks.cpp
@@ -28,7 +28,7 @@
             checkOutliers(pool, now);
         }
     }
-    sumPeerWork(now);
+    dropSilentPeers(now);
     for (auto &[id, upstream] : m_upstreams) {
         upstream.adaptLimit(now);
     }
@@ -109,6 +109,7 @@
             for (auto &[id, entry] : m_requests) {
                 entry->home = entry->home == &it->second ? nullptr : entry->home;
             }
+            m_upstreamsByKey.erase(it->second.idHash);
             it = m_upstreams.erase(it);
         } else {
             ++it;
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler_core.cpp
@@ -89,7 +89,10 @@
         state.addedAt = now;
     }
     state.upstream = upstream;
-    state.idHash = workKey(upstream.id);
+    if (added) {
+        state.idHash = workKey(upstream.id);
+        countPeerWork(state);
+    }
     if (!upstream.pool.empty()) {
         state.leavesAt = upstream.leavesAt;
     }
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -12,7 +12,9 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <tuple>
+#include <unordered_map>
 
 namespace guavafield {
 
@@ -83,7 +85,10 @@
     void dispatchSelfQueueing(Pool &pool, SteadyTime now);
     void place(Pool &pool, RequestEntry &entry, const Placed &placed, SteadyTime now);
     [[nodiscard]] AttemptVerdict onSelfQueueingFailure(RequestEntry &entry, UpstreamState &upstream, const AttemptFailed &failure, SteadyTime now);
-    void sumPeerWork(SteadyTime now);
+    // Adds or takes away the work of one report at the upstreams.
+    void addPeerWork(std::span<const PeerWork> work, int sign);
+    void countPeerWork(UpstreamState &added);
+    void dropSilentPeers(SteadyTime now);
 
     // dispatch, in scheduler_dispatch.cpp
     void shedExpired(SteadyTime now);
@@ -136,8 +141,10 @@
         SteadyTime at{};
     };
 
-    // Latest report of each peer.
+    // Latest report of each peer; its work is part of the sums at the upstreams.
     StringMap<PeerWorkReport> m_peerWork;
+    // All upstreams by workKey().
+    std::unordered_map<std::uint64_t, UpstreamState *> m_upstreamsByKey;
     // Broken connections that the peers have not been told of.
     std::vector<Digest> m_newCrashes;
     std::uint64_t m_nextSequence{0};
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -22,6 +22,13 @@
 // A peer that was not heard for this long has died or is cut off; its work is unknown.
 constexpr Milliseconds peerWorkHolds{4'000};
 
+// All figures are whole numbers, so that what was added is taken away exactly.
+void add(UpstreamState &upstream, const PeerWork &work, int sign) noexcept
+{
+    upstream.peerWaitingTokens += sign * static_cast<double>(work.waitingTokens);
+    upstream.peerRunning += sign * static_cast<double>(work.running);
+}
+
 } // namespace internal
 
 void RequestScheduler::Impl::setFleetHosts(std::uint32_t hosts)
@@ -141,31 +148,46 @@
 
 void RequestScheduler::Impl::onPeerWork(std::string_view host, std::span<const PeerWork> work, SteadyTime now)
 {
+    dropSilentPeers(now);
     auto &report = m_peerWork[std::string(host)];
+    addPeerWork(report.work, -1);
     report.work.assign(work.begin(), work.end());
     report.at = now;
-    sumPeerWork(now);
+    addPeerWork(report.work, 1);
 }
 
-void RequestScheduler::Impl::sumPeerWork(SteadyTime now)
+void RequestScheduler::Impl::addPeerWork(std::span<const PeerWork> work, int sign)
 {
-    std::erase_if(m_peerWork, [now](const auto &it) { return now - it.second.at > internal::peerWorkHolds; });
-    std::map<std::uint64_t, UpstreamState *> byKey;
-    for (auto &[id, upstream] : m_upstreams) {
-        upstream.peerWaitingTokens = 0;
-        upstream.peerRunning = 0;
-        byKey[upstream.idHash] = &upstream;
+    for (const auto &it : work) {
+        if (const auto upstream = m_upstreamsByKey.find(it.upstream); upstream != m_upstreamsByKey.end()) {
+            internal::add(*upstream->second, it, sign);
+        }
     }
+}
+
+void RequestScheduler::Impl::countPeerWork(UpstreamState &added)
+{
+    m_upstreamsByKey[added.idHash] = &added;
     for (const auto &[host, report] : m_peerWork) {
-        for (const auto &work : report.work) {
-            if (const auto it = byKey.find(work.upstream); it != byKey.end()) {
-                it->second->peerWaitingTokens += work.waitingTokens;
-                it->second->peerRunning += work.running;
+        for (const auto &it : report.work) {
+            if (it.upstream == added.idHash) {
+                internal::add(added, it, 1);
             }
         }
     }
 }
 
+void RequestScheduler::Impl::dropSilentPeers(SteadyTime now)
+{
+    std::erase_if(m_peerWork, [&](const auto &it) {
+        const bool silent = now - it.second.at > internal::peerWorkHolds;
+        if (silent) {
+            addPeerWork(it.second.work, -1);
+        }
+        return silent;
+    });
+}
+
 StringMap<PoolLoad> RequestScheduler::Impl::poolLoads() const
 {
     StringMap<PoolLoad> result;
--- a/src/guavafield/transport/http/engine_attempt.cpp
+++ b/src/guavafield/transport/http/engine_attempt.cpp
@@ -7,8 +7,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 
@@ -34,10 +32,9 @@
 EngineAttempt::EngineAttempt(std::shared_ptr<PathContext> context, const asio::any_io_executor &strand, std::shared_ptr<Mailbox> mailbox, AttemptPlan plan)
     : m_context(std::move(context))
     , m_strand(strand)
-    , m_mailbox(std::move(mailbox))
     , m_plan(std::move(plan))
     , m_exchange(m_context->pool, strand, m_plan.endpoint, ExchangeTimes{m_context->settings.upstream.connectTime, m_context->settings.upstream.silenceTime})
-    , m_reader(strand)
+    , m_outlet(strand, std::move(mailbox))
     , m_incarnation(m_context->engines.incarnation(m_plan.upstream))
 {
 }
@@ -50,15 +47,8 @@
 
 void EngineAttempt::cancel()
 {
-    m_cancelled = true;
+    m_outlet.close();
     m_exchange.abort();
-    readOn();
-}
-
-void EngineAttempt::readOn()
-{
-    m_waitingForReader = false;
-    m_reader.cancel();
 }
 
 EngineAttempt::Awaitable EngineAttempt::run()
@@ -98,7 +88,7 @@
         co_return;
     }
     m_answerBegan = true;
-    deliver(AnswerStarted{m_plan.number, status, std::string(header[boost::beast::http::field::content_type])});
+    m_outlet.deliver(AnswerStarted{m_plan.number, status, std::string(header[boost::beast::http::field::content_type])});
     if (isStream) {
         co_await readStream();
     } else {
@@ -111,7 +101,7 @@
     SseParser parser;
     std::string piece;
     bool ended = false;
-    while (!ended && !m_cancelled) {
+    while (!ended && !m_outlet.closed()) {
         AnswerEvents batch{m_plan.number, {}};
         piece.clear();
         const auto result = co_await m_exchange.readSome(piece);
@@ -123,16 +113,14 @@
         ended = end != batch.events.end();
         batch.events.erase(end, batch.events.end());
         if (!batch.events.empty()) {
-            m_waitingForReader = true;
-            deliver(std::move(batch));
-            co_await waitForReader();
+            co_await m_outlet.deliverAndWait(std::move(batch));
         }
         if (!ended && (result != ExchangeResult::Ok || m_exchange.ended())) {
             co_await reportFailure(result == ExchangeResult::Ok ? ExchangeResult::Broken : result);
             co_return;
         }
     }
-    deliver(AnswerCompleted{m_plan.number, 200, {}, {}});
+    m_outlet.deliver(AnswerCompleted{m_plan.number, 200, {}, {}});
     co_await drainAfterEnd();
 }
 
@@ -167,16 +155,7 @@
             co_return;
         }
     }
-    deliver(std::move(answer));
-}
-
-EngineAttempt::Awaitable EngineAttempt::waitForReader()
-{
-    while (m_waitingForReader && !m_cancelled) {
-        m_reader.expires_at(SteadyTime::max());
-        boost::system::error_code ec;
-        co_await m_reader.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    }
+    m_outlet.deliver(std::move(answer));
 }
 
 EngineAttempt::Awaitable EngineAttempt::reportFailure(ExchangeResult result)
@@ -199,20 +178,13 @@
     }
 }
 
-void EngineAttempt::deliver(RequestEvent event)
-{
-    if (!m_cancelled) {
-        m_mailbox->deliver(std::move(event));
-    }
-}
-
 void EngineAttempt::deliverFailure(ResultCode code, RetryReason reason, bool crashed)
 {
     logEvent(LogLevel::Warning,
              "http:",
              m_plan.request["X-Request-Id"],
              "attempt " + std::to_string(m_plan.number) + " at upstream " + m_plan.upstream + " failed, " + std::string(describe(reason)));
-    deliver(AnswerFailed{m_plan.number, AttemptFailed{code, reason, crashed, false}});
+    m_outlet.deliver(AnswerFailed{m_plan.number, AttemptFailed{code, reason, crashed, false}});
 }
 
 } // namespace guavafield
--- a/src/guavafield/transport/http/engine_attempt.hpp
+++ b/src/guavafield/transport/http/engine_attempt.hpp
@@ -3,11 +3,9 @@
 
 #include <guavafield/protocol/chat/sse.hpp>
 #include <guavafield/state/configuration.hpp>
-#include <guavafield/transport/http/mailbox.hpp>
+#include <guavafield/transport/http/attempt_outlet.hpp>
 #include <guavafield/transport/http/upstream_exchange.hpp>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <memory>
 #include <string>
 
@@ -40,7 +38,10 @@
     /*! @brief Closes the connection, which cancels the request at the engine. */
     void cancel();
     /*! @brief Reads on after AnswerEvents; until then nothing is read, so that a slow caller slows the engine down. */
-    void readOn();
+    void readOn()
+    {
+        m_outlet.readOn();
+    }
 
     [[nodiscard]] std::uint32_t number() const noexcept
     {
@@ -64,21 +65,16 @@
     [[nodiscard]] Awaitable readStream();
     [[nodiscard]] Awaitable readWhole();
     [[nodiscard]] Awaitable drainAfterEnd();
-    [[nodiscard]] Awaitable waitForReader();
     [[nodiscard]] Awaitable reportFailure(ExchangeResult result);
-    void deliver(RequestEvent event);
     void deliverFailure(ResultCode code, RetryReason reason, bool crashed = false);
 
     std::shared_ptr<PathContext> m_context;
     boost::asio::any_io_executor m_strand;
-    std::shared_ptr<Mailbox> m_mailbox;
     AttemptPlan m_plan;
     UpstreamExchange m_exchange;
-    boost::asio::steady_timer m_reader;
+    AttemptOutlet m_outlet;
     // Process of the engine when the attempt began; 0 if it has not reported.
     Incarnation m_incarnation{0};
-    bool m_waitingForReader{false};
-    bool m_cancelled{false};
     bool m_answerBegan{false};
 };
 
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -8,8 +8,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
 
@@ -42,10 +40,9 @@
                                ForwardAttemptPlan plan)
     : m_context(std::move(context))
     , m_strand(strand)
-    , m_mailbox(std::move(mailbox))
     , m_plan(std::move(plan))
     , m_exchange(m_context->pool, strand, m_plan.endpoint, ExchangeTimes{m_context->settings.upstream.connectTime, m_plan.firstByteTime})
-    , m_reader(strand)
+    , m_outlet(strand, std::move(mailbox))
 {
 }
 
@@ -57,15 +54,8 @@
 
 void ForwardAttempt::cancel()
 {
-    m_cancelled = true;
+    m_outlet.close();
     m_exchange.abort();
-    readOn();
-}
-
-void ForwardAttempt::readOn()
-{
-    m_waitingForReader = false;
-    m_reader.cancel();
 }
 
 ForwardAttempt::Awaitable ForwardAttempt::run()
@@ -142,7 +132,7 @@
         co_return;
     }
     m_answerBegan = true;
-    deliver(AnswerHead{m_plan.number, status, endToEndHeaders(m_exchange.header())});
+    m_outlet.deliver(AnswerHead{m_plan.number, status, endToEndHeaders(m_exchange.header())});
     m_exchange.setSilence(m_plan.silenceTime);
     if (success && m_plan.stream) {
         co_await readStream();
@@ -156,7 +146,7 @@
     EventSplitter splitter;
     std::string piece;
     auto result = ExchangeResult::Ok;
-    while (result == ExchangeResult::Ok && !m_exchange.ended() && !m_cancelled) {
+    while (result == ExchangeResult::Ok && !m_exchange.ended() && !m_outlet.closed()) {
         AnswerEvents batch{m_plan.number, {}};
         piece.clear();
         result = co_await m_exchange.readSome(piece);
@@ -164,15 +154,13 @@
             result = ExchangeResult::Broken;
         }
         if (!batch.events.empty()) {
-            m_waitingForReader = true;
-            deliver(std::move(batch));
-            co_await waitForReader();
+            co_await m_outlet.deliverAndWait(std::move(batch));
         }
     }
     if (result != ExchangeResult::Ok || splitter.insideEvent()) {
         reportFailure(result == ExchangeResult::Ok ? ExchangeResult::Broken : result);
     } else {
-        deliver(AnswerCompleted{m_plan.number, m_exchange.header().result_int(), {}, {}});
+        m_outlet.deliver(AnswerCompleted{m_plan.number, m_exchange.header().result_int(), {}, {}});
     }
 }
 
@@ -189,21 +177,12 @@
         }
     }
     if (result == ExchangeResult::Ok) {
-        deliver(std::move(answer));
+        m_outlet.deliver(std::move(answer));
     } else {
         reportFailure(result);
     }
 }
 
-ForwardAttempt::Awaitable ForwardAttempt::waitForReader()
-{
-    while (m_waitingForReader && !m_cancelled) {
-        m_reader.expires_at(SteadyTime::max());
-        boost::system::error_code ec;
-        co_await m_reader.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    }
-}
-
 void ForwardAttempt::reportFailure(ExchangeResult result)
 {
     AttemptFailed failure{ResultCode::UpstreamIncomplete, RetryReason::AnswerIncomplete};
@@ -227,23 +206,16 @@
     }
 }
 
-void ForwardAttempt::deliver(RequestEvent event)
-{
-    if (!m_cancelled) {
-        m_mailbox->deliver(std::move(event));
-    }
-}
-
 void ForwardAttempt::deliverFailure(AttemptFailed failure, std::string_view cause)
 {
-    if (m_cancelled) {
+    if (m_outlet.closed()) {
         return;
     }
     std::string text = "attempt failed, cause=\"" + std::string(cause) + "\" upstream=" + m_plan.upstream;
     text += " attempt=" + std::to_string(m_plan.number) + " reason=" + std::string(describe(failure.reason));
     text += failure.notExecuted ? " executed=no" : " executed=unknown";
     logEvent(LogLevel::Warning, "http:", m_plan.id, text);
-    deliver(AnswerFailed{m_plan.number, failure});
+    m_outlet.deliver(AnswerFailed{m_plan.number, failure});
 }
 
 } // namespace guavafield
--- a/src/guavafield/transport/http/forward_attempt.hpp
+++ b/src/guavafield/transport/http/forward_attempt.hpp
@@ -2,11 +2,9 @@
 #pragma once
 
 #include <guavafield/state/configuration.hpp>
-#include <guavafield/transport/http/mailbox.hpp>
+#include <guavafield/transport/http/attempt_outlet.hpp>
 #include <guavafield/transport/http/upstream_exchange.hpp>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <memory>
 #include <string>
 
@@ -46,7 +44,10 @@
     /*! @brief Closes the connection, which cancels the request at the upstream. */
     void cancel();
     /*! @brief Reads on after AnswerEvents; until then nothing is read, so that a slow caller slows the upstream down. */
-    void readOn();
+    void readOn()
+    {
+        m_outlet.readOn();
+    }
 
     [[nodiscard]] std::uint32_t number() const noexcept
     {
@@ -72,19 +73,14 @@
     [[nodiscard]] Awaitable readAnswer(const AnswerFacts &facts);
     [[nodiscard]] Awaitable readStream();
     [[nodiscard]] Awaitable readWhole();
-    [[nodiscard]] Awaitable waitForReader();
     void reportFailure(ExchangeResult result);
-    void deliver(RequestEvent event);
     void deliverFailure(AttemptFailed failure, std::string_view cause);
 
     std::shared_ptr<PathContext> m_context;
     boost::asio::any_io_executor m_strand;
-    std::shared_ptr<Mailbox> m_mailbox;
     ForwardAttemptPlan m_plan;
     UpstreamExchange m_exchange;
-    boost::asio::steady_timer m_reader;
-    bool m_waitingForReader{false};
-    bool m_cancelled{false};
+    AttemptOutlet m_outlet;
     bool m_answerBegan{false};
 };
 
--- a/test/coordination/request/placement_test.cpp
+++ b/test/coordination/request/placement_test.cpp
@@ -122,6 +122,7 @@
     CPPUNIT_TEST(newOwnerCopiesFromTheOldOne);
     CPPUNIT_TEST(readingSpeedIsLearntFromTheFirstTokenOnly);
     CPPUNIT_TEST(peersWorkCounts);
+    CPPUNIT_TEST(peersWorkFollowsTheirReports);
     CPPUNIT_TEST(leavingUpstreamGetsNothing);
     CPPUNIT_TEST(retryGoesElsewhere);
     CPPUNIT_TEST(unrepeatableRequestIsNotSentAgain);
@@ -225,6 +226,31 @@
         CPPUNIT_ASSERT(host.scheduler.poolLoads().at("p").queueSeconds < 0.2);
     }
 
+    // Guards against work that stays counted after a newer report, is missed at an upstream that comes later, or outlives its host.
+    void peersWorkFollowsTheirReports()
+    {
+        Host host(1);
+        const auto running = [&] { return host.scheduler.poolLoads().at("p").running; };
+        const auto report = [&](std::string_view from, std::vector<PeerWork> work) { host.scheduler.onPeerWork(from, work, host.now); };
+        report("h2", {{workKey("u0"), 1'000, 3}, {workKey("u1"), 0, 4}});
+        report("h3", {{workKey("u1"), 0, 5}, {workKey("late"), 0, 7}});
+        CPPUNIT_ASSERT_EQUAL(12.0, running());
+        report("h2", {{workKey("u2"), 0, 2}});
+        CPPUNIT_ASSERT_EQUAL(7.0, running());
+        CPPUNIT_ASSERT_EQUAL(0.0, host.scheduler.poolLoads().at("p").queueSeconds);
+        host.addUpstream("late");
+        host.apply();
+        report("h4", {});
+        CPPUNIT_ASSERT_EQUAL(14.0, running());
+        host.configuration.upstreams.erase("u1");
+        host.apply();
+        report("h4", {});
+        CPPUNIT_ASSERT_EQUAL(9.0, running());
+        host.now += std::chrono::seconds{5};
+        report("h3", {{workKey("u1"), 0, 5}, {workKey("late"), 0, 1}});
+        CPPUNIT_ASSERT_EQUAL(1.0, running());
+    }
+
     // Guards against new work for an engine that will go away.
     void leavingUpstreamGetsNothing()
     {
