Report changes of the membership after the list of members holds them

Cause: the peer service called the hook for a changed member before it published the new list. Both wirings ask for the list in that hook, so lease candidates and the number of hosts that share a budget were one change behind until the next change. Ruled out: the membership itself, whose table holds the change before the action is returned.

The new test saw both changes, the arrival and the departure of a peer, missing from the list before, and none after.

Conclusion: the list is published before any hook runs.

--- a/src/guavafield/transport/peer/peer_service.cpp
+++ b/src/guavafield/transport/peer/peer_service.cpp
@@ -251,14 +251,13 @@
 
     void perform(const Membership::Actions &actions)
     {
-        bool changed = false;
+        // Hooks ask for the list, which holds the change by then.
+        if (std::ranges::any_of(actions, [](const auto &it) { return std::holds_alternative<MemberChanged>(it); })) {
+            publish();
+        }
         for (const auto &it : actions) {
-            changed = changed || std::holds_alternative<MemberChanged>(it);
             std::visit([this](const auto &action) { performOne(action); }, it);
         }
-        if (changed) {
-            publish();
-        }
     }
 
     std::optional<std::vector<std::uint8_t>> encode(const PeerMessage &message) const
--- a/test/transport/peer/peer_service_test.cpp
+++ b/test/transport/peer/peer_service_test.cpp
@@ -115,6 +115,7 @@
 {
     CPPUNIT_TEST_SUITE(PeerServiceTest);
     CPPUNIT_TEST(hostsFindEachOtherAndPassNewsOn);
+    CPPUNIT_TEST(listOfMembersHoldsTheChangeThatIsReported);
     CPPUNIT_TEST(strangersAreRejected);
     CPPUNIT_TEST(callsAreAnswered);
     CPPUNIT_TEST(callsNeedTheSecret);
@@ -151,6 +152,29 @@
         runUntil(io, [&] { return first.service.hostsInDataCentre() == 2 && second.service.hostsInDataCentre() == 2; });
     }
 
+    // Guards against lease candidates and shares that lag behind the membership by one change.
+    void listOfMembersHoldsTheChangeThatIsReported()
+    {
+        asio::io_context io;
+        int changes = 0;
+        int missing = 0;
+        const PeerService *service = nullptr;
+        PeerHooks hooks;
+        hooks.onMember = [&](const Member &changed) {
+            const auto members = service->members();
+            const auto listed = [&](const Member &it) { return it.id == changed.id && it.state == changed.state; };
+            ++changes;
+            missing += std::ranges::any_of(members, listed) ? 0 : 1;
+        };
+        Host first(io, "host-a", {}, hooks);
+        service = &first.service;
+        Host second(io, "host-b", {loopback(first.service.port())}, {});
+        runUntil(io, [&] { return changes >= 1; });
+        second.service.leave();
+        runUntil(io, [&] { return changes >= 2; });
+        CPPUNIT_ASSERT_EQUAL(0, missing);
+    }
+
     // Guards against datagrams without the secret that change the view of the fleet, or stop the service.
     void strangersAreRejected()
     {
