Pass changes of upstreams on through relays in large fleets

Cause: on the grown sites the host that reads the tables pushes changes only while they are below 250 KB for all hosts together; a burst of 50 changed entries is more, so that each of 74 hosts read it from the platform, several times while the burst lasted. A trial that logs each call counted 1,745 calls to the upstreams' feed in 26 s, of which 1,100 by hosts that were behind. Ruled out: the reader itself (93 calls), and paging of large tables (one call a host at its start).

The reader sends changes to about the square root of the number of hosts, which pass them on to a list that the report carries. Hosts with fast links become reader and relays first, since the reader's own calls timed out on a link of 10 Mbit/s; the setting [host] link_mbit says so.

--- a/apps/guavafieldd/machine_services.cpp
+++ b/apps/guavafieldd/machine_services.cpp
@@ -34,6 +34,8 @@
 constexpr std::size_t hostsAtFullRate = 12;
 // Broken requests are repeated to peers for this long, in case a report was lost.
 constexpr Milliseconds brokenRepeated{2'000};
+// Hosts with slower links neither read nor relay for others while there are better ones.
+constexpr double fastLinkMbit = 50;
 constexpr std::size_t maxBrokenInReport = 8;
 constexpr std::size_t maxBrokenPeers = 4'096;
 
@@ -96,6 +98,7 @@
     DirectoryDependencies dependencies{m_dependencies.executor,
                                        m_dependencies.clock,
                                        m_dependencies.settings.host.id,
+                                       slowLink(),
                                        platform::storeFeed(m_store),
                                        {std::string(platform::names::operatorTable), std::string(platform::names::serverTable)},
                                        platform::directoryCodec(KeyHasher(m_dependencies.settings.host.fleetSecret)),
@@ -205,11 +208,17 @@
     }
 }
 
+bool MachineServices::slowLink() const
+{
+    return m_dependencies.settings.host.linkMbit < internal::fastLinkMbit;
+}
+
 HostReport MachineServices::makeReport()
 {
     const auto now = m_dependencies.clock.now();
     HostReport report;
     report.wall = m_dependencies.clock.wallNow();
+    report.slowLink = slowLink();
     report.withoutPlatform = !m_directory->reachesPlatform();
     if (m_directory->known(DirectoryTable::Document)) {
         report.document = m_directory->knowledge(DirectoryTable::Document);
@@ -287,11 +296,11 @@
 
 void MachineServices::onReport(const Member &from, const HostReport &report)
 {
-    m_addresses.onHeard(from.id, from.address, m_dependencies.clock.now());
     m_directory->onReport(from, report);
     if (report.changesOnly) {
         return;
     }
+    m_addresses.onHeard(from.id, from.address, report.slowLink, m_dependencies.clock.now());
     if (m_duties) {
         m_duties->onReport(from.id, from.incarnation, report);
     }
--- a/apps/guavafieldd/machine_services.hpp
+++ b/apps/guavafieldd/machine_services.hpp
@@ -76,6 +76,7 @@
     [[nodiscard]] boost::asio::awaitable<void> readAddresses();
     void sendReport();
     void onReport(const Member &from, const HostReport &report);
+    [[nodiscard]] bool slowLink() const;
     void onMember();
     void start();
     [[nodiscard]] std::optional<std::string> unreadyReason() const;
--- a/src/guavafield/coordination/fleet/address_book.cpp
+++ b/src/guavafield/coordination/fleet/address_book.cpp
@@ -14,25 +14,27 @@
 
 void AddressBook::onRow(std::string_view host, const PeerAddress &address, SteadyTime now)
 {
-    const auto [it, added] = m_entries.try_emplace(std::string(host), Entry{address, now, false});
+    const auto [it, added] = m_entries.try_emplace(std::string(host), Entry{address, now});
     if (!added && it->second.address != address) {
-        it->second = Entry{address, now, false};
+        it->second = Entry{address, now};
     }
 }
 
-void AddressBook::onHeard(std::string_view host, const PeerAddress &address, SteadyTime now)
+void AddressBook::onHeard(std::string_view host, const PeerAddress &address, bool slowLink, SteadyTime now)
 {
-    m_entries[std::string(host)] = Entry{address, now, true};
+    m_entries[std::string(host)] = Entry{address, now, true, slowLink};
 }
 
 std::vector<PeerAddress> AddressBook::addresses(SteadyTime now) const
 {
     std::vector<PeerAddress> result;
+    std::vector<PeerAddress> others;
     for (const auto &[host, entry] : m_entries) {
         if (now - entry.at < internal::addressHolds) {
-            result.push_back(entry.address);
+            (entry.heard && !entry.slowLink ? result : others).push_back(entry.address);
         }
     }
+    result.insert(result.end(), others.begin(), others.end());
     return result;
 }
 
--- a/src/guavafield/coordination/fleet/address_book.hpp
+++ b/src/guavafield/coordination/fleet/address_book.hpp
@@ -21,9 +21,9 @@
     /*! @brief Takes a row of the hosts' table; a host that was dropped needs to be heard to come back. */
     void onRow(std::string_view host, const PeerAddress &address, SteadyTime now);
     /*! @brief Takes the address of a host that was heard. */
-    void onHeard(std::string_view host, const PeerAddress &address, SteadyTime now);
+    void onHeard(std::string_view host, const PeerAddress &address, bool slowLink, SteadyTime now);
 
-    /*! @brief Returns where reports go. */
+    /*! @brief Returns where reports go; hosts known to have fast links come first. */
     [[nodiscard]] std::vector<PeerAddress> addresses(SteadyTime now) const;
     /*! @brief Returns the number of hosts that were heard lately. */
     [[nodiscard]] std::size_t heard(SteadyTime now) const;
@@ -35,6 +35,7 @@
         // When it was heard, or learnt if it was not heard yet.
         SteadyTime at{};
         bool heard{false};
+        bool slowLink{false};
     };
 
     StringMap<Entry> m_entries;
--- a/src/guavafield/coordination/fleet/fwd.hpp
+++ b/src/guavafield/coordination/fleet/fwd.hpp
@@ -9,5 +9,6 @@
 class TableMirror;
 struct HostReport;
 struct MirroredRow;
+struct RelayGroup;
 
 } // namespace guavafield
--- a/src/guavafield/coordination/fleet/host_report.hpp
+++ b/src/guavafield/coordination/fleet/host_report.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <guavafield/coordination/fleet/table_mirror.hpp>
+#include <guavafield/coordination/membership/member.hpp>
 #include <guavafield/coordination/request/placement.hpp>
 #include <guavafield/state/types.hpp>
 
@@ -45,6 +46,10 @@
     std::optional<TableKnowledge> upstreams;
     // The sender cannot read the platform's tables, so that what it knows comes from others.
     bool withoutPlatform{false};
+    // The sender's network link is slow, so that others should work for the whole fleet.
+    bool slowLink{false};
+    // Hosts to which the receiver passes the report on.
+    std::vector<PeerAddress> relayTo;
     // Carries changes of the upstreams and nothing else.
     bool changesOnly{false};
     // Changes of the upstreams after a version; none is missing up to the version of the last one.
--- a/src/guavafield/protocol/peer/peer.capnp
+++ b/src/guavafield/protocol/peer/peer.capnp
@@ -84,6 +84,12 @@
   fingerprint @1 :Data;
 }
 
+struct Address {
+  high @0 :UInt64;
+  low @1 :UInt64;
+  port @2 :UInt16;
+}
+
 struct Row {
   key @0 :Text;
   version @1 :UInt64;
@@ -103,6 +109,8 @@
   changes @8 :List(Row);
   changesOnly @9 :Bool;
   withoutPlatform @10 :Bool;
+  slowLink @11 :Bool;
+  relayTo @12 :List(Address);
 }
 
 # The only capability of a new connection. Both sides prove that they know the fleet secret.
--- a/src/guavafield/protocol/peer/peer.capnp.h
+++ b/src/guavafield/protocol/peer/peer.capnp.h
@@ -29,6 +29,7 @@
 CAPNP_DECLARE_SCHEMA(8445350e9e7aaadf);
 CAPNP_DECLARE_SCHEMA(94a5b0fdbc3ef217);
 CAPNP_DECLARE_SCHEMA(e04ec931ccf94a03);
+CAPNP_DECLARE_SCHEMA(8e74c14ebc0254ca);
 CAPNP_DECLARE_SCHEMA(90e9c49b36e50190);
 CAPNP_DECLARE_SCHEMA(d3542986f6c278a7);
 CAPNP_DECLARE_SCHEMA(f36d4245383ee8d0);
@@ -200,6 +201,21 @@
   };
 };
 
+struct Address {
+  Address() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8e74c14ebc0254ca, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Row {
   Row() = delete;
 
@@ -223,7 +239,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 4, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1454,6 +1470,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class Address::Reader {
+public:
+  typedef Address Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHigh() const;
+
+  inline  ::uint64_t getLow() const;
+
+  inline  ::uint16_t getPort() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Address::Builder {
+public:
+  typedef Address Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHigh();
+  inline void setHigh( ::uint64_t value);
+
+  inline  ::uint64_t getLow();
+  inline void setLow( ::uint64_t value);
+
+  inline  ::uint16_t getPort();
+  inline void setPort( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Address::Pipeline {
+public:
+  typedef Address Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Row::Reader {
 public:
   typedef Row Reads;
@@ -1600,6 +1702,11 @@
 
   inline bool getWithoutPlatform() const;
 
+  inline bool getSlowLink() const;
+
+  inline bool hasRelayTo() const;
+  inline  ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>::Reader getRelayTo() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1685,6 +1792,16 @@
   inline bool getWithoutPlatform();
   inline void setWithoutPlatform(bool value);
 
+  inline bool getSlowLink();
+  inline void setSlowLink(bool value);
+
+  inline bool hasRelayTo();
+  inline  ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>::Builder getRelayTo();
+  inline void setRelayTo( ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>::Builder initRelayTo(unsigned int size);
+  inline void adoptRelayTo(::capnp::Orphan< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>> disownRelayTo();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3625,6 +3742,48 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Address::Reader::getHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Address::Builder::getHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Address::Builder::setHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Address::Reader::getLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Address::Builder::getLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Address::Builder::setLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Address::Reader::getPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Address::Builder::getPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Address::Builder::setPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Row::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4005,6 +4164,54 @@
       ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HostReport::Reader::getSlowLink() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+
+inline bool HostReport::Builder::getSlowLink() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+inline void HostReport::Builder::setSlowLink(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HostReport::Reader::hasRelayTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostReport::Builder::hasRelayTo() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>::Reader HostReport::Reader::getRelayTo() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::getRelayTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void HostReport::Builder::setRelayTo( ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::initRelayTo(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void HostReport::Builder::adoptRelayTo(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>> HostReport::Builder::disownRelayTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/guavafield/protocol/peer/peer_codec.cpp
+++ b/src/guavafield/protocol/peer/peer_codec.cpp
@@ -104,6 +104,13 @@
     write(report.upstreams, builder.initUpstreams());
     builder.setChangesOnly(report.changesOnly);
     builder.setWithoutPlatform(report.withoutPlatform);
+    builder.setSlowLink(report.slowLink);
+    auto relayTo = builder.initRelayTo(static_cast<unsigned>(report.relayTo.size()));
+    for (unsigned n = 0; n < relayTo.size(); ++n) {
+        relayTo[n].setHigh(report.relayTo[n].high);
+        relayTo[n].setLow(report.relayTo[n].low);
+        relayTo[n].setPort(report.relayTo[n].port);
+    }
     builder.setChangesAfter(report.changesAfter);
     auto changes = builder.initChanges(static_cast<unsigned>(report.changes.size()));
     for (unsigned n = 0; n < changes.size(); ++n) {
@@ -243,6 +250,10 @@
     report.upstreams = readKnowledge(reader.getUpstreams());
     report.changesOnly = reader.getChangesOnly();
     report.withoutPlatform = reader.getWithoutPlatform();
+    report.slowLink = reader.getSlowLink();
+    for (const auto it : limited(reader.getRelayTo())) {
+        report.relayTo.push_back({it.getHigh(), it.getLow(), it.getPort()});
+    }
     report.changesAfter = reader.getChangesAfter();
     for (const auto it : limited(reader.getChanges())) {
         const auto key = it.getKey();
--- a/src/guavafield/protocol/settings/daemon_settings.hpp
+++ b/src/guavafield/protocol/settings/daemon_settings.hpp
@@ -26,6 +26,7 @@
     DataCentreId dataCentre;
     std::string region;
     std::uint32_t threads{4};
+    double linkMbit{1'000};
     // Keys the digests of API keys and authenticates peers; from the settings or from a file.
     std::string fleetSecret;
     std::string fleetSecretFile;
--- a/src/guavafield/protocol/settings/settings_table.cpp
+++ b/src/guavafield/protocol/settings/settings_table.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint64_t maxPort = 65'535;
 // A day; a longer time is a slip of the unit.
 constexpr std::uint64_t maxMilliseconds = 86'400'000;
+constexpr double maxLinkMbit = 1e6;
 constexpr std::uint64_t mebibyte = std::uint64_t{1024} * 1024;
 constexpr std::array<std::string_view, 4> logLevelNames{"debug", "info", "warning", "error"};
 
@@ -173,6 +174,24 @@
     return {"shutdown", "grace_s", SettingKind::FractionalSeconds, "s", 0, 0, false, "time from SIGTERM to SIGKILL; sets the two other times", assign, format};
 }
 
+SettingInfo linkRow()
+{
+    const auto assign = [](DaemonSettings &settings, std::string_view value) {
+        return readNumber(value, settings.host.linkMbit) && settings.host.linkMbit > 0 && settings.host.linkMbit <= maxLinkMbit;
+    };
+    const auto format = [](const DaemonSettings &settings) { return std::to_string(static_cast<std::uint64_t>(settings.host.linkMbit)); };
+    return {"host",
+            "link_mbit",
+            SettingKind::PositiveNumber,
+            "Mbit/s",
+            0,
+            0,
+            false,
+            "speed of the network link; hosts with slow links leave work for the whole fleet to others",
+            assign,
+            format};
+}
+
 SettingInfo seedsRow()
 {
     const auto assign = [](DaemonSettings &settings, std::string_view value) {
@@ -215,6 +234,7 @@
         textRow("host", "data_centre", Identifier, true, "data centre of this host", GUAVAFIELD_MEMBER(host.dataCentre)),
         textRow("host", "region", Identifier, false, "region of the data centre", GUAVAFIELD_MEMBER(host.region)),
         integerRow("host", "threads", {}, 1, 64, "I/O threads", GUAVAFIELD_MEMBER(host.threads)),
+        linkRow(),
         textRow("host", "fleet_secret", Text, false, "secret of the fleet; either this or fleet_secret_file", GUAVAFIELD_MEMBER(host.fleetSecret)),
         textRow("host", "fleet_secret_file", Text, false, "file whose first line is the secret of the fleet", GUAVAFIELD_MEMBER(host.fleetSecretFile)),
         textRow("listen", "address", Address, false, "address of the listeners", GUAVAFIELD_MEMBER(listen.address)),
@@ -288,6 +308,8 @@
         return "own, machines";
     case SettingKind::FractionalSeconds:
         return "at least 1, fractions allowed";
+    case SettingKind::PositiveNumber:
+        return "above 0, fractions allowed";
     case SettingKind::LogLevel:
         return "debug, info, warning, error";
     case SettingKind::Integer:
--- a/src/guavafield/protocol/settings/settings_table.hpp
+++ b/src/guavafield/protocol/settings/settings_table.hpp
@@ -23,6 +23,8 @@
     Integer,
     // May have a fraction.
     FractionalSeconds,
+    // May have a fraction.
+    PositiveNumber,
     PlatformKind,
     Port,
     HexDigest,
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace guavafield {
@@ -27,11 +28,12 @@
 constexpr Milliseconds peerHeard{1'000};
 // Changes of upstreams are repeated in reports for this long, in case one was lost, and only while they are few.
 constexpr Milliseconds changesRepeated{700};
+constexpr Milliseconds changesRepeatedLargeFleet{300};
 constexpr std::size_t maxChangesBytes = 900;
-// More changes at once, as at the start of a fleet, are read by each host itself. A reader on a slow link that pushed them to a large fleet
-// would delay its own reading and the reports that tell the others that it reads.
-constexpr std::size_t maxPushedRows = 60;
-constexpr std::size_t maxPushedBytesToAll = 250'000;
+// More changes at once are read by each host itself. A reader on a slow link that pushed them would delay its own reading and the reports that
+// tell the others that it reads.
+constexpr std::size_t maxPushedRows = 160;
+constexpr std::size_t maxPushedBytes = 500'000;
 // A host that lacks a change waits this long for it to be pushed before it reads by itself.
 constexpr Milliseconds pushWait{150};
 constexpr std::size_t rowOverheadBytes = 24;
@@ -44,6 +46,12 @@
 // What an answer says was true a little before it arrived.
 constexpr Milliseconds answerDelay{20};
 
+// The first of the hosts reads for the others; those with fast links come first.
+std::pair<bool, std::uint64_t> readerOrder(bool slowLink, std::string_view host)
+{
+    return {slowLink, workKey(host)};
+}
+
 } // namespace internal
 
 DirectoryService::DirectoryService(DirectoryDependencies dependencies) : m_dependencies(std::move(dependencies)), m_directory(m_dependencies.codec) { }
@@ -81,14 +89,16 @@
         return false;
     }
     const auto now = m_dependencies.clock.now();
-    const auto own = workKey(m_dependencies.host);
-    return std::ranges::none_of(m_peers,
-                                [&](const auto &it) { return it.second.fresh && now - it.second.heard < internal::peerHeard && workKey(it.first) < own; });
+    const auto own = internal::readerOrder(m_dependencies.slowLink, m_dependencies.host);
+    return std::ranges::none_of(m_peers, [&](const auto &it) {
+        const auto &peer = it.second;
+        return peer.fresh && now - peer.heard < internal::peerHeard && internal::readerOrder(peer.slowLink, it.first) < own;
+    });
 }
 
 Milliseconds DirectoryService::feedWait() const
 {
-    return m_hosts > internal::hostsServedByOne ? internal::feedWaitLargeFleet : internal::feedWait;
+    return largeFleet() ? internal::feedWaitLargeFleet : internal::feedWait;
 }
 
 asio::awaitable<void> DirectoryService::follow(DirectoryTable table)
@@ -154,7 +164,7 @@
     if (table == DirectoryTable::Upstreams) {
         const auto now = m_dependencies.clock.now();
         m_recent.emplace_back(now, before);
-        while (now - m_recent.front().first > internal::changesRepeated) {
+        while (now - m_recent.front().first > changesRepeated()) {
             m_recent.pop_front();
         }
     }
@@ -164,10 +174,20 @@
     }
 }
 
+bool DirectoryService::largeFleet() const noexcept
+{
+    return m_hosts > internal::hostsServedByOne;
+}
+
+Milliseconds DirectoryService::changesRepeated() const noexcept
+{
+    return largeFleet() ? internal::changesRepeatedLargeFleet : internal::changesRepeated;
+}
+
 std::vector<HostReport> DirectoryService::changeReports() const
 {
     const auto now = m_dependencies.clock.now();
-    if (!reads() || m_recent.empty() || now - m_recent.back().first > internal::changesRepeated) {
+    if (!reads() || m_recent.empty() || now - m_recent.back().first > changesRepeated()) {
         return {};
     }
     const auto base = m_recent.front().second;
@@ -180,7 +200,9 @@
     for (const auto &it : changes) {
         allBytes += rowBytes(it);
     }
-    if (allBytes * m_hosts > internal::maxPushedBytesToAll) {
+    // A large fleet is reached through relays.
+    const auto copies = largeFleet() ? static_cast<std::size_t>(std::ceil(std::sqrt(m_hosts))) : m_hosts;
+    if (allBytes * copies > internal::maxPushedBytes) {
         return {};
     }
     std::ranges::sort(changes, {}, &MirroredRow::version);
@@ -270,7 +292,7 @@
     const auto now = m_dependencies.clock.now();
     const auto isFresh = [](const std::optional<TableKnowledge> &it) { return it && it->age < internal::staleAfter; };
     if (!report.changesOnly) {
-        m_peers[from.id] = Peer{now, !report.withoutPlatform && isFresh(report.document) && isFresh(report.upstreams)};
+        m_peers[from.id] = Peer{now, !report.withoutPlatform && isFresh(report.document) && isFresh(report.upstreams), report.slowLink};
     }
     std::erase_if(m_peers, [now](const auto &it) { return now - it.second.heard > internal::peerHeard; });
     auto &upstreams = mirror(DirectoryTable::Upstreams);
@@ -296,7 +318,7 @@
     if (!own.known() || knowledge->content > own.complete()) {
         auto &since = m_behindSince[static_cast<std::size_t>(table)];
         const auto now = m_dependencies.clock.now();
-        if (m_hosts > internal::hostsServedByOne && m_available[static_cast<std::size_t>(table)]) {
+        if (largeFleet() && m_available[static_cast<std::size_t>(table)]) {
             since = since.value_or(now);
             const auto patience = table == DirectoryTable::Upstreams ? internal::pushWait : Milliseconds{0};
             if (now - *since >= patience) {
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -34,6 +34,8 @@
     boost::asio::any_io_executor strand;
     const Clock &clock;
     HostId host;
+    // Hosts with fast links are preferred as readers.
+    bool slowLink{false};
     TableFeed feed;
     // Names of the tables, in the order of DirectoryTable.
     std::array<std::string, 2> tables;
@@ -90,6 +92,7 @@
         SteadyTime heard{};
         // Its knowledge is fresh, so that it can read for others.
         bool fresh{false};
+        bool slowLink{false};
     };
 
     // What was formatted last.
@@ -108,7 +111,9 @@
     {
         return m_mirrors[static_cast<std::size_t>(table)];
     }
+    [[nodiscard]] bool largeFleet() const noexcept;
     [[nodiscard]] Milliseconds feedWait() const;
+    [[nodiscard]] Milliseconds changesRepeated() const noexcept;
     [[nodiscard]] boost::asio::awaitable<void> follow(DirectoryTable table);
     [[nodiscard]] boost::asio::awaitable<void> fetchFrom(Member peer, DirectoryTable table);
     [[nodiscard]] boost::asio::awaitable<void> watchOutages();
--- a/src/guavafield/transport/peer/peer_service.cpp
+++ b/src/guavafield/transport/peer/peer_service.cpp
@@ -1,6 +1,7 @@
 // UDP endpoint and timer around the membership, on one strand.
 #include <guavafield/transport/peer/peer_service.hpp>
 
+#include <guavafield/coordination/fleet/relay_groups.hpp>
 #include <guavafield/protocol/peer/peer_codec.hpp>
 #include <guavafield/state/snapshot_cell.hpp>
 #include <guavafield/transport/log/log.hpp>
@@ -17,6 +18,9 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
+#include <span>
+#include <utility>
 
 namespace guavafield {
 
@@ -27,6 +31,10 @@
 namespace {
 
 constexpr Milliseconds providerInterval{1000};
+// Changes go to more hosts through relays, as some of them have many bytes.
+constexpr std::size_t maxDirectTargets = 16;
+// Time that a report may take to its relay, which the age of what it says grows by.
+constexpr Milliseconds relayDelay{30};
 // Tries to find a port that is free for UDP and TCP alike.
 constexpr int maxBindTries = 16;
 
@@ -126,11 +134,11 @@
     SnapshotCell<std::vector<Member>> members;
     std::atomic<std::uint32_t> hostsInDataCentre{1};
 
-    void postReport(HostReport report, std::vector<PeerAddress> further)
+    void postReport(HostReport report, std::vector<PeerAddress> first)
     {
-        asio::post(m_strand, [self = shared_from_this(), report = std::move(report), further = std::move(further)]() mutable {
+        asio::post(m_strand, [self = shared_from_this(), report = std::move(report), first = std::move(first)]() mutable {
             if (self->m_socket.is_open()) {
-                self->sendReport(std::move(report), std::move(further));
+                self->sendReport(std::move(report), first);
             }
         });
     }
@@ -167,6 +175,7 @@
             self.address = {from.high, from.low, self.address.port};
         }
         if (message.value->report) {
+            relay(*message.value->report);
             if (m_hooks.onReport) {
                 m_hooks.onReport(self, *message.value->report);
             }
@@ -175,26 +184,58 @@
         perform(m_membership.onMessage(*message.value, from, m_clock.now()));
     }
 
-    void sendReport(HostReport report, std::vector<PeerAddress> targets)
+    void sendReport(HostReport report, const std::vector<PeerAddress> &first)
     {
-        PeerMessage message;
-        message.kind = PeerMessageKind::Report;
-        message.self = m_membership.self();
-        message.report = std::move(report);
-        const auto datagram = encode(message);
-        if (!datagram) {
+        const auto targets = reportTargets(first);
+        if (!report.changesOnly || targets.size() <= maxDirectTargets) {
+            sendReportTo(std::move(report), targets);
             return;
         }
+        for (const auto &it : relayGroups(targets)) {
+            report.relayTo = it.others;
+            sendReportTo(report, std::array{it.relay});
+        }
+    }
+
+    std::vector<PeerAddress> reportTargets(const std::vector<PeerAddress> &first) const
+    {
+        std::vector<PeerAddress> targets;
+        std::set<PeerAddress> taken{m_membership.self().address};
+        const auto add = [&](const PeerAddress &it) {
+            if (taken.insert(it).second) {
+                targets.push_back(it);
+            }
+        };
+        std::ranges::for_each(first, add);
         for (const auto &[id, entry] : m_membership.table().entries()) {
             if (entry.member.state != MemberState::Dead) {
-                targets.push_back(entry.member.address);
+                add(entry.member.address);
             }
         }
-        std::ranges::sort(targets, {}, [](const PeerAddress &it) { return std::tuple(it.high, it.low, it.port); });
-        targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
-        std::erase(targets, message.self.address);
-        for (const auto &it : targets) {
-            sendTo(it, *datagram);
+        return targets;
+    }
+
+    void sendReportTo(HostReport report, std::span<const PeerAddress> targets)
+    {
+        PeerMessage message;
+        message.kind = PeerMessageKind::Report;
+        message.self = m_membership.self();
+        message.report = std::move(report);
+        if (const auto datagram = encode(message)) {
+            for (const auto &it : targets) {
+                sendTo(it, *datagram);
+            }
+        }
+    }
+
+    void relay(HostReport &report)
+    {
+        if (const auto targets = std::exchange(report.relayTo, {}); !targets.empty()) {
+            auto passedOn = report;
+            if (passedOn.upstreams) {
+                passedOn.upstreams->age += relayDelay;
+            }
+            sendReportTo(std::move(passedOn), targets);
         }
     }
 
@@ -406,9 +447,9 @@
     m_impl->post([record](Membership &membership, SteadyTime now) { return membership.announceCrash(record, now); });
 }
 
-void PeerService::sendReport(HostReport report, std::vector<PeerAddress> further)
+void PeerService::sendReport(HostReport report, std::vector<PeerAddress> first)
 {
-    m_impl->postReport(std::move(report), std::move(further));
+    m_impl->postReport(std::move(report), std::move(first));
 }
 
 void PeerService::leave()
--- a/src/guavafield/transport/peer/peer_service.hpp
+++ b/src/guavafield/transport/peer/peer_service.hpp
@@ -83,8 +83,11 @@
     void setSeeds(std::vector<PeerAddress> seeds);
     void announceWithdrawal(KeyId key);
     void announceCrash(CrashRecord record);
-    /*! @brief Sends a report to all members that are not dead and to further addresses. */
-    void sendReport(HostReport report, std::vector<PeerAddress> further);
+    /*!
+     * @brief Sends a report to all members that are not dead and to some addresses besides; changes reach a large fleet through relays.
+     * @param first Addresses in the order in which they are to become relays.
+     */
+    void sendReport(HostReport report, std::vector<PeerAddress> first);
     /*! @brief Announces that this host stops. */
     void leave();
     void onPlatformHosts(std::vector<PlatformHost> hosts);
--- a/test/protocol/peer/peer_codec_test.cpp
+++ b/test/protocol/peer/peer_codec_test.cpp
@@ -73,6 +73,10 @@
         HostReport made;
         made.wall = WallTime{std::chrono::microseconds{below(1ULL << 50U)}};
         made.reportedUpTo = word();
+        made.slowLink = below(2) == 0;
+        for (auto n = below(9); n > 0; --n) {
+            made.relayTo.push_back({word(), word(), static_cast<std::uint16_t>(below(65'536))});
+        }
         if (below(2) == 0) {
             made.document = TableKnowledge{word(), word(), Milliseconds(below(60'000))};
         }
--- a/test/transport/peer/peer_service_test.cpp
+++ b/test/transport/peer/peer_service_test.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace guavafield {
@@ -116,6 +117,7 @@
     CPPUNIT_TEST_SUITE(PeerServiceTest);
     CPPUNIT_TEST(hostsFindEachOtherAndPassNewsOn);
     CPPUNIT_TEST(listOfMembersHoldsTheChangeThatIsReported);
+    CPPUNIT_TEST(changesReachManyHostsThroughRelays);
     CPPUNIT_TEST(strangersAreRejected);
     CPPUNIT_TEST(callsAreAnswered);
     CPPUNIT_TEST(callsNeedTheSecret);
@@ -175,6 +177,30 @@
         CPPUNIT_ASSERT_EQUAL(0, missing);
     }
 
+    // Guards against a host that sends many changes to each of many others, and against hosts that a relay leaves out.
+    void changesReachManyHostsThroughRelays()
+    {
+        constexpr int peers = 30;
+        asio::io_context io;
+        Host sender(io, "sender", {}, {});
+        std::vector<int> heard(peers, 0);
+        std::vector<std::unique_ptr<Host>> others;
+        std::vector<PeerAddress> addresses;
+        for (int n = 0; n < peers; ++n) {
+            PeerHooks hooks;
+            hooks.onReport = [&heard, n](const Member &, const HostReport &report) { heard[n] += report.changes.size() == 1 ? 1 : 0; };
+            others.push_back(std::make_unique<Host>(io, "host-" + std::to_string(n), std::vector<PeerAddress>{}, hooks));
+            addresses.push_back(loopback(others.back()->service.port()));
+        }
+        HostReport report;
+        report.changesOnly = true;
+        report.upstreams = TableKnowledge{1, 1, Milliseconds{5}};
+        report.changes.push_back({"upstream", 1, "entry"});
+        sender.service.sendReport(report, addresses);
+        runUntil(io, [&] { return std::ranges::all_of(heard, [](int it) { return it == 1; }); });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, sender.counters.value(CounterId::PeerDatagramsSent));
+    }
+
     // Guards against datagrams without the secret that change the view of the fleet, or stop the service.
     void strangersAreRejected()
     {
