Read the lease, the addresses and stale tables with fewer hosts

Ruled out: failures of the platform, which only the reader saw (12 readings).

Reports say who holds the lease of the duties, and a host that hears it does not read the row; the first step waits until hosts know each other. The table of hosts is read once after the own row is written: of two hosts the later one finds the other and reports to it. In a large fleet only the first three hosts in the order of readers read at one second, the others at 1.5 s. The feed waits 600 ms in large fleets too.

--- a/apps/guavafieldd/machine_services.cpp
+++ b/apps/guavafieldd/machine_services.cpp
@@ -27,7 +27,7 @@
 
 // Table with the peer address of each host.
 constexpr std::string_view hostTable = "hosts";
-constexpr Milliseconds firstAddressReading{700};
+constexpr Milliseconds firstAddressReading{1'000};
 constexpr Milliseconds addressInterval{60'000};
 constexpr Milliseconds reportInterval{200};
 // Up to this number of hosts, every host reports at each interval.
@@ -242,6 +242,7 @@
         m_duties->onOwnTime(report.wall);
         report.windows = m_duties->ownCounts();
         report.reportedUpTo = m_duties->reportedUpTo();
+        report.dutyFence = m_duties->fence();
     }
     return report;
 }
@@ -265,12 +266,12 @@
     co_return std::holds_alternative<TransactionCommitted>(reply);
 }
 
-asio::awaitable<void> MachineServices::readAddresses()
+asio::awaitable<bool> MachineServices::readAddresses()
 {
     const auto reply = co_await platform::storeFeed(m_store).readAll(std::string(internal::hostTable));
     const auto *page = std::get_if<TablePage>(&reply);
     if (page == nullptr) {
-        co_return;
+        co_return false;
     }
     const auto now = m_dependencies.clock.now();
     for (const auto &row : page->rows) {
@@ -279,18 +280,18 @@
             m_addresses.onRow(row.key, peerAddresses(addresses).front(), now);
         }
     }
+    co_return true;
 }
 
 asio::awaitable<void> MachineServices::registerHost()
 {
+    // Of two hosts, the one that reads after the other has written reports to it, and is heard from then on.
     bool written = false;
-    // The first readings are close to each other, since all hosts of a fleet may start at once.
-    for (auto pause = internal::firstAddressReading; !m_stopped; pause = std::min(pause * 3, internal::addressInterval)) {
-        if (!written) {
-            written = co_await writeAddress();
-        }
-        co_await sleepFor(pause);
-        co_await readAddresses();
+    bool read = false;
+    while (!m_stopped) {
+        written = written || co_await writeAddress();
+        co_await sleepFor(read ? internal::addressInterval : internal::firstAddressReading);
+        read = co_await readAddresses() && written;
     }
 }
 
--- a/apps/guavafieldd/machine_services.hpp
+++ b/apps/guavafieldd/machine_services.hpp
@@ -73,7 +73,7 @@
     // Writes this host's address into the hosts' table and reads those of the others.
     [[nodiscard]] boost::asio::awaitable<void> registerHost();
     [[nodiscard]] boost::asio::awaitable<bool> writeAddress();
-    [[nodiscard]] boost::asio::awaitable<void> readAddresses();
+    [[nodiscard]] boost::asio::awaitable<bool> readAddresses();
     void sendReport();
     void onReport(const Member &from, const HostReport &report);
     [[nodiscard]] bool slowLink() const;
--- a/src/guavafield/coordination/fleet/host_report.hpp
+++ b/src/guavafield/coordination/fleet/host_report.hpp
@@ -57,6 +57,8 @@
     std::vector<MirroredRow> changes;
     std::vector<PeerWork> work;
     std::vector<WindowCounts> windows;
+    // Under which the sender holds the lease of the duties; 0: it does not hold it.
+    Fence dutyFence{0};
     // All billing windows up to this one are reported to the platform, as far as the sender knows.
     std::uint64_t reportedUpTo{0};
     // Those of the last few seconds.
--- a/src/guavafield/coordination/lease/lease_keeper.cpp
+++ b/src/guavafield/coordination/lease/lease_keeper.cpp
@@ -137,10 +137,35 @@
     return m_record.holder == m_settings.self;
 }
 
+void LeaseKeeper::onHolderHeard(std::string_view holder, Fence fence, SteadyTime now)
+{
+    if (fence >= m_record.fence) {
+        m_heardHolder = holder;
+        m_holderHeard = now;
+    }
+}
+
+void LeaseKeeper::onNoHolder(std::string_view host) noexcept
+{
+    if (m_holderHeard && host == m_heardHolder) {
+        m_holderHeard.reset();
+        m_lastRead = {};
+    }
+}
+
+bool LeaseKeeper::holderHeard(SteadyTime now) const noexcept
+{
+    return m_holderHeard && now < *m_holderHeard + m_settings.term;
+}
+
 SteadyTime LeaseKeeper::takeOverDue() const noexcept
 {
     const auto term = m_record.holder ? m_record.term * (100 + internal::driftPercent) / 100 : Milliseconds{0};
-    return m_unchangedSince + term + m_settings.staggerStep * m_rank;
+    auto due = m_unchangedSince + term;
+    if (m_holderHeard) {
+        due = std::max(due, *m_holderHeard + m_settings.term);
+    }
+    return due + m_settings.staggerStep * m_rank;
 }
 
 std::vector<LeaseAction> LeaseKeeper::advance(SteadyTime now)
@@ -210,7 +235,7 @@
     if (now >= due && m_lastRead >= due) {
         return takeOver(now);
     }
-    const bool pollDue = m_rank < internal::closeRanks && now >= m_lastRead + m_settings.renewEvery;
+    const bool pollDue = m_rank < internal::closeRanks && !holderHeard(now) && now >= m_lastRead + m_settings.renewEvery;
     if (pollDue || now >= due) {
         return read(now);
     }
--- a/src/guavafield/coordination/lease/lease_keeper.hpp
+++ b/src/guavafield/coordination/lease/lease_keeper.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -25,6 +26,8 @@
     Milliseconds retryEvery{1'000};
     // Whether earlier holders are kept on record until they have released; needed for SendRule::HolderAndReleased.
     bool recordsUnreleased{true};
+    // Time before the driver's first step, in which the hosts may learn of each other and of the holder.
+    Milliseconds firstStep{0};
     // Extra wait per rank, so that a lapse is followed by one attempt and not by one of each host.
     Milliseconds staggerStep{500};
 };
@@ -71,6 +74,10 @@
 
     /*! @brief Sets the position among the candidates, see candidateRank(). */
     void setRank(std::uint32_t rank) noexcept;
+    /*! @brief Another host says that it holds the lease; as long as it does, this host need not read the row. */
+    void onHolderHeard(std::string_view holder, Fence fence, SteadyTime now);
+    /*! @brief A host says that it does not hold the lease. */
+    void onNoHolder(std::string_view host) noexcept;
     /*! @brief An operator confirms that this life of a host will never send again. */
     void confirmGone(const LeaseHolder &holder);
     /*! @brief Stops renewing and releases the lease as soon as no send is in progress. */
@@ -99,6 +106,7 @@
 private:
     [[nodiscard]] bool holds(SteadyTime now) const noexcept;
     [[nodiscard]] bool rowIsOwn() const noexcept;
+    [[nodiscard]] bool holderHeard(SteadyTime now) const noexcept;
     [[nodiscard]] SteadyTime takeOverDue() const noexcept;
     [[nodiscard]] std::vector<LeaseAction> advance(SteadyTime now);
     [[nodiscard]] std::optional<LeaseAction> nextOperation(SteadyTime now);
@@ -127,6 +135,10 @@
     // When this host first saw the row's present holder and renewal.
     SteadyTime m_unchangedSince{};
 
+    // The host that said last that it holds the lease, and when.
+    HostId m_heardHolder;
+    std::optional<SteadyTime> m_holderHeard;
+
     // Renewals sent and not yet known to have failed, with the time before they were sent.
     std::map<std::string, SteadyTime> m_attempts;
     std::uint64_t m_lastId{0};
--- a/src/guavafield/protocol/peer/peer.capnp
+++ b/src/guavafield/protocol/peer/peer.capnp
@@ -111,6 +111,7 @@
   withoutPlatform @10 :Bool;
   slowLink @11 :Bool;
   relayTo @12 :List(Address);
+  dutyFence @13 :UInt64;
 }
 
 # The only capability of a new connection. Both sides prove that they know the fleet secret.
--- a/src/guavafield/protocol/peer/peer.capnp.h
+++ b/src/guavafield/protocol/peer/peer.capnp.h
@@ -239,7 +239,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 5, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1707,6 +1707,8 @@
   inline bool hasRelayTo() const;
   inline  ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>::Reader getRelayTo() const;
 
+  inline  ::uint64_t getDutyFence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1802,6 +1804,9 @@
   inline void adoptRelayTo(::capnp::Orphan< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::Address,  ::capnp::Kind::STRUCT>> disownRelayTo();
 
+  inline  ::uint64_t getDutyFence();
+  inline void setDutyFence( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4212,6 +4217,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t HostReport::Reader::getDutyFence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostReport::Builder::getDutyFence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void HostReport::Builder::setDutyFence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/guavafield/protocol/peer/peer_codec.cpp
+++ b/src/guavafield/protocol/peer/peer_codec.cpp
@@ -105,6 +105,7 @@
     builder.setChangesOnly(report.changesOnly);
     builder.setWithoutPlatform(report.withoutPlatform);
     builder.setSlowLink(report.slowLink);
+    builder.setDutyFence(report.dutyFence);
     auto relayTo = builder.initRelayTo(static_cast<unsigned>(report.relayTo.size()));
     for (unsigned n = 0; n < relayTo.size(); ++n) {
         relayTo[n].setHigh(report.relayTo[n].high);
@@ -251,6 +252,7 @@
     report.changesOnly = reader.getChangesOnly();
     report.withoutPlatform = reader.getWithoutPlatform();
     report.slowLink = reader.getSlowLink();
+    report.dutyFence = reader.getDutyFence();
     for (const auto it : limited(reader.getRelayTo())) {
         report.relayTo.push_back({it.getHigh(), it.getLow(), it.getPort()});
     }
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -20,12 +20,15 @@
 
 // How long a call waits for a change; bounds how old the knowledge gets while nothing changes.
 constexpr Milliseconds feedWait{600};
-// In a large fleet a lost report would make many hosts read at once, so that the reader confirms its knowledge more often.
-constexpr Milliseconds feedWaitLargeFleet{350};
 // A host whose knowledge is older reads for itself.
 constexpr Milliseconds staleAfter{1'000};
+// In a large fleet only the first hosts in the order of readers do so at that age, so that the others hear of their readings in time.
+constexpr Milliseconds staleAfterLargeFleet{1'500};
+constexpr std::ptrdiff_t firstReaders = 3;
 // A peer that was not heard for this long does not read for others.
 constexpr Milliseconds peerHeard{1'000};
+// A peer that was not heard for this long does not count among the readers.
+constexpr Milliseconds peerRemembered{3'000};
 // Changes of upstreams are repeated in reports for this long, in case one was lost, and only while they are few.
 constexpr Milliseconds changesRepeated{700};
 constexpr Milliseconds changesRepeatedLargeFleet{300};
@@ -96,9 +99,11 @@
     });
 }
 
-Milliseconds DirectoryService::feedWait() const
+Milliseconds DirectoryService::staleAfter() const
 {
-    return largeFleet() ? internal::feedWaitLargeFleet : internal::feedWait;
+    const auto own = internal::readerOrder(m_dependencies.slowLink, m_dependencies.host);
+    const auto before = std::ranges::count_if(m_peers, [&](const auto &it) { return internal::readerOrder(it.second.slowLink, it.first) < own; });
+    return largeFleet() && before >= internal::firstReaders ? internal::staleAfterLargeFleet : internal::staleAfter;
 }
 
 asio::awaitable<void> DirectoryService::follow(DirectoryTable table)
@@ -111,13 +116,13 @@
         const bool reader = mirror(table).known() && reads();
         const bool behind = std::exchange(m_behind[index], false);
         const bool tryAgain = !m_available[index] && m_dependencies.clock.now() >= m_tryAt[index];
-        if (mirror(table).known() && !reader && !behind && !tryAgain && known.age < internal::staleAfter) {
+        if (mirror(table).known() && !reader && !behind && !tryAgain && known.age < staleAfter()) {
             co_await sleepFor(internal::idleStep);
             continue;
         }
         whole = whole || !mirror(table).known();
-        auto call =
-            whole ? m_dependencies.feed.readAll(name) : m_dependencies.feed.follow(name, mirror(table).complete(), reader ? feedWait() : Milliseconds{0});
+        auto call = whole ? m_dependencies.feed.readAll(name)
+                          : m_dependencies.feed.follow(name, mirror(table).complete(), reader ? internal::feedWait : Milliseconds{0});
         auto reply = co_await std::move(call);
         const bool gap = std::holds_alternative<TableGap>(reply);
         const auto *failure = std::get_if<TableUnavailable>(&reply);
@@ -294,7 +299,7 @@
     if (!report.changesOnly) {
         m_peers[from.id] = Peer{now, !report.withoutPlatform && isFresh(report.document) && isFresh(report.upstreams), report.slowLink};
     }
-    std::erase_if(m_peers, [now](const auto &it) { return now - it.second.heard > internal::peerHeard; });
+    std::erase_if(m_peers, [now](const auto &it) { return now - it.second.heard > internal::peerRemembered; });
     auto &upstreams = mirror(DirectoryTable::Upstreams);
     const bool pushed = upstreams.known() && !report.changes.empty() && report.upstreams && upstreams.complete() >= report.changesAfter
         && report.upstreams->content > upstreams.complete();
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -112,7 +112,8 @@
         return m_mirrors[static_cast<std::size_t>(table)];
     }
     [[nodiscard]] bool largeFleet() const noexcept;
-    [[nodiscard]] Milliseconds feedWait() const;
+    // Age of the knowledge from which this host reads for itself.
+    [[nodiscard]] Milliseconds staleAfter() const;
     [[nodiscard]] Milliseconds changesRepeated() const noexcept;
     [[nodiscard]] boost::asio::awaitable<void> follow(DirectoryTable table);
     [[nodiscard]] boost::asio::awaitable<void> fetchFrom(Member peer, DirectoryTable table);
--- a/src/guavafield/transport/fleet/duty_service.cpp
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds leaseTerm{2'500};
 constexpr Milliseconds leaseRenewal{800};
 constexpr Milliseconds leaseRetry{400};
+// Gossip knows the hosts by then.
+constexpr Milliseconds leaseFirstStep{1'000};
 constexpr std::string_view sealTable = "sealed";
 // Seals stay for longer than any host looks back.
 constexpr BillingWindow keptSeals = 200;
@@ -43,6 +45,7 @@
     settings.renewEvery = leaseRenewal;
     settings.retryEvery = leaseRetry;
     settings.recordsUnreleased = false;
+    settings.firstStep = leaseFirstStep;
     return settings;
 }
 
@@ -77,6 +80,11 @@
     m_time.onHost(host, report.wall, m_dependencies.clock.now());
     m_ledger.onReport(std::string(host) + "/" + std::to_string(incarnation), report.windows);
     m_reporter.onReportedUpTo(report.reportedUpTo);
+    if (report.dutyFence != 0) {
+        m_lease->keeper().onHolderHeard(host, report.dutyFence, m_dependencies.clock.now());
+    } else {
+        m_lease->keeper().onNoHolder(host);
+    }
 }
 
 void DutyService::onOwnTime(WallTime wall)
--- a/src/guavafield/transport/fleet/duty_service.hpp
+++ b/src/guavafield/transport/fleet/duty_service.hpp
@@ -73,6 +73,11 @@
     /*! @brief Counts a request that an upstream began to run. */
     void onStarted(const TeamId &team);
     [[nodiscard]] std::vector<WindowCounts> ownCounts();
+    /*! @brief Returns the fence under which this host holds the lease; 0 if it does not. */
+    [[nodiscard]] Fence fence() const noexcept
+    {
+        return m_lease->keeper().fence(m_dependencies.clock.now()).value_or(0);
+    }
     /*! @brief Returns the window up to which all are reported, as far as known. */
     [[nodiscard]] BillingWindow reportedUpTo() const noexcept
     {
--- a/test/coordination/lease/lease_keeper_test.cpp
+++ b/test/coordination/lease/lease_keeper_test.cpp
@@ -21,6 +21,9 @@
     CPPUNIT_TEST(goneHostLeavesTheList);
     CPPUNIT_TEST(operatorEmptiesTheList);
     CPPUNIT_TEST(gracefulStopHandsOverAtOnce);
+    CPPUNIT_TEST(heardHolderSavesReadings);
+    CPPUNIT_TEST(silentHolderIsReplaced);
+    CPPUNIT_TEST(releaseThatIsHeardIsFollowedAtOnce);
     CPPUNIT_TEST(malformedRowIsNotTakenOver);
     CPPUNIT_TEST(ranksAreDistinct);
     CPPUNIT_TEST_SUITE_END();
@@ -123,6 +126,52 @@
         CPPUNIT_ASSERT(world.keeper(1).mayOrderUnchecked(world.now(1)));
     }
 
+    // Guards against candidates whose readings of the row grow with the number of hosts.
+    void heardHolderSavesReadings()
+    {
+        LeaseWorld world({1.0, 1.0});
+        world.pump(0);
+        world.pump(1);
+        for (int n = 0; n < 60; ++n) {
+            world.advance(Milliseconds{1'000});
+            world.pump(0);
+            world.keeper(1).onHolderHeard("host-0", *world.keeper(0).fence(world.now(0)), world.now(1));
+            CPPUNIT_ASSERT(world.keeper(1).step(world.now(1)).empty());
+        }
+    }
+
+    // Guards against a lease that nobody takes after its holder, or a host that only claimed to hold it, has gone silent.
+    void silentHolderIsReplaced()
+    {
+        LeaseWorld world({1.0, 1.0});
+        world.pump(0);
+        world.keeper(1).onHolderHeard("host-0", 1, world.now(1));
+        for (int n = 0; n < 24; ++n) {
+            world.advance(Milliseconds{1'000});
+            world.pump(1);
+        }
+        CPPUNIT_ASSERT(world.keeper(1).fence(world.now(1)) == Fence{2});
+        CPPUNIT_ASSERT(world.faults.empty());
+    }
+
+    // Guards against a planned stop that costs the others the time for which they trust in what they heard.
+    void releaseThatIsHeardIsFollowedAtOnce()
+    {
+        LeaseWorld world({1.0, 1.0});
+        world.pump(0);
+        world.pump(1);
+        world.keeper(1).onHolderHeard("host-0", 1, world.now(1));
+        world.stop(0);
+        world.pump(0);
+        world.keeper(1).onNoHolder("host-7");
+        world.pump(1);
+        CPPUNIT_ASSERT(!world.keeper(1).fence(world.now(1)));
+        world.keeper(1).onNoHolder("host-0");
+        world.advance(Milliseconds{600});
+        world.pump(1);
+        CPPUNIT_ASSERT(world.keeper(1).fence(world.now(1)) == Fence{2});
+    }
+
     // Guards against overwriting a row that this version cannot read.
     void malformedRowIsNotTakenOver()
     {
--- a/test/protocol/peer/peer_codec_test.cpp
+++ b/test/protocol/peer/peer_codec_test.cpp
@@ -74,6 +74,7 @@
         made.wall = WallTime{std::chrono::microseconds{below(1ULL << 50U)}};
         made.reportedUpTo = word();
         made.slowLink = below(2) == 0;
+        made.dutyFence = word();
         for (auto n = below(9); n > 0; --n) {
             made.relayTo.push_back({word(), word(), static_cast<std::uint16_t>(below(65'536))});
         }
