Count a host as behind only while it makes no progress

Cause: a host of a large fleet that took each pushed change was still behind by one version whenever the next report came, while upstreams started one after the other, and read the table from the platform each 250 ms. The log of one host shows readings at versions one to three behind the reader's. Ruled out: lost pushes and the bound on pushed bytes, which only the burst of 140 entries at once reached.

The wait counts from the change that the host lacks, is 400 ms, and starts again once that change has come. The reader takes changes that come within 50 ms together and pushes more at once when its link is fast.

--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -35,14 +35,17 @@
 constexpr std::size_t maxChangesBytes = 900;
 // More changes at once are read by each host itself. A reader on a slow link that pushed them would delay its own reading and the reports that
 // tell the others that it reads.
-constexpr std::size_t maxPushedRows = 160;
-constexpr std::size_t maxPushedBytes = 500'000;
+constexpr std::size_t maxPushedRows = 400;
+constexpr std::size_t maxPushedBytes = 1'500'000;
+constexpr std::size_t maxPushedBytesSlowLink = 250'000;
 // A host that lacks a change waits this long for it to be pushed before it reads by itself.
-constexpr Milliseconds pushWait{150};
+constexpr Milliseconds pushWait{400};
 constexpr std::size_t rowOverheadBytes = 24;
 // A reader serves the changes to so many peers by itself.
 constexpr std::size_t hostsServedByOne = 16;
 constexpr Milliseconds idleStep{50};
+// Entries that change one after the other, as when many upstreams start, are read and pushed together.
+constexpr Milliseconds changePause{50};
 constexpr Milliseconds retryPause{250};
 // A host that follows its peers tries the platform again at this interval after a failure, so that it can read for others again.
 constexpr Milliseconds tryInterval{1'500};
@@ -138,6 +141,8 @@
         }
         if (failed || (!reader && !gap)) {
             co_await sleepFor(internal::retryPause);
+        } else if (mirror(table).content() != known.content) {
+            co_await sleepFor(internal::changePause);
         }
     }
 }
@@ -207,7 +212,7 @@
     }
     // A large fleet is reached through relays.
     const auto copies = largeFleet() ? static_cast<std::size_t>(std::ceil(std::sqrt(m_hosts))) : m_hosts;
-    if (allBytes * copies > internal::maxPushedBytes) {
+    if (allBytes * copies > (m_dependencies.slowLink ? internal::maxPushedBytesSlowLink : internal::maxPushedBytes)) {
         return {};
     }
     std::ranges::sort(changes, {}, &MirroredRow::version);
@@ -321,14 +326,16 @@
     }
     auto &own = mirror(table);
     if (!own.known() || knowledge->content > own.complete()) {
-        auto &since = m_behindSince[static_cast<std::size_t>(table)];
+        auto &lack = m_lacks[static_cast<std::size_t>(table)];
         const auto now = m_dependencies.clock.now();
         if (largeFleet() && m_available[static_cast<std::size_t>(table)]) {
-            since = since.value_or(now);
+            if (!lack || own.complete() >= lack->content) {
+                lack = Lack{now, knowledge->content};
+            }
             const auto patience = table == DirectoryTable::Upstreams ? internal::pushWait : Milliseconds{0};
-            if (now - *since >= patience) {
+            if (now - lack->since >= patience) {
                 m_behind[static_cast<std::size_t>(table)] = true;
-                since.reset();
+                lack.reset();
             }
         } else if (!std::exchange(m_fetching[static_cast<std::size_t>(table)], true)) {
             asio::co_spawn(
@@ -336,7 +343,7 @@
         }
     } else {
         // The peer's latest change is one of those that this host has, and there was none after it.
-        m_behindSince[static_cast<std::size_t>(table)].reset();
+        m_lacks[static_cast<std::size_t>(table)].reset();
         own.confirm(knowledge->complete, m_dependencies.clock.now() - knowledge->age - internal::answerDelay);
         update();
     }
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -95,6 +95,13 @@
         bool slowLink{false};
     };
 
+    // A change that a peer has and this host has not.
+    struct Lack
+    {
+        SteadyTime since{};
+        RowVersion content{0};
+    };
+
     // What was formatted last.
     struct FormattedRows
     {
@@ -133,7 +140,7 @@
     std::array<bool, 2> m_fetching{};
     // A peer has a newer state.
     std::array<bool, 2> m_behind{};
-    std::array<std::optional<SteadyTime>, 2> m_behindSince;
+    std::array<std::optional<Lack>, 2> m_lacks;
     // Changes of the upstreams of the last moments: when each was taken and the content before it.
     std::deque<std::pair<SteadyTime, RowVersion>> m_recent;
     std::size_t m_hosts{1};
