Do not take the first parts of pushed changes for fresh knowledge

A host that got the first parts and lost a later one was behind and yet seemed confirmed at that moment, so that it never became stale. Its lack was also forgotten whenever a peer reported no more than the host had, which peers that lost the same datagrams do. A trace of the grown jc site shows five hosts of 84 that learn 3.7 s later than the others that 25 upstreams are gone. Ruled out: a slow reader (the other 79 hosts have the change within 50 ms).

Only the last part confirms the knowledge, and a lack ends when the change has come. Both new tests fail without the change: the age falls to 43 ms after a first part, and the host does not read in 2 s.

--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t maxPushedBytesSlowLink = 250'000;
 // A host that lacks a change waits this long for it to be pushed before it reads by itself.
 constexpr Milliseconds pushWait{400};
+// Age of the knowledge in all parts of the changes but the last: what follows is not in them, so that they say nothing about the present.
+constexpr std::chrono::hours notConfirmed{24};
 constexpr std::size_t rowOverheadBytes = 24;
 // A reader serves the changes to so many peers by itself.
 constexpr std::size_t hostsServedByOne = 16;
@@ -228,7 +230,7 @@
             bytes = 0;
         }
         bytes += size;
-        result.back().upstreams = TableKnowledge{it.version, it.version, known.age};
+        result.back().upstreams = TableKnowledge{it.version, it.version, internal::notConfirmed};
         result.back().changes.push_back(std::move(it));
     }
     if (!result.empty()) {
@@ -343,7 +345,6 @@
         }
     } else {
         // The peer's latest change is one of those that this host has, and there was none after it.
-        m_lacks[static_cast<std::size_t>(table)].reset();
         own.confirm(knowledge->complete, m_dependencies.clock.now() - knowledge->age - internal::answerDelay);
         update();
     }
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -93,6 +93,8 @@
     CPPUNIT_TEST(hostWithoutThePlatformIsNoReader);
     CPPUNIT_TEST(largeFleetReadsManyChangesItself);
     CPPUNIT_TEST(hostThatKeepsUpReadsNothing);
+    CPPUNIT_TEST(firstPartOfAPushIsNoConfirmation);
+    CPPUNIT_TEST(peersThatAreBehindDoNotHideALack);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -301,6 +303,60 @@
         follower.service->stop();
     }
 
+    // Guards against a host that uses upstreams which left seconds ago, because it got only the first parts of the changes and seems up to date.
+    void firstPartOfAPushIsNoConfirmation()
+    {
+        const auto reader = std::ranges::find_if(m_hosts, [](const auto &it) { return it->service->reads(); });
+        for (int n = 0; n < 20; ++n) {
+            m_store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), std::string(200, 'x'), m_clock.now());
+        }
+        std::vector<HostReport> parts;
+        CPPUNIT_ASSERT(runUntil([&] {
+            parts = (*reader)->service->changeReports();
+            return parts.size() > 3 && parts.back().changes.back().key == "u19";
+        }));
+        auto follower = m_hosts.back()->service->reads() ? m_hosts.front()->service : m_hosts.back()->service;
+        m_silent = (*reader)->name;
+        m_io->run_for(Milliseconds{100});
+        const auto before = follower->knowledge(DirectoryTable::Upstreams);
+        HostReport part;
+        part.changesOnly = true;
+        part.changesAfter = before.complete;
+        part.changes.push_back({"v", before.complete + 1, "x"});
+        part.upstreams = TableKnowledge{before.complete + 1, before.complete + 1, parts.front().upstreams->age};
+        follower->onReport(Member{}, part);
+        const auto after = follower->knowledge(DirectoryTable::Upstreams);
+        CPPUNIT_ASSERT_EQUAL(before.complete + 1, after.complete);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(after.age.count()) + " ms", after.age >= before.age);
+        CPPUNIT_ASSERT(parts.back().upstreams->age < std::chrono::seconds{2});
+    }
+
+    // Guards against a host that lost pushed changes and does not read them, since other hosts lost them too and report what it has.
+    void peersThatAreBehindDoNotHideALack()
+    {
+        Host follower(*m_io, m_clock, m_store, "zz");
+        follower.service->setHosts(100);
+        follower.service->start();
+        CPPUNIT_ASSERT(runUntil([&] { return follower.service->known(DirectoryTable::Document) && follower.service->known(DirectoryTable::Upstreams); }));
+        Member reader;
+        reader.id = std::ranges::find_if(m_hosts, [](const auto &it) { return it->service->reads(); })->get()->name;
+        Member peer;
+        peer.id = "peer";
+        const auto had = follower.service->knowledge(DirectoryTable::Upstreams).content;
+        m_store.write(DirectoryTable::Upstreams, "u", "x", m_clock.now());
+        for (int n = 0; n < 40 && follower.service->knowledge(DirectoryTable::Upstreams).content == had; ++n) {
+            HostReport report;
+            report.document = TableKnowledge{1, m_store.version, Milliseconds{5}};
+            report.upstreams = TableKnowledge{m_store.version, m_store.version, Milliseconds{5}};
+            follower.service->onReport(reader, report);
+            report.upstreams = TableKnowledge{had, had, Milliseconds{5}};
+            follower.service->onReport(peer, report);
+            m_io->run_for(Milliseconds{50});
+        }
+        CPPUNIT_ASSERT_EQUAL(m_store.version, follower.service->knowledge(DirectoryTable::Upstreams).content);
+        follower.service->stop();
+    }
+
 private:
     [[nodiscard]] std::size_t readers() const
     {
