Keep the fleet that works when the duties change hands

Cause of the worst windows on the grown sites: a new holder of the duties has seen no load, so that its first plan was the least fleet. Ruled out: the bursts and the reclaimed data centre (the drop follows the lease's fence, not them), and a plan at the start of the fleet, which has its own rule.

A plan that begins under load takes the upstreams that it finds, cheap ones included, as needed, and fades to the load like a load that has passed. A host that holds the lease again begins a new plan.

The new test fails when only durable upstreams count.

--- a/src/guavafield/coordination/order/fleet_plan.cpp
+++ b/src/guavafield/coordination/order/fleet_plan.cpp
@@ -33,14 +33,19 @@
 
 } // namespace internal
 
-void FleetPlan::onLoads(const StringMap<PoolLoad> &loads, SteadyTime now)
+void FleetPlan::onLoads(const Configuration &configuration, const StringMap<PoolLoad> &loads, SteadyTime now)
 {
+    for (const auto &[id, pool] : configuration.pools) {
+        if (pool.scaling) {
+            noteStart(pool, configuration, now);
+        }
+    }
+    if (!m_loaded && std::ranges::any_of(loads, [](const auto &it) { return it.second.running > 0; })) {
+        startOfLoad(loads, now);
+    }
     for (const auto &[pool, load] : loads) {
         const auto [it, first] = m_pressures.try_emplace(pool, Pressure{internal::pressureAtStart, 0, 0, now, now});
         auto &pressure = it->second;
-        if (!m_loaded && load.running > 0) {
-            startOfLoad();
-        }
         if (!m_loaded) {
             pressure.at = now;
             pressure.peakAt = now;
@@ -61,11 +66,14 @@
     }
 }
 
-void FleetPlan::startOfLoad()
+void FleetPlan::startOfLoad(const StringMap<PoolLoad> &loads, SteadyTime now)
 {
     m_loaded = true;
+    // A plan that begins under load finds a fleet whose size answers the queues of the time before.
+    const double queueSeconds = m_pressures.empty() ? 0 : internal::pressureAtStart;
     // The first requests are few at any load, so the fleet that was there counts as needed and fades like a load that has passed.
-    for (auto &[pool, pressure] : m_pressures) {
+    for (const auto &[pool, load] : loads) {
+        auto &pressure = m_pressures.try_emplace(pool, Pressure{queueSeconds, 0, 0, now, now}).first->second;
         const auto start = m_starts.find(pool);
         if (start != m_starts.end()) {
             pressure.running = internal::runningPerUpstream * start->second.perDataCentre * static_cast<double>(start->second.dataCentres);
@@ -124,10 +132,12 @@
         return;
     }
     const auto all = places(pool, configuration, now);
-    auto &start = m_starts[pool.id];
+    const auto [it, first] = m_starts.try_emplace(pool.id);
+    auto &start = it->second;
     start.dataCentres = all.size();
     for (const auto &[dataCentre, place] : all) {
-        start.perDataCentre = std::max(start.perDataCentre, place.present.durable);
+        // Cheap ones that come later were ordered by this plan beside the durable ones that they replace.
+        start.perDataCentre = std::max(start.perDataCentre, place.present.durable + (first ? place.present.cheap : 0));
     }
 }
 
--- a/src/guavafield/coordination/order/fleet_plan.hpp
+++ b/src/guavafield/coordination/order/fleet_plan.hpp
@@ -50,7 +50,7 @@
 {
 public:
     /*! @brief Takes the present load of the pools; several times a second. */
-    void onLoads(const StringMap<PoolLoad> &loads, SteadyTime now);
+    void onLoads(const Configuration &configuration, const StringMap<PoolLoad> &loads, SteadyTime now);
     /*! @brief Returns the next order; empty if the fleet is as planned. */
     [[nodiscard]] std::optional<FleetSize> next(const Configuration &configuration, SteadyTime now);
     void onOutcome(const FleetSize &order, OrderOutcome outcome, SteadyTime now);
@@ -96,15 +96,15 @@
         SteadyTime peakAt{};
     };
 
-    // The fleet that was there before the first requests.
+    // The fleet that was there before the first requests or, if the plan began under load, at the first look.
     struct Start
     {
-        // Most durable upstreams of a data centre.
+        // Most upstreams of a data centre.
         std::uint32_t perDataCentre{0};
         std::size_t dataCentres{1};
     };
 
-    void startOfLoad();
+    void startOfLoad(const StringMap<PoolLoad> &loads, SteadyTime now);
     [[nodiscard]] double pressureOf(const PoolId &pool) const;
     [[nodiscard]] std::uint32_t cheapWanted(const UpstreamPool &pool, std::size_t dataCentres) const;
     void noteStart(const UpstreamPool &pool, const Configuration &configuration, SteadyTime now);
--- a/src/guavafield/transport/fleet/duty_service.cpp
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -118,6 +118,8 @@
     if (*fence != m_fence) {
         m_fence = *fence;
         m_heldSince = now;
+        // What was known of the load in an earlier tenure has passed.
+        m_plan = FleetPlan();
     }
     if (m_stopped || now - m_heldSince < m_settings.holderGap) {
         return std::nullopt;
@@ -137,7 +139,7 @@
                 co_await handleWindow(*due);
                 continue;
             }
-            m_plan.onLoads(m_dependencies.loads(), m_dependencies.clock.now());
+            m_plan.onLoads(*configuration, m_dependencies.loads(), m_dependencies.clock.now());
             const auto size = m_settings.ordersUpstreams ? m_plan.next(*configuration, m_dependencies.clock.now()) : std::nullopt;
             if (size) {
                 co_await order(*size);
--- a/test/coordination/order/fleet_plan_test.cpp
+++ b/test/coordination/order/fleet_plan_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(durableStandInWhenNoneAreToBeHad);
     CPPUNIT_TEST(limitsHold);
     CPPUNIT_TEST(firstRequestsKeepTheFleetThatWasThere);
+    CPPUNIT_TEST(newHolderKeepsTheFleetThatWorks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,6 +134,29 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{12}, present(UpstreamKind::Cheap));
     }
 
+    // Guards against a new holder of the duties that cuts a fleet down to the least, because it has not seen any load yet.
+    void newHolderKeepsTheFleetThatWorks()
+    {
+        m_configuration = Configuration();
+        auto &pool = m_configuration.pools["p"];
+        pool.id = "p";
+        pool.scaling = ScalingLimits{1, 80, Milliseconds{4'000}, 0.2, {{"a", 1.0}, {"b", 0.8}, {"c", 1.25}}};
+        for (const auto *dataCentre : {"a", "b"}) {
+            add(dataCentre, UpstreamKind::Cheap, 60);
+        }
+        load(0.0, 1);
+        for (const auto &it : fulfil()) {
+            CPPUNIT_ASSERT_EQUAL(DataCentreId("c"), it.dataCentre);
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t{60}, it.count);
+        }
+        load(0.0, 10);
+        fulfil();
+        CPPUNIT_ASSERT(present(UpstreamKind::Cheap) >= 100);
+        load(0.0, 300);
+        fulfil();
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{12}, present(UpstreamKind::Cheap));
+    }
+
 private:
     void add(const DataCentreId &dataCentre, UpstreamKind kind, std::uint32_t count)
     {
@@ -194,7 +218,7 @@
             m_now += Milliseconds{200};
             StringMap<PoolLoad> loads;
             loads["p"] = PoolLoad{12, queueSeconds, 5};
-            m_plan.onLoads(loads, m_now);
+            m_plan.onLoads(m_configuration, loads, m_now);
         }
     }
 
