Tell the counts of the last window in each report until it is sealed

Within the first half of a window each report carries the one before. The new test fails without it.

--- a/src/guavafield/coordination/usage/window_ledger.cpp
+++ b/src/guavafield/coordination/usage/window_ledger.cpp
@@ -57,8 +57,11 @@
 std::vector<WindowCounts> WindowLedger::ownCounts(WallTime time, std::uint64_t turn) const
 {
     const auto present = windowAt(time);
+    // The window that has just ended is sealed soon, and a host of a large fleet reports seldom.
+    const bool settling = time - endOf(present - 1) < Milliseconds{m_length} / 2;
+    const auto earlier = settling ? present - 1 : present - 1 - turn % internal::repeatedWindows;
     std::vector<WindowCounts> result;
-    for (const auto window : {present, present - 1 - turn % internal::repeatedWindows}) {
+    for (const auto window : {present, earlier}) {
         const auto it = m_windows.find(window);
         const auto own = it == m_windows.end() ? StringMap<HostCounts>::const_iterator{} : it->second.find(internal::ownHost);
         if (it == m_windows.end() || own == it->second.end()) {
--- a/src/guavafield/coordination/usage/window_ledger.hpp
+++ b/src/guavafield/coordination/usage/window_ledger.hpp
@@ -44,7 +44,7 @@
 
     /*!
      * @brief Returns the host's own counts of the present window and of one earlier window, for its peers.
-     * @param turn Chooses the earlier window; to be raised with each call.
+     * @param turn Chooses the earlier window in the second half of the present one; before, it is the last. To be raised with each call.
      */
     [[nodiscard]] std::vector<WindowCounts> ownCounts(WallTime time, std::uint64_t turn) const;
     /*! @brief Adds up all hosts' counts of a window; counts of teams that are not listed are left out. */
--- a/test/coordination/usage/window_test.cpp
+++ b/test/coordination/usage/window_test.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace guavafield {
 
 class WindowTest : public CppUnit::TestFixture
@@ -11,6 +13,7 @@
     CPPUNIT_TEST(repeatedReportsAddNothing);
     CPPUNIT_TEST(countsOfADeadHostStay);
     CPPUNIT_TEST(lostReportIsMadeUpFor);
+    CPPUNIT_TEST(endedWindowIsInEachReportWhileItSettles);
     CPPUNIT_TEST(onlySealedFiguresAreReported);
     CPPUNIT_TEST(firstSealHolds);
     CPPUNIT_TEST(windowsOfAnEarlierHolderAreNotRepeated);
@@ -52,6 +55,19 @@
         CPPUNIT_ASSERT(told);
     }
 
+    // Guards against a window that is sealed without the last counts of hosts that report only once in the time in which counts settle.
+    void endedWindowIsInEachReportWhileItSettles()
+    {
+        m_ledger.count("a", m_ledger.endOf(200) - Milliseconds{1});
+        const auto settle = WindowReporterSettings{}.settle;
+        for (std::uint64_t turn = 0; turn < 6; ++turn) {
+            for (const auto after : {Milliseconds{0}, settle / 2, settle - Milliseconds{1}}) {
+                const auto counts = m_ledger.ownCounts(m_ledger.endOf(200) + after, turn);
+                CPPUNIT_ASSERT(std::ranges::any_of(counts, [](const auto &it) { return it.window == 200; }));
+            }
+        }
+    }
+
     // Guards against two reports of a window with different figures.
     void onlySealedFiguresAreReported()
     {
