--- a/test/system/machines_test.py
+++ b/test/system/machines_test.py
@@ -35,6 +35,15 @@
     return all(request(host, path, key).status == status for host in hosts)
 
 
+def begin_stream(machines, host):
+    """Starts a streamed request and waits until the server runs it; returns the thread and the list that receives the answer."""
+    answers = []
+    stream = threading.Thread(target=lambda: answers.append(request(host, "/stream/x")))
+    stream.start()
+    wait_until(lambda: machines.servers["s1"].runs, "the stream")
+    return stream, answers
+
+
 def test_serves_calls_and_streams_and_follows_the_configuration():
     with Machines() as machines:
         machines.server("s1")
@@ -83,10 +92,7 @@
     with Machines() as machines:
         machines.server("s1").pause_s = 0.1
         host = start(machines, 1)[0]
-        answers = []
-        stream = threading.Thread(target=lambda: answers.append(request(host, "/stream/x")))
-        stream.start()
-        wait_until(lambda: machines.servers["s1"].runs, "the stream")
+        stream, answers = begin_stream(machines, host)
         machines.reload(host)
         wait_until(lambda: "settings reloaded" in host["child"].log(), "the reload")
         with open(host["settings"], "a") as file:
@@ -102,10 +108,7 @@
     with Machines() as machines:
         machines.server("s1").pause_s = 0.15
         host = start(machines, 1)[0]
-        answers = []
-        stream = threading.Thread(target=lambda: answers.append(request(host, "/stream/x")))
-        stream.start()
-        wait_until(lambda: machines.servers["s1"].runs, "the stream")
+        stream, answers = begin_stream(machines, host)
         kept = http.client.HTTPConnection("127.0.0.1", host["caller_port"], timeout=30)
         host["child"].terminate()
         wait_until(lambda: not ready(host), "the end of readiness")
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -177,19 +177,12 @@
     // Guards against a follower that takes the second part of pushed changes without the first, and thinks itself complete.
     void changesArePushedInOrder()
     {
-        const auto reader = std::ranges::find_if(m_hosts, [](const auto &it) { return it->service->reads(); });
-        for (int n = 0; n < 20; ++n) {
-            m_store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), std::string(200, 'x'), m_clock.now());
-        }
-        std::vector<HostReport> parts;
-        CPPUNIT_ASSERT(runUntil([&] {
-            parts = (*reader)->service->changeReports();
-            return parts.size() > 3 && parts.back().changes.back().key == "u19";
-        }));
+        const auto &reader = readingHost();
+        const auto parts = pushInParts(reader);
         Host follower(*m_io, m_clock, m_store, "follower");
         follower.service->onReport(Member{}, parts[1]);
         CPPUNIT_ASSERT(!follower.service->known(DirectoryTable::Upstreams));
-        const auto all = (*reader)->service->format(DirectoryTable::Upstreams, 0);
+        const auto all = reader.service->format(DirectoryTable::Upstreams, 0);
         auto late = std::make_shared<TableMirror>();
         late->replace({}, parts.front().changesAfter, m_clock.now());
         for (const auto &part : parts) {
@@ -237,18 +230,18 @@
     // Guards against a host that cannot reach the platform and still reports at the rate of a reader.
     void hostWithoutThePlatformIsNoReader()
     {
-        const auto reader = std::ranges::find_if(m_hosts, [](const auto &it) { return it->service->reads(); });
-        (*reader)->cut = true;
-        CPPUNIT_ASSERT(runUntil([&] { return !(*reader)->service->reads() && readers() == 1; }));
-        (*reader)->cut = false;
-        CPPUNIT_ASSERT(runUntil([&] { return (*reader)->service->reads() && readers() == 1; }));
+        auto &reader = readingHost();
+        reader.cut = true;
+        CPPUNIT_ASSERT(runUntil([&] { return !reader.service->reads() && readers() == 1; }));
+        reader.cut = false;
+        CPPUNIT_ASSERT(runUntil([&] { return reader.service->reads() && readers() == 1; }));
     }
 
     // Guards against a reader whose link is full of the same changes for each of many hosts, so that its own calls time out.
     void largeFleetReadsManyChangesItself()
     {
-        const auto reader = std::ranges::find_if(m_hosts, [](const auto &it) { return it->service->reads(); });
-        (*reader)->service->setHosts(100);
+        const auto &reader = readingHost();
+        reader.service->setHosts(100);
         constexpr std::size_t bytesThroughRelays = 150'000;
         constexpr std::size_t rows = 100;
         for (std::size_t n = 0; n < rows; ++n) {
@@ -256,12 +249,12 @@
         }
         const auto pushedRows = [&] {
             std::size_t count = 0;
-            for (const auto &it : (*reader)->service->changeReports()) {
+            for (const auto &it : reader.service->changeReports()) {
                 count += it.changes.size();
             }
             return count;
         };
-        CPPUNIT_ASSERT(runUntil([&] { return pushedRows() == 0 && (*reader)->service->knowledge(DirectoryTable::Upstreams).content == m_store.version; }));
+        CPPUNIT_ASSERT(runUntil([&] { return pushedRows() == 0 && reader.service->knowledge(DirectoryTable::Upstreams).content == m_store.version; }));
         CPPUNIT_ASSERT(runUntil([&] {
             m_store.write(DirectoryTable::Upstreams, "u1", "y", m_clock.now());
             return pushedRows() == 1;
@@ -276,7 +269,7 @@
         follower.service->start();
         CPPUNIT_ASSERT(runUntil([&] { return follower.service->known(DirectoryTable::Document) && follower.service->known(DirectoryTable::Upstreams); }));
         Member reader;
-        reader.id = std::ranges::find_if(m_hosts, [](const auto &it) { return it->service->reads(); })->get()->name;
+        reader.id = readingHost().name;
         const auto tell = [&](RowVersion content) {
             HostReport report;
             report.document = knowledgeOf(follower, DirectoryTable::Document);
@@ -306,17 +299,10 @@
     // Guards against a host that uses upstreams which left seconds ago, because it got only the first parts of the changes and seems up to date.
     void firstPartOfAPushIsNoConfirmation()
     {
-        const auto reader = std::ranges::find_if(m_hosts, [](const auto &it) { return it->service->reads(); });
-        for (int n = 0; n < 20; ++n) {
-            m_store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), std::string(200, 'x'), m_clock.now());
-        }
-        std::vector<HostReport> parts;
-        CPPUNIT_ASSERT(runUntil([&] {
-            parts = (*reader)->service->changeReports();
-            return parts.size() > 3 && parts.back().changes.back().key == "u19";
-        }));
+        const auto &reader = readingHost();
+        const auto parts = pushInParts(reader);
         auto follower = m_hosts.back()->service->reads() ? m_hosts.front()->service : m_hosts.back()->service;
-        m_silent = (*reader)->name;
+        m_silent = reader.name;
         m_io->run_for(Milliseconds{100});
         const auto before = follower->knowledge(DirectoryTable::Upstreams);
         HostReport part;
@@ -339,7 +325,7 @@
         follower.service->start();
         CPPUNIT_ASSERT(runUntil([&] { return follower.service->known(DirectoryTable::Document) && follower.service->known(DirectoryTable::Upstreams); }));
         Member reader;
-        reader.id = std::ranges::find_if(m_hosts, [](const auto &it) { return it->service->reads(); })->get()->name;
+        reader.id = readingHost().name;
         Member peer;
         peer.id = "peer";
         const auto had = follower.service->knowledge(DirectoryTable::Upstreams).content;
@@ -358,6 +344,26 @@
     }
 
 private:
+    // Returns the host that reads for the others.
+    [[nodiscard]] Host &readingHost() const
+    {
+        const auto it = std::ranges::find_if(m_hosts, [](const auto &host) { return host->service->reads(); });
+        CPPUNIT_ASSERT(it != m_hosts.end());
+        return **it;
+    }
+    // Writes 20 upstreams and returns the reports in which the reader tells of them.
+    std::vector<HostReport> pushInParts(const Host &reader)
+    {
+        for (int n = 0; n < 20; ++n) {
+            m_store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), std::string(200, 'x'), m_clock.now());
+        }
+        std::vector<HostReport> parts;
+        CPPUNIT_ASSERT(runUntil([&] {
+            parts = reader.service->changeReports();
+            return parts.size() > 3 && parts.back().changes.back().key == "u19";
+        }));
+        return parts;
+    }
     [[nodiscard]] std::size_t readers() const
     {
         return static_cast<std::size_t>(std::ranges::count_if(m_hosts, [&](const auto &it) { return it->name != m_silent && it->service->reads(); }));
