Keep long prompts apart from streams with short pause targets

Cause: engines prefill prompts in chunks between the tokens of running streams. Change: StreamIsolation divides the engines of a pool by a rank that all hosts derive from the ids, where a chunk in each token of one event would exceed a target. The boundary follows the engine time that both groups need, in steps of an eighth; a request leaves its part when the queues there cost more than a penalty. Prefix owners are chosen inside the part.

--- a/src/guavafield/coordination/request/placement.cpp
+++ b/src/guavafield/coordination/request/placement.cpp
@@ -94,10 +94,11 @@
     , m_tokensPerSecond(internal::initialTokensPerSecond)
     , m_serviceSeconds(internal::initialServiceSeconds)
     , m_meanTokens(internal::initialMeanTokens)
+    , m_isolation(m_engine ? m_engine->tokensPerEvent : 0)
 {
 }
 
-Placement::Prefix Placement::findPrefix(const PoolUpstreams &upstreams, const RequestEntry &entry, SteadyTime now) const
+Placement::Prefix Placement::findPrefix(const PoolUpstreams &upstreams, const RequestEntry &entry, const EngineRange &range, SteadyTime now) const
 {
     Prefix prefix;
     if (!m_engine || m_engine->linkMegabitsPerSecond <= 0 || entry.info.prefixHashes.empty() || entry.info.prefixTokens.empty()) {
@@ -105,10 +106,11 @@
     }
     prefix.hash = entry.info.prefixHashes.back();
     prefix.tokens = entry.info.prefixTokens.back();
-    std::uint64_t ownerWeight = 0;
-    std::uint64_t holderWeight = 0;
+    // Engines of the range go first, whatever their weight.
+    std::pair<bool, std::uint64_t> ownerWeight;
+    std::pair<bool, std::uint64_t> holderWeight;
     upstreams.forEach([&](const UpstreamState &it) {
-        const auto weight = rendezvousWeight(prefix.hash, it.idHash);
+        const std::pair weight(range.contains(it.rank), rendezvousWeight(prefix.hash, it.idHash));
         if (it.usable() && (prefix.owner == nullptr || weight > ownerWeight)) {
             prefix.owner = &it;
             ownerWeight = weight;
@@ -179,7 +181,8 @@
 
 PlacementDecision Placement::choose(const PoolUpstreams &upstreams, const PrefixIndex &prefixes, const RequestEntry &entry, SteadyTime now) const
 {
-    const auto prefix = findPrefix(upstreams, entry, now);
+    const auto range = m_isolation.rangeFor(entry.info);
+    const auto prefix = findPrefix(upstreams, entry, range, now);
     const bool probeAllowed = entry.info.repeatable && !entry.started();
     const double prompt = entry.info.promptTokens;
     PlacementDecision best;
@@ -212,7 +215,8 @@
         // Prefix copies known only to this host should not move requests away from the holder that all hosts agree on.
         const bool exemptFromPenalty = prefix.holder == nullptr || prefix.holder == &it || prefix.tokens < internal::minTokensToFetch;
         const double nonHolderPenalty = exemptFromPenalty ? 0 : internal::nonHolderPenaltySeconds;
-        const double cost = decision.seconds + penalty + remote + nonHolderPenalty + internal::failureSeconds * it.failures.valueAt(now);
+        const double rangePenalty = range.contains(it.rank) ? 0 : range.penaltySeconds;
+        const double cost = decision.seconds + penalty + remote + nonHolderPenalty + rangePenalty + internal::failureSeconds * it.failures.valueAt(now);
         if (probe || cost < lowestCost) {
             best = decision;
             lowestCost = probe ? -1 : cost;
@@ -221,6 +225,21 @@
     return best;
 }
 
+void Placement::onDispatch(const RequestEntry &entry, SteadyTime now)
+{
+    if (m_engine) {
+        m_isolation.onDispatch(entry.info, entry.prefillTokens / m_tokensPerSecond, now);
+        m_isolation.update(m_tokensPerSecond, now);
+    }
+}
+
+void Placement::onEnded(const RequestEntry &entry, const UpstreamState &upstream, SteadyTime dispatched, SteadyTime now)
+{
+    if (m_engine) {
+        m_isolation.onEnded(entry.info, secondsBetween(dispatched, now), 1.0 / std::max(1U, upstream.upstream.slots), now);
+    }
+}
+
 void Placement::onFirstToken(const RequestEntry &entry, UpstreamState &upstream, double seconds, SteadyTime now)
 {
     const auto learn = [](double &value, double sample) { value += internal::learningWeight * (sample - value); };
--- a/src/guavafield/coordination/request/placement.hpp
+++ b/src/guavafield/coordination/request/placement.hpp
@@ -3,6 +3,7 @@
 
 #include <guavafield/coordination/request/prefix_index.hpp>
 #include <guavafield/coordination/request/router.hpp>
+#include <guavafield/coordination/request/stream_isolation.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -66,6 +67,16 @@
     /*! @brief Updates the learned rates with the time to the first token of an attempt. */
     void onFirstToken(const RequestEntry &entry, UpstreamState &upstream, double seconds, SteadyTime now);
 
+    /*! @brief Records that a request was sent to an engine. */
+    void onDispatch(const RequestEntry &entry, SteadyTime now);
+    /*! @brief Records the end of an attempt that was dispatched at the given time. */
+    void onEnded(const RequestEntry &entry, const UpstreamState &upstream, SteadyTime dispatched, SteadyTime now);
+    /*! @brief Records the time between two events of a stream. */
+    void onPause(double seconds) noexcept
+    {
+        m_isolation.onPause(seconds);
+    }
+
     /*! @brief Returns the learned prefill rate of an engine in tokens per second. */
     [[nodiscard]] double tokensPerSecond() const noexcept
     {
@@ -84,7 +95,7 @@
         const UpstreamState *owner{nullptr};
     };
 
-    [[nodiscard]] Prefix findPrefix(const PoolUpstreams &upstreams, const RequestEntry &entry, SteadyTime now) const;
+    [[nodiscard]] Prefix findPrefix(const PoolUpstreams &upstreams, const RequestEntry &entry, const EngineRange &range, SteadyTime now) const;
     [[nodiscard]] double waitSeconds(const UpstreamState &upstream, const RequestEntry &entry, SteadyTime now) const;
     // Returns an upstream to which this host has sent more of the prefix, or null. An unneeded fetch from it costs nothing.
     [[nodiscard]] static const UpstreamState *
@@ -98,6 +109,7 @@
     double m_serviceSeconds;
     // Learned mean of the uncached prompt tokens of a request.
     double m_meanTokens;
+    StreamIsolation m_isolation;
 };
 
 /*! @brief Returns the rendezvous weight of a prefix at an upstream, identical on all hosts; the highest weight is the owner's. */
--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -23,6 +23,8 @@
     Tier tier{tierCount - 1};
     Milliseconds firstTokenTarget{};
     Milliseconds totalTarget{};
+    // Longest pause between events of a stream that is in time; 0 means no target.
+    Milliseconds gapTarget{};
     // Weight of the team in fair queueing; positive.
     double share{1.0};
     std::uint32_t promptTokens{0};
--- a/src/guavafield/coordination/request/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler_attempts.cpp
@@ -34,9 +34,15 @@
 
 void RequestScheduler::Impl::endAttempt(RequestEntry &entry, UpstreamState &upstream, SteadyTime now)
 {
-    std::erase_if(entry.attempts, [&](const Attempt &it) { return it.upstream == &upstream; });
+    auto &pool = poolOf(entry);
+    std::erase_if(entry.attempts, [&](const Attempt &it) {
+        if (it.upstream == &upstream && pool.selfQueueing) {
+            pool.selfQueueing->placement.onEnded(entry, upstream, it.dispatched, now);
+        }
+        return it.upstream == &upstream;
+    });
     upstream.removeAttempt(entry, now);
-    poolOf(entry).releases.add(1, now);
+    pool.releases.add(1, now);
 }
 
 void RequestScheduler::Impl::removeFromRunning(RequestEntry &entry)
@@ -161,6 +167,9 @@
         const double seconds = secondsBetween(entry->lastTokens, now);
         m_times.onTokens(entry->info, seconds, count);
         entry->attempts.front().upstream->onTokenTime(seconds / count);
+        if (auto &selfQueueing = poolOf(*entry).selfQueueing) {
+            selfQueueing->placement.onPause(seconds / count);
+        }
     }
     entry->lastTokens = now;
 }
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler_core.cpp
@@ -17,6 +17,17 @@
     return upstream.pool.empty() ? upstream.models : std::vector<std::string>{upstream.pool};
 }
 
+// Numbers upstreams in the order of their hashes, so that few ranks change when one comes or goes.
+void assignRanks(const PoolUpstreams &upstreams)
+{
+    std::vector<UpstreamState *> sorted;
+    upstreams.forEach([&](UpstreamState &it) { sorted.push_back(&it); });
+    std::ranges::sort(sorted, {}, &UpstreamState::idHash);
+    for (std::size_t n = 0; n < sorted.size(); ++n) {
+        sorted[n]->rank = (static_cast<double>(n) + 0.5) / static_cast<double>(sorted.size());
+    }
+}
+
 bool servesPool(const Upstream &upstream) noexcept
 {
     return !upstream.models.empty() || !upstream.pool.empty();
@@ -122,6 +133,11 @@
             list.push_back(&upstream);
         }
     }
+    for (auto &[id, pool] : m_pools) {
+        if (pool.selfQueueing) {
+            internal::assignRanks(pool.upstreams);
+        }
+    }
 }
 
 void RequestScheduler::Impl::setHosts(std::uint32_t hosts, std::uint32_t hostIndex)
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -98,6 +98,7 @@
     entry.dispatchSequence = ++m_nextDispatch;
     ++pool.tiers[entry.info.tier].running;
     pool.dispatches.add(1, now);
+    pool.selfQueueing->placement.onDispatch(entry, now);
     startAttempt(entry, upstream, now);
     DispatchAction action{entry.info.id, upstream.upstream.id, entry.info.enginePriority, entry.attemptsMade};
     action.fetchFrom = decision.fetchFrom != nullptr ? decision.fetchFrom->upstream.id : UpstreamId();
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -44,6 +44,8 @@
     std::deque<std::pair<SteadyTime, std::uint32_t>> history;
 
     // The following members are used for self-queueing pools only.
+    // Position in the pool by hash, from 0 to 1; identical on all hosts.
+    double rank{0};
     // When the current incarnation of the upstream was first seen.
     SteadyTime addedAt{};
     // Work of other hosts, from their latest reports.
--- a/src/guavafield/state/configuration.hpp
+++ b/src/guavafield/state/configuration.hpp
@@ -195,6 +195,8 @@
     std::uint64_t bytesPerToken{0};
     // Link over which engines copy KV cache.
     double linkMegabitsPerSecond{0};
+    // Tokens in one event of a stream; 0 if unknown.
+    std::uint32_t tokensPerEvent{0};
 
     friend bool operator==(const EngineFacts &, const EngineFacts &) = default;
 };
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -62,6 +62,7 @@
     info.tier = static_cast<Tier>(std::min<std::uint32_t>(m_call.enginePriority, tierCount - 1));
     info.firstTokenTarget = m_call.target.target;
     info.totalTarget = timeLeft();
+    info.gapTarget = m_call.target.gapTarget;
     info.promptTokens = envelope.promptTokens;
     info.maxOutputTokens = envelope.maxOutputTokens;
     info.repeatable = m_call.target.repeat != Repeat::Never;
