Let no unexpected exception end the process or a background loop

Cause: a version in the store's answer that fits no integer (-1, 1e300) threw out of a detached coroutine, and io_context::run() was not guarded, so that one malformed message ended the whole process. The same held for any exception of a handler. New counter guavafield_unexpected_errors_total.

--- a/apps/guavafieldd/daemon.cpp
+++ b/apps/guavafieldd/daemon.cpp
@@ -2,6 +2,7 @@
 #include "apps/guavafieldd/daemon.hpp"
 
 #include <guavafield/protocol/settings/parse_settings.hpp>
+#include <guavafield/transport/log/event_loop.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -146,15 +147,14 @@
     m_requestPath->start();
     m_operatorServer->start();
     if (!m_settingsFile.empty()) {
-        asio::co_spawn(
-            m_io, [this] { return watchSettings(); }, asio::detached);
+        spawnLoop(m_io.get_executor(), [this] { return watchSettings(); });
     }
     printPorts();
     std::vector<std::thread> threads;
     for (std::uint32_t n = 1; n < m_settings.host.threads; ++n) {
-        threads.emplace_back([this] { m_io.run(); });
+        threads.emplace_back([this] { runEventLoop(m_io, m_counters); });
     }
-    m_io.run();
+    runEventLoop(m_io, m_counters);
     for (auto &it : threads) {
         it.join();
     }
--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -10,10 +10,9 @@
 
 #include <guavafield/protocol/settings/settings_table.hpp>
 #include <guavafield/transport/durable/sleep.hpp>
+#include <guavafield/transport/log/event_loop.hpp>
 #include <guavafield/transport/log/log.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -176,8 +175,7 @@
         m_duties->start();
     }
     for (auto loop : {&MachinesPlatformServices::reportLoop, &MachinesPlatformServices::registerHost}) {
-        asio::co_spawn(
-            m_dependencies.executor, [this, loop] { return (this->*loop)(); }, asio::detached);
+        spawnLoop(m_dependencies.executor, [this, loop] { return (this->*loop)(); });
     }
 }
 
--- a/src/guavafield/state/counters.cpp
+++ b/src/guavafield/state/counters.cpp
@@ -39,6 +39,7 @@
     {"guavafield_usage_reports_sent_total", "Usage reports sent"},
     {"guavafield_once_records_inserted_total", "At-most-once records inserted"},
     {"guavafield_once_duplicates_answered_total", "Duplicates of at-most-once calls answered from the record"},
+    {"guavafield_unexpected_errors_total", "Exceptions that no handler caught; the log has their causes"},
 }};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(RetryReason::Count)> retryReasonTable{
--- a/src/guavafield/state/counters.hpp
+++ b/src/guavafield/state/counters.hpp
@@ -50,6 +50,8 @@
     UsageReportsSent,
     OnceRecordsInserted,
     OnceDuplicatesAnswered,
+    // process
+    UnexpectedErrors,
     // not a counter
     Count,
 };
--- a/src/guavafield/transport/durable/lease_driver.cpp
+++ b/src/guavafield/transport/durable/lease_driver.cpp
@@ -3,6 +3,7 @@
 #include <guavafield/protocol/records/lease_codec.hpp>
 #include <guavafield/transport/durable/lease_driver.hpp>
 #include <guavafield/transport/durable/sleep.hpp>
+#include <guavafield/transport/log/event_loop.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -30,8 +31,7 @@
 
 void LeaseDriver::start()
 {
-    boost::asio::co_spawn(
-        m_strand, [self = shared_from_this()]() -> boost::asio::awaitable<void> { co_await self->run(); }, boost::asio::detached);
+    spawnLoop(m_strand, [self = shared_from_this()]() -> boost::asio::awaitable<void> { co_await self->run(); });
 }
 
 boost::asio::awaitable<void> LeaseDriver::stop(Milliseconds limit)
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -3,6 +3,7 @@
 
 #include <guavafield/coordination/request/placement.hpp>
 #include <guavafield/transport/durable/sleep.hpp>
+#include <guavafield/transport/log/event_loop.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -67,11 +68,9 @@
 void DirectoryService::start()
 {
     for (const auto table : {DirectoryTable::Document, DirectoryTable::Upstreams}) {
-        asio::co_spawn(
-            m_dependencies.strand, [self = shared_from_this(), table] { return self->follow(table); }, asio::detached);
+        spawnLoop(m_dependencies.strand, [self = shared_from_this(), table] { return self->follow(table); });
     }
-    asio::co_spawn(
-        m_dependencies.strand, [self = shared_from_this()] { return self->watchOutages(); }, asio::detached);
+    spawnLoop(m_dependencies.strand, [self = shared_from_this()] { return self->watchOutages(); });
 }
 
 TableKnowledge DirectoryService::knowledge(DirectoryTable table) const
--- /dev/null
+++ b/test/platform/store_test.cpp
@@ -0,0 +1,123 @@
+// Tests of the store's answers: malformed ones name no rows and harm no call.
+#include "platform/store.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <thread>
+
+namespace guavafield::platform {
+
+namespace {
+
+// Answers one request with the given bytes, and goes on with a piece until the other side closes.
+class OneAnswerServer
+{
+public:
+    OneAnswerServer(std::string answer, std::string endlessPiece)
+        : m_acceptor(m_io, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , m_thread([this, answer = std::move(answer), piece = std::move(endlessPiece)] { serve(answer, piece); })
+    {
+    }
+    ~OneAnswerServer()
+    {
+        m_thread.join();
+    }
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+    [[nodiscard]] std::size_t sent() const noexcept
+    {
+        return m_sent;
+    }
+
+private:
+    void serve(const std::string &answer, const std::string &piece)
+    {
+        constexpr std::size_t most = std::size_t{200} << 20U;
+        boost::system::error_code ec;
+        auto socket = m_acceptor.accept(ec);
+        std::string request;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", ec);
+        boost::asio::write(socket, boost::asio::buffer(answer), ec);
+        while (!ec && !piece.empty() && m_sent < most) {
+            m_sent += boost::asio::write(socket, boost::asio::buffer(piece), ec);
+        }
+    }
+
+    boost::asio::io_context m_io;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::size_t m_sent{0};
+    std::thread m_thread;
+};
+
+TableReply readFrom(const OneAnswerServer &server)
+{
+    boost::asio::io_context io;
+    Counters counters;
+    PlatformClient client(io.get_executor(), "127.0.0.1", server.port(), counters);
+    const auto feed = storeFeed(client);
+    auto reply = boost::asio::co_spawn(io, feed.readAll("servers"), boost::asio::use_future);
+    io.run();
+    return reply.get();
+}
+
+std::string whole(const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+class StoreTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StoreTest);
+    CPPUNIT_TEST(malformedNumbersAreNoVersions);
+    CPPUNIT_TEST(malformedRowIsPassedOver);
+    CPPUNIT_TEST(answerWithoutEndIsCut);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // A version that fits no integer ended the process with an exception.
+    void malformedNumbersAreNoVersions()
+    {
+        for (const auto *version : {"-1", "1e300", "1.5", "\"7\"", "null", "[]", "18446744073709551616"}) {
+            OneAnswerServer server(whole(std::string(R"({"ver":)") + version + R"(,"rows":[]})"), {});
+            const auto reply = readFrom(server);
+            CPPUNIT_ASSERT_MESSAGE(version, std::holds_alternative<TableUnavailable>(reply));
+        }
+    }
+
+    void malformedRowIsPassedOver()
+    {
+        OneAnswerServer server(whole(R"({"ver":9,"rows":[{"key":"a","ver":-4,"value":"eA=="},{"key":"b","ver":5,"value":"eA=="}]})"), {});
+        const auto reply = readFrom(server);
+        const auto *page = std::get_if<TablePage>(&reply);
+        CPPUNIT_ASSERT(page != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, page->rows.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), page->rows.front().key);
+    }
+
+    // A chunk's extension without end must not fill the memory until the call times out.
+    void answerWithoutEndIsCut()
+    {
+        constexpr std::size_t socketBufferBytes = std::size_t{24} << 20U;
+        OneAnswerServer server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", std::string(16'384, 'a'));
+        const auto reply = readFrom(server);
+        CPPUNIT_ASSERT(std::holds_alternative<TableUnavailable>(reply));
+        CPPUNIT_ASSERT(server.sent() < socketBufferBytes);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreTest);
+
+} // namespace guavafield::platform
