Check the permission of a duty call right before it is sent

Cause: a host that is suspended between the check of its lease and the sending of the call, e.g. while a connection is opened, sent it with a lease that had run out. The call's own timeout does not count that time. Change: a duty call carries the end of its permission on a clock that counts suspension; the client asks for it when the connection is there. Test: PlatformClientTest::permissionIsCheckedRightBeforeSending: nothing is sent, and the outcome is known.

--- a/src/guavafield/transport/fleet/duty_service.cpp
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -3,11 +3,9 @@
 
 #include <guavafield/protocol/records/window_codec.hpp>
 #include <guavafield/transport/durable/sleep.hpp>
+#include <guavafield/transport/log/event_loop.hpp>
 #include <guavafield/transport/log/log.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <utility>
 #include <vector>
 
@@ -64,8 +62,7 @@
 void DutyService::start()
 {
     m_lease->start();
-    asio::co_spawn(
-        m_dependencies.strand, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    spawnLoop(m_dependencies.strand, [self = shared_from_this()] { return self->run(); });
 }
 
 asio::awaitable<void> DutyService::stop(Milliseconds limit)
@@ -124,7 +121,9 @@
     if (m_stopped || now - m_heldSince < m_settings.holderGap) {
         return std::nullopt;
     }
-    return DutyHolder{m_settings.self.host, *fence};
+    // The clock counts time for which this host was suspended.
+    const auto heldUntil = now + internal::dutyCallTimeout;
+    return DutyHolder{m_settings.self.host, *fence, [clock = &m_dependencies.clock, heldUntil] { return clock->now() < heldUntil; }};
 }
 
 asio::awaitable<void> DutyService::run()
--- a/src/guavafield/transport/fleet/duty_service.hpp
+++ b/src/guavafield/transport/fleet/duty_service.hpp
@@ -25,6 +25,8 @@
 {
     HostId host;
     Fence fence{0};
+    // Whether the lease is still certain to be held; asked right before a call is sent, on any thread.
+    std::function<bool()> stillHeld;
 };
 
 /*! @brief The platform's calls; each ends within the time given, and is then not executed later. */
--- a/src/guavafield/transport/platform/platform_client.cpp
+++ b/src/guavafield/transport/platform/platform_client.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include <ctime>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -26,6 +27,9 @@
 
 namespace internal {
 
+// Larger than any header; a chunk's extension or a trailer may have no end.
+constexpr std::size_t maxUnparsedBytes = std::size_t{64} * 1024;
+
 /*! @brief How far an exchange came. */
 enum class ExchangeEnd : std::uint8_t {
     Answered,
@@ -45,6 +49,7 @@
     bool repeatable{false};
     std::vector<std::pair<std::string, std::string>> headers{};
     std::optional<Milliseconds> timeout{};
+    std::function<bool()> stillAllowed{};
 };
 
 struct PlatformAnswer
@@ -320,6 +325,9 @@
     }
     message.prepare_payload();
 
+    if (request.stillAllowed && !request.stillAllowed()) {
+        co_return internal::PlatformAnswer{};
+    }
     internal::PlatformAnswer answer{internal::ExchangeEnd::Lost, 0, {}};
     beast::error_code ec;
     auto token = asio::redirect_error(asio::use_awaitable, ec);
@@ -329,7 +337,7 @@
         m_idle.clear();
         co_return answer;
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{internal::maxUnparsedBytes};
     http::response_parser<http::string_body> parser;
     parser.body_limit(m_settings.maxAnswerBytes);
     co_await http::async_read(connection->stream, buffer, parser, token);
@@ -476,6 +484,7 @@
     internal::PlatformRequest request{verb, std::move(call.target), std::move(call.body), call.urgency, verb == http::verb::get};
     request.headers = std::move(call.headers);
     request.timeout = call.timeout;
+    request.stillAllowed = std::move(call.stillAllowed);
     auto answer = co_await exchange(std::move(request));
     co_return PlatformReply{answer.status, std::move(answer.body), answer.end == internal::ExchangeEnd::Lost};
 }
--- a/src/guavafield/transport/platform/platform_client.hpp
+++ b/src/guavafield/transport/platform/platform_client.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -53,6 +54,8 @@
     CallUrgency urgency{CallUrgency::Rest};
     // Instead of that of the settings.
     std::optional<Milliseconds> timeout;
+    // Asked right before the call is sent, as this host may have been suspended since it was made; the call is dropped if it returns false.
+    std::function<bool()> stillAllowed;
 };
 
 /*! @brief What became of it. */
--- a/test/transport/platform/platform_client_test.cpp
+++ b/test/transport/platform/platform_client_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(connectionsAreKeptAndFew);
     CPPUNIT_TEST(objects);
     CPPUNIT_TEST(otherInterfaces);
+    CPPUNIT_TEST(permissionIsCheckedRightBeforeSending);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -163,6 +164,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_server->targets.size());
     }
 
+    // A host that was suspended while the connection was made must not act on a lease that ran out meanwhile.
+    void permissionIsCheckedRightBeforeSending()
+    {
+        bool allowed = true;
+        bool asked = false;
+        PlatformCall call{"POST", "/orders", "{}", {}, CallUrgency::Usage, std::nullopt, [&] { return std::exchange(asked, true) || allowed; }};
+        allowed = false;
+        const auto reply = test::await(*m_io, m_client->exchange(call));
+        CPPUNIT_ASSERT(asked);
+        CPPUNIT_ASSERT_EQUAL(0U, reply.status);
+        CPPUNIT_ASSERT(!reply.unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_server->targets.size());
+        // The connection was opened before the permission ran out.
+        m_io->restart();
+        (void)m_io->poll();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_server->connections);
+    }
+
 private:
     std::unique_ptr<PlatformClient> makeClient(std::uint16_t port, PlatformClientSettings settings = {})
     {
