Bound endless answers, move stalled streams and answer accepted requests on stop

Cause, each shown by a test that fails with its mechanism switched off (HazardsTest): - Bytes that are no answer may come without end. Now 64 KiB of unparsed bytes a connection, and one bound for all answers that are collected (held_answer_bytes). - A 1xx head was passed on to the caller as the answer. Now interim answers are skipped, eight at most. - A resumable stream that sent a comment now and then was never moved: progress was counted in bytes. Now in events with data. - A slow but sound stream was cut where no other upstream could continue it. Now it is moved only if a retry is possible, else kept. - At a stop, connections in the listener's queue were reset, and idle connections were closed over a request that had just arrived. Now both are answered, and the stop waits for the connections. A second copy of an answer on a reused connection was skipped already; a test plays it.

--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -54,6 +54,11 @@
     return m_impl->onAttemptEnded(request, upstream, end, now);
 }
 
+bool RequestScheduler::mayMove(std::string_view request, SteadyTime now)
+{
+    return m_impl->mayMove(request, now);
+}
+
 void RequestScheduler::cancel(std::string_view request, SteadyTime now)
 {
     m_impl->cancel(request, now);
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -67,6 +67,8 @@
     void onTokens(std::string_view request, std::uint32_t count, SteadyTime now);
     /*! @brief Handles the end of an attempt; returns whether the request has ended as well. */
     [[nodiscard]] AttemptResolution onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end, SteadyTime now);
+    /*! @brief Returns whether a request that runs in a self-queueing pool could be retried on another upstream now. */
+    [[nodiscard]] bool mayMove(std::string_view request, SteadyTime now);
     /*! @brief Removes a request whose caller disconnected. */
     void cancel(std::string_view request, SteadyTime now);
 
--- a/src/guavafield/coordination/request/retry_budget.hpp
+++ b/src/guavafield/coordination/request/retry_budget.hpp
@@ -42,15 +42,20 @@
         balance = std::min(m_settings.maxBalance, balance + m_settings.retriesPerRequest);
     }
 
+    /*! @brief Returns whether take() would succeed. */
+    [[nodiscard]] bool available(const std::string &className, SteadyTime now)
+    {
+        // Ten additions of 0.1 yield slightly less than 1 in floating point.
+        return balanceOf(className, now) >= 1 - 1e-9;
+    }
+
     /*! @brief Consumes one retry; returns false if the budget is exhausted. */
     [[nodiscard]] bool take(const std::string &className, SteadyTime now)
     {
-        auto &balance = balanceOf(className, now);
-        // Ten additions of 0.1 yield slightly less than 1 in floating point.
-        if (balance < 1 - 1e-9) {
+        if (!available(className, now)) {
             return false;
         }
-        balance -= 1;
+        balanceOf(className, now) -= 1;
         return true;
     }
 
--- a/src/guavafield/coordination/request/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler_attempts.cpp
@@ -19,6 +19,12 @@
 // A reclaimed upstream may terminate slightly earlier than announced.
 constexpr Milliseconds reclaimTolerance{1000};
 
+// Whether a request that upstreams have executed so often may be sent once more.
+bool attemptsLeft(const RequestEntry &entry, std::uint32_t attemptsRun) noexcept
+{
+    return (entry.info.maxAttempts == 0 || attemptsRun < entry.info.maxAttempts) && entry.attemptsMade < maxAttempts;
+}
+
 } // namespace internal
 
 void RequestScheduler::Impl::startAttempt(RequestEntry &entry, UpstreamState &upstream, SteadyTime now)
@@ -260,12 +266,28 @@
     return retry(entry, failure, true, now);
 }
 
+bool RequestScheduler::Impl::mayMove(std::string_view request, SteadyTime now)
+{
+    const auto *entry = find(request);
+    if (entry == nullptr || entry->queued || !entry->migratable()) {
+        return false;
+    }
+    const auto &pool = poolOf(*entry);
+    // The run that goes on counts as well.
+    const bool possible = pool.selfQueueing && internal::attemptsLeft(*entry, entry->attemptsRun + 1);
+    if (!possible || !m_poolRetries.available(entry->info.className, now)) {
+        return false;
+    }
+    bool another = false;
+    pool.upstreams.forEach([&](const UpstreamState &it) { another |= it.usable() && std::ranges::find(entry->tried, it.idHash) == entry->tried.end(); });
+    return another;
+}
+
 AttemptResolution RequestScheduler::Impl::retry(RequestEntry &entry, const AttemptFailed &failure, bool bypassBudget, SteadyTime now)
 {
     const bool started = entry.started() || failure.answerStarted;
     const bool allowed = started ? entry.info.resumable : entry.info.repeatable || failure.notExecuted;
-    const bool runsLeft = entry.info.maxAttempts == 0 || entry.attemptsRun < entry.info.maxAttempts;
-    const bool possible = allowed && runsLeft && entry.attemptsMade < internal::maxAttempts;
+    const bool possible = allowed && internal::attemptsLeft(entry, entry.attemptsRun);
     if (!possible) {
         erase(entry, now);
         return m_admission.refusal(failure.code, 1);
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -33,6 +33,7 @@
     void onFirstToken(std::string_view request, std::string_view upstream, SteadyTime now);
     void onTokens(std::string_view request, std::uint32_t count, SteadyTime now);
     [[nodiscard]] AttemptResolution onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end, SteadyTime now);
+    [[nodiscard]] bool mayMove(std::string_view request, SteadyTime now);
     void cancel(std::string_view request, SteadyTime now);
     void onLoadReport(std::string_view upstream, const LoadReport &report, SteadyTime now);
     void onCacheEvents(std::string_view upstream, std::span<const CacheEvent> events);
--- a/src/guavafield/protocol/settings/settings_table.cpp
+++ b/src/guavafield/protocol/settings/settings_table.cpp
@@ -256,6 +256,8 @@
         integerRow("limits", "header_bytes", "bytes", 1024, mebibyte, "size of a request header", GUAVAFIELD_MEMBER(limits.headerBytes)),
         integerRow("limits", "body_bytes", "bytes", 1024, 1024 * mebibyte, "size of a request body", GUAVAFIELD_MEMBER(limits.bodyBytes)),
         integerRow("limits", "answer_bytes", "bytes", 1024, 4096 * mebibyte, "size of an answer that is not streamed", GUAVAFIELD_MEMBER(limits.responseBytes)),
+        integerRow(
+            "limits", "held_answer_bytes", "bytes", 1024, 65536 * mebibyte, "size of all such answers at once", GUAVAFIELD_MEMBER(limits.heldAnswerBytes)),
         integerRow("limits", "connections", "connections", 1, 1'000'000, "callers' connections at once", GUAVAFIELD_MEMBER(limits.connections)),
         integerRow("limits", "requests", "requests", 1, 1'000'000, "requests in flight at once, streams included", GUAVAFIELD_MEMBER(limits.requests)),
         timeRow("limits", "request_time_ms", 1, "time for a whole request to arrive", GUAVAFIELD_MEMBER(limits.requestTimeout)),
--- a/src/guavafield/transport/http/caller_connection.cpp
+++ b/src/guavafield/transport/http/caller_connection.cpp
@@ -91,7 +91,9 @@
 } // namespace internal
 
 CallerConnection::CallerConnection(std::shared_ptr<PathContext> context, asio::ip::tcp::socket socket)
-    : m_context(std::move(context)), m_stream(std::make_shared<CallerStream>(std::move(socket), m_context->settings.limits.writeTimeout))
+    : m_context(std::move(context))
+    , m_stream(
+          std::make_shared<CallerStream>(std::move(socket), m_context->settings.limits.writeTimeout, maxUnparsedBytes + m_context->callerLimits().headerBytes))
 {
 }
 
@@ -124,7 +126,8 @@
 void CallerConnection::closeIfIdle()
 {
     asio::post(m_stream->socket().get_executor(), [self = shared_from_this()] {
-        if (self->m_idle) {
+        // A request that has arrived but was not seen yet is answered.
+        if (self->m_idle && self->m_stream->buffer().size() == 0 && peek(self->m_stream->socket()) != PeekResult::Bytes) {
             self->m_stream->close();
         }
     });
--- a/src/guavafield/transport/http/caller_server.cpp
+++ b/src/guavafield/transport/http/caller_server.cpp
@@ -41,11 +41,25 @@
 void CallerServer::stopListening()
 {
     asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+        self->takeWaiting();
         boost::system::error_code ec;
         self->m_acceptor.close(ec);
     });
 }
 
+void CallerServer::takeWaiting()
+{
+    boost::system::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        asio::ip::tcp::socket socket(asio::make_strand(m_context->executor));
+        m_acceptor.accept(socket, ec);
+        if (!ec) {
+            take(std::move(socket));
+        }
+    }
+}
+
 void CallerServer::closeIdle()
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/guavafield/transport/http/caller_server.hpp
+++ b/src/guavafield/transport/http/caller_server.hpp
@@ -23,9 +23,9 @@
     CallerServer(std::shared_ptr<PathContext> context, const boost::asio::ip::tcp::endpoint &endpoint);
 
     void start();
-    /*! @brief Closes the listener; from any thread. */
+    /*! @brief Closes the listener once the connections that wait for it are accepted; from any thread. */
     void stopListening();
-    /*! @brief Closes the connections on which no request is in progress. */
+    /*! @brief Closes the connections on which no request is in progress or has arrived. */
     void closeIdle();
 
     [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const noexcept
@@ -39,6 +39,8 @@
     [[nodiscard]] boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection> connection);
     [[nodiscard]] boost::asio::awaitable<void> refuse(std::shared_ptr<CallerConnection> connection);
     void take(boost::asio::ip::tcp::socket socket);
+    // Accepts connections that the system has established already; closing the listener would reset them.
+    void takeWaiting();
 
     std::shared_ptr<PathContext> m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/guavafield/transport/http/caller_stream.cpp
+++ b/src/guavafield/transport/http/caller_stream.cpp
@@ -29,8 +29,8 @@
 
 } // namespace internal
 
-CallerStream::CallerStream(asio::ip::tcp::socket socket, Milliseconds writeTime)
-    : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_writeTime(writeTime)
+CallerStream::CallerStream(asio::ip::tcp::socket socket, Milliseconds writeTime, std::size_t bufferBytes)
+    : m_socket(std::move(socket)), m_buffer(bufferBytes), m_timer(m_socket.get_executor()), m_writeTime(writeTime)
 {
     boost::system::error_code ec;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ec);
--- a/src/guavafield/transport/http/caller_stream.hpp
+++ b/src/guavafield/transport/http/caller_stream.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string_view>
@@ -20,7 +21,11 @@
 class CallerStream : public std::enable_shared_from_this<CallerStream>
 {
 public:
-    CallerStream(boost::asio::ip::tcp::socket socket, Milliseconds writeTime);
+    /*!
+     * @param writeTime Time in which the caller has to take a piece of the answer.
+     * @param bufferBytes Bytes that may wait to be parsed; more than a header may have.
+     */
+    CallerStream(boost::asio::ip::tcp::socket socket, Milliseconds writeTime, std::size_t bufferBytes);
 
     /*! @brief Writes bytes; false if the caller is gone or took none for the write time, after which the connection is closed. */
     [[nodiscard]] boost::asio::awaitable<bool> write(std::string_view bytes);
@@ -60,6 +65,7 @@
     [[nodiscard]] boost::asio::awaitable<void> runWatch(std::shared_ptr<Mailbox> mailbox);
 
     boost::asio::ip::tcp::socket m_socket;
+    // Bounded, since the end of a chunk's extension or a trailer may never come.
     boost::beast::flat_buffer m_buffer;
     boost::asio::steady_timer m_timer;
     Milliseconds m_writeTime;
--- a/src/guavafield/transport/http/connection_pool.hpp
+++ b/src/guavafield/transport/http/connection_pool.hpp
@@ -19,14 +19,18 @@
 
 using UpstreamEndpoint = boost::asio::ip::tcp::endpoint;
 
+/*! @brief Bytes that one connection may hold unparsed; larger than any header. */
+inline constexpr std::size_t maxUnparsedBytes = std::size_t{64} * 1024;
+
 /*! @brief A connection to an upstream; used by one exchange at a time. */
 struct UpstreamConnection
 {
     explicit UpstreamConnection(const boost::asio::any_io_executor &executor) : socket(executor) { }
 
     boost::asio::ip::tcp::socket socket;
-    // Bytes received but not yet parsed; empty while the connection is idle.
-    boost::beast::flat_buffer buffer;
+    // Bytes received but not yet parsed; empty while the connection is idle. Bounded, since the end of a header, a chunk's extension or a trailer may
+    // never come.
+    boost::beast::flat_buffer buffer{maxUnparsedBytes};
     SteadyTime idleSince{};
     // The upstream closes the connection when it was idle for this long; empty if it did not say.
     std::optional<Milliseconds> keepAlive;
--- a/src/guavafield/transport/http/engine_attempt.cpp
+++ b/src/guavafield/transport/http/engine_attempt.cpp
@@ -140,9 +140,10 @@
 EngineAttempt::Awaitable EngineAttempt::readWhole()
 {
     AnswerCompleted answer{m_plan.number, m_exchange.header().result_int(), std::string(m_exchange.header()[boost::beast::http::field::content_type]), {}};
+    AnswerReservation reservation(m_context->answers, m_context->settings.limits.responseBytes);
     while (!m_exchange.complete()) {
         const auto result = co_await m_exchange.readSome(answer.body);
-        if (answer.body.size() > m_context->settings.limits.responseBytes) {
+        if (!reservation.growTo(answer.body.size())) {
             m_exchange.abort();
             deliverFailure(ResultCode::UpstreamFailed, RetryReason::UpstreamError);
             co_return;
@@ -174,6 +175,7 @@
         break;
     }
     case ExchangeResult::Ok:
+    case ExchangeResult::Stalled:
     case ExchangeResult::Aborted:
         break;
     }
--- a/src/guavafield/transport/http/event_splitter.cpp
+++ b/src/guavafield/transport/http/event_splitter.cpp
@@ -45,6 +45,12 @@
     return m_pending.size() <= m_maxEventBytes;
 }
 
+bool hasData(std::string_view event) noexcept
+{
+    constexpr std::string_view field = "data";
+    return event.starts_with(field) || event.find("\ndata") != std::string_view::npos;
+}
+
 std::optional<std::uint64_t> eventId(std::string_view event) noexcept
 {
     constexpr std::string_view field = "id:";
--- a/src/guavafield/transport/http/event_splitter.hpp
+++ b/src/guavafield/transport/http/event_splitter.hpp
@@ -36,6 +36,9 @@
     std::size_t m_searched{0};
 };
 
+/*! @brief Returns whether an event has a data field; comments and empty events have none. */
+[[nodiscard]] bool hasData(std::string_view event) noexcept;
+
 /*! @brief Returns the number in the id field of an event; empty if it has none. */
 [[nodiscard]] std::optional<std::uint64_t> eventId(std::string_view event) noexcept;
 
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace guavafield {
@@ -19,6 +20,8 @@
 
 // Stray answers of earlier requests that are skipped on one connection.
 constexpr int maxStrayAnswers = 2;
+// Interim answers announce the final one and are not passed on.
+constexpr int maxInterimAnswers = 8;
 constexpr std::size_t maxStrayBytes = std::size_t{1} << 20U;
 
 // Statuses that promise callers that the request was not run; an upstream that does not say so must not make this host say it.
@@ -27,6 +30,11 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+bool isInterim(unsigned status) noexcept
+{
+    return status >= 100 && status < 200;
+}
+
 bool isSuccess(unsigned status) noexcept
 {
     return status >= 200 && status < 300;
@@ -76,8 +84,15 @@
 
 asio::awaitable<bool> ForwardAttempt::readHeader(AnswerFacts &facts)
 {
+    int interim = 0;
     for (int strays = 0; strays <= internal::maxStrayAnswers; ++strays) {
         auto result = co_await m_exchange.readHeader();
+        while (result == ExchangeResult::Ok && internal::isInterim(m_exchange.header().result_int()) && interim++ < internal::maxInterimAnswers) {
+            result = co_await m_exchange.readHeader();
+        }
+        if (result == ExchangeResult::Ok && internal::isInterim(m_exchange.header().result_int())) {
+            result = ExchangeResult::Broken;
+        }
         if (result == ExchangeResult::Ok) {
             facts = m_context->hooks.forward->readAnswer(m_exchange.header(), m_plan.id);
             if (!facts.stray) {
@@ -146,13 +161,24 @@
     EventSplitter splitter;
     std::string piece;
     auto result = ExchangeResult::Ok;
+    auto lastProgress = std::chrono::steady_clock::now();
     while (result == ExchangeResult::Ok && !m_exchange.ended() && !m_outlet.closed()) {
         AnswerEvents batch{m_plan.number, {}};
         piece.clear();
-        result = co_await m_exchange.readSome(piece);
+        const auto patience = lastProgress + m_plan.silenceTime;
+        result = co_await m_exchange.readSome(piece, patience);
         if (!splitter.feed(piece, batch.events)) {
             result = ExchangeResult::Broken;
         }
+        // Bytes that complete no event, comments and empty events keep a connection busy but bring the caller nothing.
+        const auto now = std::chrono::steady_clock::now();
+        if (std::ranges::any_of(batch.events, hasData)) {
+            lastProgress = now;
+        } else if (result == ExchangeResult::Stalled || (result == ExchangeResult::Ok && now >= patience)) {
+            m_outlet.deliver(AnswerStalled{m_plan.number});
+            lastProgress = now;
+            result = ExchangeResult::Ok;
+        }
         if (!batch.events.empty()) {
             co_await m_outlet.deliverAndWait(std::move(batch));
         }
@@ -167,10 +193,11 @@
 ForwardAttempt::Awaitable ForwardAttempt::readWhole()
 {
     AnswerCompleted answer{m_plan.number, m_exchange.header().result_int(), {}, {}};
+    AnswerReservation reservation(m_context->answers, m_context->settings.limits.responseBytes);
     auto result = ExchangeResult::Ok;
     while (result == ExchangeResult::Ok && !m_exchange.ended()) {
         result = co_await m_exchange.readSome(answer.body);
-        if (answer.body.size() > m_context->settings.limits.responseBytes) {
+        if (!reservation.growTo(answer.body.size())) {
             m_exchange.abort();
             deliverFailure(AttemptFailed{ResultCode::UpstreamFailed, RetryReason::UpstreamError}, "the answer is too large");
             co_return;
@@ -201,6 +228,7 @@
         deliverFailure(failure, "the connection ended before the answer did");
         break;
     case ExchangeResult::Ok:
+    case ExchangeResult::Stalled:
     case ExchangeResult::Aborted:
         break;
     }
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -345,6 +345,20 @@
     co_await finishWith(ResultCode::UpstreamTimeout);
 }
 
+ForwardRequest::Awaitable ForwardRequest::on(AnswerStalled &event)
+{
+    if (!m_attempt || m_attempt->number() != event.attempt) {
+        co_return;
+    }
+    // A slow stream that cannot go on elsewhere is better than none.
+    if (!m_context->driver->mayMove(m_plan.id)) {
+        logEvent(LogLevel::Info, "http:", m_call.envelope.id, "stalled stream kept, upstream=" + m_lastUpstream);
+        co_return;
+    }
+    AttemptFailed failure{ResultCode::UpstreamTimeout, RetryReason::AnswerIncomplete};
+    co_await failAttempt(failure);
+}
+
 ForwardRequest::Awaitable ForwardRequest::on(AnswerStarted & /*event*/)
 {
     co_return;
--- a/src/guavafield/transport/http/forward_request.hpp
+++ b/src/guavafield/transport/http/forward_request.hpp
@@ -66,6 +66,7 @@
     [[nodiscard]] Awaitable on(DeadlineReached &event);
     // Events of other kinds of requests.
     [[nodiscard]] Awaitable on(AnswerStarted &event);
+    [[nodiscard]] Awaitable on(AnswerStalled &event);
     [[nodiscard]] Awaitable on(ServiceOutcome &event);
     [[nodiscard]] Awaitable on(KeyClosed &event);
 
--- a/src/guavafield/transport/http/mailbox.hpp
+++ b/src/guavafield/transport/http/mailbox.hpp
@@ -38,6 +38,11 @@
     std::uint32_t attempt{0};
     std::vector<std::string> events;
 };
+/*! @brief No event has come for the time after which another upstream would be tried; the attempt goes on. */
+struct AnswerStalled
+{
+    std::uint32_t attempt{0};
+};
 /*! @brief The answer is complete; the body is empty for a stream. */
 struct AnswerCompleted
 {
@@ -73,6 +78,7 @@
                                   AnswerStarted,
                                   AnswerHead,
                                   AnswerEvents,
+                                  AnswerStalled,
                                   AnswerCompleted,
                                   AnswerFailed,
                                   ServiceOutcome,
--- a/src/guavafield/transport/http/model_request.cpp
+++ b/src/guavafield/transport/http/model_request.cpp
@@ -132,6 +132,12 @@
     co_return;
 }
 
+ModelRequest::Awaitable ModelRequest::on(AnswerStalled & /*event*/)
+{
+    // Attempts on engines end by themselves when they stall.
+    co_return;
+}
+
 ModelRequest::Awaitable ModelRequest::on(AnswerHead & /*event*/)
 {
     co_return;
--- a/src/guavafield/transport/http/model_request.hpp
+++ b/src/guavafield/transport/http/model_request.hpp
@@ -72,6 +72,7 @@
 
     [[nodiscard]] Awaitable on(SchedulerAction &action);
     [[nodiscard]] Awaitable on(AnswerStarted &event);
+    [[nodiscard]] Awaitable on(AnswerStalled &event);
     [[nodiscard]] Awaitable on(AnswerHead &event);
     [[nodiscard]] Awaitable on(AnswerEvents &event);
     [[nodiscard]] Awaitable on(AnswerCompleted &event);
--- a/src/guavafield/transport/http/operator_server.cpp
+++ b/src/guavafield/transport/http/operator_server.cpp
@@ -2,6 +2,7 @@
 #include <guavafield/transport/http/operator_server.hpp>
 
 #include <guavafield/transport/http/access.hpp>
+#include <guavafield/transport/http/connection_pool.hpp>
 #include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/log/log.hpp>
 
@@ -88,7 +89,7 @@
 {
     const auto self = shared_from_this();
     boost::beast::tcp_stream stream(std::move(socket));
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{maxUnparsedBytes};
     boost::system::error_code ec;
     bool another = true;
     while (another && !ec) {
--- a/src/guavafield/transport/http/path_context.cpp
+++ b/src/guavafield/transport/http/path_context.cpp
@@ -44,6 +44,7 @@
     , hooks(std::move(pathHooks))
     , pool(executor, PoolSettings{})
     , places(daemonSettings.limits.requests)
+    , answers(daemonSettings.limits.heldAnswerBytes)
     , driver(std::make_shared<RequestDriver>(
           executor,
           daemonClock,
--- a/src/guavafield/transport/http/path_context.hpp
+++ b/src/guavafield/transport/http/path_context.hpp
@@ -8,6 +8,7 @@
 #include <guavafield/state/key_hasher.hpp>
 #include <guavafield/state/latencies.hpp>
 #include <guavafield/state/snapshot_cell.hpp>
+#include <guavafield/transport/http/answer_memory.hpp>
 #include <guavafield/transport/http/connection_pool.hpp>
 #include <guavafield/transport/http/engine_probe.hpp>
 #include <guavafield/transport/http/forward_dialect.hpp>
@@ -100,6 +101,7 @@
     ServiceBalance services;
     EngineIncarnations engines;
     RequestPlaces places;
+    AnswerMemory answers;
     ConfigurationAge age;
     std::shared_ptr<RequestDriver> driver;
     Latencies latencies;
--- a/src/guavafield/transport/http/request_driver.cpp
+++ b/src/guavafield/transport/http/request_driver.cpp
@@ -63,6 +63,11 @@
     return verdict;
 }
 
+bool RequestDriver::mayMove(std::string_view request)
+{
+    return withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { return scheduler.mayMove(request, now); });
+}
+
 void RequestDriver::abandon(std::string_view request)
 {
     withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -33,6 +33,8 @@
     void onTokens(std::string_view request, std::uint32_t count);
     /*! @brief Tells the scheduler that an attempt ended. The request is over unless the verdict is RetryQueued or another attempt runs. */
     [[nodiscard]] AttemptResolution onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end);
+    /*! @brief Returns whether the request could go on at another upstream now. */
+    [[nodiscard]] bool mayMove(std::string_view request);
     /*! @brief Takes a request out of the scheduler, be it queued or dispatched, and delivers no further actions for it. */
     void abandon(std::string_view request);
     /*! @brief Ends a request whose last attempt has ended; a scheduler that still holds it, e.g. preempted at the last moment, drops it. */
--- a/src/guavafield/transport/http/request_path.cpp
+++ b/src/guavafield/transport/http/request_path.cpp
@@ -100,26 +100,28 @@
     m_context->refusing.store(true, std::memory_order_release);
     m_server->stopListening();
     const auto spent = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begin);
-    const bool drained = co_await waitForRequests(shutdown.shutdownTimeout - spent);
+    const auto noRequests = [this] { return requestsInFlight() == 0; };
+    const bool drained = co_await waitUntil(noRequests, shutdown.shutdownTimeout - spent);
     if (!drained) {
         logEvent(LogLevel::Warning, "http:", {}, "the shutdown limit ends " + std::to_string(requestsInFlight()) + " requests");
         m_context->keys.notifyAll(HostEnding{});
-        std::ignore = co_await waitForRequests(internal::endingTime);
+        std::ignore = co_await waitUntil(noRequests, internal::endingTime);
     }
     m_stopped.store(true, std::memory_order_release);
     m_server->closeIdle();
+    std::ignore = co_await waitUntil([this] { return m_server->connections() == 0; }, internal::endingTime);
     m_poller->stop();
     m_context->driver->stop();
     m_context->pool.clear();
     co_return drained;
 }
 
-asio::awaitable<bool> RequestPath::waitForRequests(Milliseconds limit)
+asio::awaitable<bool> RequestPath::waitUntil(std::function<bool()> condition, Milliseconds limit)
 {
     const auto end = std::chrono::steady_clock::now() + limit;
     asio::steady_timer timer(m_context->executor);
     boost::system::error_code ec;
-    while (requestsInFlight() > 0) {
+    while (!condition()) {
         if (std::chrono::steady_clock::now() >= end) {
             co_return false;
         }
--- a/src/guavafield/transport/http/request_path.hpp
+++ b/src/guavafield/transport/http/request_path.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string_view>
 
@@ -69,11 +70,17 @@
         return m_context->age.tooOld(m_context->clock->now());
     }
 
+    /*! @brief Returns the bytes of answers that are being collected. */
+    [[nodiscard]] std::uint64_t heldAnswerBytes() const noexcept
+    {
+        return m_context->answers.held();
+    }
+
 private:
     // Applies configurations that were not announced and closes stale connections, again and again.
     [[nodiscard]] boost::asio::awaitable<void> runMaintenance();
-    // Waits until no request is in flight; false if the time ended first.
-    [[nodiscard]] boost::asio::awaitable<bool> waitForRequests(Milliseconds limit);
+    // Waits until a condition holds; false if the time ended first.
+    [[nodiscard]] boost::asio::awaitable<bool> waitUntil(std::function<bool()> condition, Milliseconds limit);
 
     std::shared_ptr<PathContext> m_context;
     std::shared_ptr<CallerServer> m_server;
--- a/src/guavafield/transport/http/service_request.cpp
+++ b/src/guavafield/transport/http/service_request.cpp
@@ -32,11 +32,10 @@
     }
 }
 
-// A header of 32 MiB bodies and more is not expected from a plain service; the limit is that of answers.
-asio::awaitable<ExchangeResult> readServiceAnswer(UpstreamExchange &exchange, std::uint64_t limit, ServiceAnswer &answer)
+asio::awaitable<ExchangeResult> readServiceAnswer(UpstreamExchange &exchange, AnswerReservation &reservation, ServiceAnswer &answer)
 {
     auto result = co_await exchange.readHeader();
-    while (result == ExchangeResult::Ok && !exchange.ended() && answer.body.size() <= limit) {
+    while (result == ExchangeResult::Ok && !exchange.ended() && reservation.growTo(answer.body.size())) {
         result = co_await exchange.readSome(answer.body);
     }
     if (result == ExchangeResult::Ok && !exchange.complete()) {
@@ -91,7 +90,8 @@
     // A call that may not be repeated takes a fresh connection: on an idle one it could meet the upstream's closing it.
     auto result = co_await exchange.send(m_plan.request, !target.repeatable);
     if (result == ExchangeResult::Ok) {
-        result = co_await internal::readServiceAnswer(exchange, m_context->settings.limits.responseBytes, answer);
+        AnswerReservation reservation(m_context->answers, m_context->settings.limits.responseBytes);
+        result = co_await internal::readServiceAnswer(exchange, reservation, answer);
     }
     m_sent = m_sent || exchange.sent();
     m_exchange = nullptr;
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -3,12 +3,15 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <utility>
+
 namespace guavafield {
 
 namespace internal {
@@ -102,12 +105,16 @@
     co_return result;
 }
 
-asio::awaitable<ExchangeResult> UpstreamExchange::readSome(std::string &body)
+asio::awaitable<ExchangeResult> UpstreamExchange::readSome(std::string &body, std::optional<SteadyTime> until)
 {
     auto &target = m_parser->get().body();
     target.data = m_piece.data();
     target.size = m_piece.size();
-    startTimer(m_times.silence);
+    if (until) {
+        startStallTimer(*until);
+    } else {
+        startTimer(m_times.silence);
+    }
     boost::system::error_code ec;
     co_await http::async_read_some(m_state->connection->socket, m_state->connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
     if (ec == http::error::need_buffer) {
@@ -151,6 +158,17 @@
     });
 }
 
+void UpstreamExchange::startStallTimer(SteadyTime until)
+{
+    const auto operation = ++m_state->operation;
+    m_timer.expires_at(until);
+    m_timer.async_wait([state = m_state, operation](const boost::system::error_code &ec) {
+        if (!ec && state->operation == operation) {
+            state->interrupt();
+        }
+    });
+}
+
 ExchangeResult UpstreamExchange::resultOf(const boost::system::error_code &ec, ExchangeResult failure)
 {
     ++m_state->operation;
@@ -161,9 +179,22 @@
     if (m_state->timedOut) {
         return ExchangeResult::TimedOut;
     }
+    const bool stalled = std::exchange(m_state->stalled, false);
+    if (stalled && ec == asio::error::operation_aborted) {
+        return ExchangeResult::Stalled;
+    }
     return ec ? failure : ExchangeResult::Ok;
 }
 
+void UpstreamExchange::State::interrupt()
+{
+    if (connection) {
+        stalled = true;
+        boost::system::error_code ec;
+        connection->socket.cancel(ec);
+    }
+}
+
 void UpstreamExchange::State::close()
 {
     if (connection) {
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstream_exchange.hpp
@@ -26,6 +26,8 @@
     // No connection; nothing was sent.
     ConnectFailed,
     TimedOut,
+    // The time that readSome() was given is over; the connection is unharmed.
+    Stalled,
     // The connection ended or the answer is malformed.
     Broken,
     // abort() was called.
@@ -69,8 +71,11 @@
     }
     /*! @brief Reads the header of the answer. */
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> readHeader();
-    /*! @brief Reads a piece of the body, of any size and possibly empty, and appends it. */
-    [[nodiscard]] boost::asio::awaitable<ExchangeResult> readSome(std::string &body);
+    /*!
+     * @brief Reads a piece of the body, of any size and possibly empty, and appends it.
+     * @param until Ends the wait with Stalled, after which it may be called again.
+     */
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> readSome(std::string &body, std::optional<SteadyTime> until = std::nullopt);
 
     /*! @brief Returns the header; valid after readHeader(). */
     [[nodiscard]] const AnswerHeader &header() const
@@ -106,14 +111,19 @@
         // Number of the operation under way; an expiry of an earlier one is ignored.
         std::uint64_t operation{0};
         bool timedOut{false};
+        bool stalled{false};
         // The request is still being sent.
         bool sending{false};
 
         void close();
+        void interrupt();
     };
 
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> connect(bool freshConnection);
+    // Closes the connection when the time is over.
     void startTimer(Milliseconds time);
+    // Ends the operation under way when the time is over.
+    void startStallTimer(SteadyTime until);
     [[nodiscard]] ExchangeResult resultOf(const boost::system::error_code &ec, ExchangeResult failure);
 
     ConnectionPool *m_pool;
--- /dev/null
+++ b/test/transport/http/hazards_test.cpp
@@ -0,0 +1,287 @@
+// Tests of upstreams that stall, feed bytes without end or repeat answers, and of stops under load.
+#include "transport/http/path_fixture.hpp"
+
+#include "platform/request_dialect.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <chrono>
+#include <deque>
+
+namespace guavafield::test {
+
+namespace {
+
+constexpr std::string_view seal = "X-Guavafield-Response-Seal: s.1\r\n";
+// What the buffers of both systems may hold besides what the host has read.
+constexpr std::size_t socketBufferBytes = std::size_t{24} << 20U;
+constexpr std::size_t endlessBytes = std::size_t{200} << 20U;
+
+std::string echo(const FakeCall &call)
+{
+    return "X-Guavafield-Request-Id: " + std::string(call.request()["X-Guavafield-Request-Id"]) + "\r\n" + std::string(seal);
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+}
+
+bool sendChunk(FakeCall &call, const std::string &bytes)
+{
+    std::ostringstream chunk;
+    chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return call.send(chunk.str());
+}
+
+void beginEvents(FakeCall &call)
+{
+    call.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + echo(call) + "\r\n");
+}
+
+// Sends bytes at full speed until the other side closes, and returns how many it took.
+std::size_t sendWithoutEnd(FakeCall &call, std::string_view start, const std::string &piece)
+{
+    std::size_t sent = 0;
+    bool open = call.send(start);
+    while (open && sent < endlessBytes) {
+        open = call.send(piece);
+        sent += open ? piece.size() : 0;
+    }
+    return sent;
+}
+
+std::string request(std::string_view path, std::string_view id = "abc123")
+{
+    std::string text = "POST " + std::string(path) + " HTTP/1.1\r\nHost: app.example\r\nX-Guavafield-Request-Id: " + std::string(id) + "\r\n";
+    return text + "Authorization: Token " + std::string(testKey) + "\r\nContent-Length: 5\r\n\r\nhello";
+}
+
+} // namespace
+
+class HazardsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HazardsTest);
+    CPPUNIT_TEST(secondCopyOfAnAnswerReachesNobody);
+    CPPUNIT_TEST(stalledStreamThatSendsBytesGoesOnElsewhere);
+    CPPUNIT_TEST(slowStreamIsKeptWhereItCannotGoOn);
+    CPPUNIT_TEST(bytesWithoutEndAreBounded);
+    CPPUNIT_TEST(bodiesWithoutEndShareOneBound);
+    CPPUNIT_TEST(acceptedRequestsAreAnsweredOnStop);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // A second copy of an answer that comes while the next request is sent on the same connection must not be taken for the answer to that one.
+    void secondCopyOfAnAnswerReachesNobody()
+    {
+        std::string copy;
+        std::atomic<int> connections{0};
+        FakeUpstream upstream([&](FakeCall &call) {
+            const auto own =
+                "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n" + echo(call) + "\r\n" + std::string(call.request()["X-Guavafield-Request-Id"]).substr(0, 6);
+            // The copy comes in two reads.
+            if (!copy.empty()) {
+                call.send(std::string_view(copy).substr(0, 20));
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                call.send(std::string_view(copy).substr(20));
+            }
+            call.send(own);
+            copy = own;
+        });
+        auto fixture = make({&upstream});
+        fixture->start();
+        for (const auto *id : {"first1", "second", "third3", "fourth"}) {
+            const auto answer = fixture->call(request("/once/x", id));
+            CPPUNIT_ASSERT(answer.has_value());
+            CPPUNIT_ASSERT_EQUAL(std::string(id), answer->body());
+        }
+    }
+
+    // Comments keep a connection busy but are no progress; the stream must go on elsewhere in the time in which a silent one does.
+    void stalledStreamThatSendsBytesGoesOnElsewhere()
+    {
+        std::atomic<int> calls{0};
+        const auto handler = [&](FakeCall &call) {
+            beginEvents(call);
+            if (calls++ == 0) {
+                sendChunk(call, event(1));
+                while (sendChunk(call, ": still here\n\n")) {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+                }
+                return;
+            }
+            sendChunk(call, event(2) + event(3));
+            call.send("0\r\n\r\n");
+        };
+        FakeUpstream first(handler);
+        FakeUpstream second(handler);
+        auto fixture = make({&first, &second});
+        fixture->start();
+        const auto begin = std::chrono::steady_clock::now();
+        const auto answer = fixture->call(request("/resume/x"));
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT(answer->body().find("e1") != std::string::npos && answer->body().ends_with(event(2) + event(3)));
+        // Well before the route's time of 20 s.
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < std::chrono::seconds(10));
+    }
+
+    // A sound stream may pause for longer than usual. Where no other upstream can continue it, cutting it would only lose the rest.
+    void slowStreamIsKeptWhereItCannotGoOn()
+    {
+        FakeUpstream upstream([&](FakeCall &call) {
+            beginEvents(call);
+            sendChunk(call, event(1));
+            std::this_thread::sleep_for(std::chrono::milliseconds(3'500));
+            sendChunk(call, event(2));
+            call.send("0\r\n\r\n");
+        });
+        auto fixture = make({&upstream});
+        fixture->start();
+        const auto answer = fixture->call(request("/resume/x"));
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2), answer->body());
+    }
+
+    // Bytes that never become an answer must neither fill the memory nor keep the caller waiting.
+    void bytesWithoutEndAreBounded()
+    {
+        const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+        const std::string filler(16'384, 'a');
+        struct Case
+        {
+            std::string name;
+            std::string start;
+            std::string piece;
+        };
+        const std::vector<Case> cases{
+            {"header line", "HTTP/1.1 200 OK\r\nX-Long: ", filler},
+            {"header lines", "HTTP/1.1 200 OK\r\n", "X-Line: " + filler.substr(0, 200) + "\r\n"},
+            {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+            {"no answer", "", filler},
+            {"chunk extension", chunked + "ECHO\r\n5;x=", filler},
+            {"trailer", chunked + "ECHO\r\n0\r\nX-Trailer: ", filler},
+        };
+        for (const auto &it : cases) {
+            std::atomic<std::size_t> sent{0};
+            FakeUpstream upstream([&](FakeCall &call) {
+                auto start = it.start;
+                if (const auto at = start.find("ECHO"); at != std::string::npos) {
+                    start.replace(at, 4, echo(call));
+                }
+                sent = sendWithoutEnd(call, start, it.piece);
+            });
+            auto fixture = make({&upstream});
+            fixture->start();
+            const auto answer = fixture->call(request("/once/x"));
+            CPPUNIT_ASSERT_MESSAGE(it.name, answer.has_value());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, 502U, answer->result_int());
+            upstream.crash();
+            CPPUNIT_ASSERT_MESSAGE(it.name + ", bytes taken: " + std::to_string(sent), sent < socketBufferBytes);
+        }
+    }
+
+    // Each answer may be as large as the limit allows, but many at once must not exceed what the host has.
+    void bodiesWithoutEndShareOneBound()
+    {
+        constexpr std::size_t callers = 8;
+        std::atomic<std::size_t> sent{0};
+        FakeUpstream upstream(
+            [&](FakeCall &call) { sent += sendWithoutEnd(call, "HTTP/1.1 200 OK\r\n" + echo(call) + "Connection: close\r\n\r\n", std::string(16'384, 'a')); });
+        auto fixture = make({&upstream});
+        fixture->settings.limits.responseBytes = std::uint64_t{64} << 20U;
+        fixture->settings.limits.heldAnswerBytes = std::uint64_t{32} << 20U;
+        fixture->start();
+        std::deque<Client> clients;
+        for (std::size_t n = 0; n < callers; ++n) {
+            clients.emplace_back(fixture->path().endpoint());
+            clients.back().send(request("/once/x", "caller" + std::to_string(n)));
+        }
+        for (auto &it : clients) {
+            const auto answer = it.read();
+            CPPUNIT_ASSERT(answer.has_value());
+            CPPUNIT_ASSERT_EQUAL(502U, answer->result_int());
+        }
+        upstream.crash();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent < (std::size_t{32} << 20U) + callers * socketBufferBytes);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fixture->path().heldAnswerBytes());
+    }
+
+    // Connections that the system has established before the listener closes, and requests that arrive at the very end, get an answer.
+    void acceptedRequestsAreAnsweredOnStop()
+    {
+        constexpr std::size_t callers = 60;
+        FakeUpstream upstream([&](FakeCall &call) { call.reply(200, "x", echo(call)); });
+        auto fixture = make({&upstream});
+        fixture->settings.shutdown.listenerCloseDelay = Milliseconds{0};
+        fixture->start();
+        // While the host's threads are busy, connections with requests gather in front of it.
+        Signal release;
+        std::atomic<int> held{0};
+        for (std::size_t n = 0; n < fixture->threads(); ++n) {
+            boost::asio::post(fixture->io(), [&] {
+                ++held;
+                (void)release.wait();
+            });
+        }
+        CPPUNIT_ASSERT(waitUntil([&] { return held == static_cast<int>(fixture->threads()); }));
+        std::deque<Client> clients;
+        for (std::size_t n = 0; n < callers; ++n) {
+            clients.emplace_back(fixture->path().endpoint());
+            clients.back().send(request("/call/x", "caller" + std::to_string(n)));
+        }
+        Signal stopped;
+        boost::asio::co_spawn(fixture->io(), fixture->path().stop(), [&](const std::exception_ptr &, bool) { stopped.set(); });
+        release.set();
+        for (auto &it : clients) {
+            const auto answer = it.read();
+            CPPUNIT_ASSERT(answer.has_value());
+            CPPUNIT_ASSERT(answer->result_int() == 200U || answer->result_int() == 503U);
+        }
+        CPPUNIT_ASSERT(stopped.wait());
+    }
+
+private:
+    static std::unique_ptr<PathFixture> make(const std::vector<FakeUpstream *> &upstreams)
+    {
+        auto fixture = std::make_unique<PathFixture>();
+        fixture->hooks.forward = std::make_shared<const ForwardDialect>(platform::requestDialect());
+        auto &configuration = fixture->configuration;
+        configuration.pools["p"].id = "p";
+        const auto digest = KeyHasher(std::string(fleetSecret)).digest(testKey);
+        configuration.keys[toHex(digest)] = ApiKey{toHex(digest), "acme", digest, false};
+        route(configuration, "/call/", Repeat::Always, false);
+        route(configuration, "/once/", Repeat::Never, false);
+        route(configuration, "/resume/", Repeat::Resume, true);
+        for (std::size_t n = 0; n < upstreams.size(); ++n) {
+            const auto id = "u" + std::to_string(n + 1);
+            fixture->addUpstream(id, *upstreams[n], false);
+            configuration.upstreams[id].pool = "p";
+        }
+        return fixture;
+    }
+
+    static void route(Configuration &configuration, const std::string &prefix, Repeat repeat, bool stream)
+    {
+        PoolTarget target;
+        target.pools = {{"p", 1}};
+        target.repeat = repeat;
+        target.stream = stream;
+        target.maxAttempts = repeat == Repeat::Never ? 1 : 2;
+        target.target = Milliseconds{400};
+        Route route;
+        route.id = prefix;
+        route.prefix = prefix;
+        route.target = target;
+        route.timeout = Milliseconds{20'000};
+        route.host = "app.example";
+        configuration.routes[prefix] = route;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HazardsTest);
+
+} // namespace guavafield::test
--- a/test/transport/http/path_fixture.hpp
+++ b/test/transport/http/path_fixture.hpp
@@ -81,6 +81,10 @@
     {
         return m_io;
     }
+    [[nodiscard]] std::size_t threads() const
+    {
+        return m_threads.size();
+    }
     [[nodiscard]] Client connect(int receiveBufferBytes = 0);
     /*! @brief Sends a request on a connection of its own and reads the whole answer. */
     [[nodiscard]] std::optional<Client::Response> call(std::string_view request);
