Bound the calls of a large fleet to the platform and report to the holder of the duties directly

Hosts with knowledge older than 1 s asked a failed platform every 250 ms for both tables (11,492 of the first 15,689 calls); each change of the document was read by each host (200 calls a change); hosts cut off from the store tried to take the lease every 400 ms; as the holder reported every 3.2 s, but its lease counts as held for 2.5 s after a report, all others read its row; at the start every host was a reader. A window of usage settles in 2.5 s, so with a report every 3.2 s some counts came too late (498 of 2,813 requests of one window). Change: pauses after failures grow with the fleet and, for the lease, with each failure; the document is fetched from the peer that has it, unless it is too large for one host to serve; ReportSchedule has the holder report to all and all report to the holder within its lease and the settling time; hosts with slow links read nothing for others in their first 2.5 s; candidates of the lease are known from the table of hosts.

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <set>
 #include <utility>
 
 namespace guavafield {
@@ -28,9 +29,6 @@
 constexpr std::string_view hostAddressTable = "hosts";
 constexpr Milliseconds addressRetryInterval{1'000};
 constexpr Milliseconds addressRefreshInterval{60'000};
-constexpr Milliseconds reportInterval{200};
-// The report interval is multiplied by the number of hosts divided by this (rounded down, at least 1), so that small fleets report at each interval.
-constexpr std::size_t hostsPerReportSlowdown = 12;
 // Crashes are repeated in the reports to peers for this long, in case a report is lost.
 constexpr Milliseconds crashRepeatDuration{2'000};
 // Hosts with slower links neither read tables for other hosts nor relay to them while hosts with faster links are available.
@@ -152,7 +150,7 @@
     result.stop = [this]() -> asio::awaitable<void> {
         // Sends the final usage counts before the host leaves.
         sendReport();
-        co_await sleepFor(internal::reportInterval);
+        co_await sleepFor(ReportSchedule::interval);
         m_peers->leave();
         m_stopped = true;
         m_directory->stop();
@@ -197,13 +195,16 @@
 asio::awaitable<void> MachinesPlatformServices::reportLoop()
 {
     while (!m_stopped) {
-        sendReport();
-        // The host that reads the tables always reports at the full rate. The other hosts report less often in larger fleets, which bounds the load
-        // on each receiver.
-        const auto hosts = m_addressBook.countResponsive(m_dependencies.clock.now()) + 1;
+        const auto now = m_dependencies.clock.now();
+        const auto hosts = m_addressBook.countResponsive(now) + 1;
         m_directory->setHosts(hosts);
-        const auto slowdown = m_directory->reads() ? 1 : std::max<std::size_t>(1, hosts / internal::hostsPerReportSlowdown);
-        co_await sleepFor(internal::reportInterval * static_cast<int>(slowdown));
+        const auto receivers = m_reportSchedule.next(hosts, {m_directory->reads(), m_duties && m_duties->fence() != 0}, now);
+        if (receivers == ReportReceivers::AllHosts) {
+            sendReport();
+        } else if (const auto holder = m_reportSchedule.dutyHolder(now); receivers == ReportReceivers::DutyHolder && holder) {
+            m_peers->sendReportTo(makeReport(), *holder);
+        }
+        co_await sleepFor(ReportSchedule::interval);
     }
 }
 
@@ -280,6 +281,7 @@
             m_addressBook.updateFromRow(row.key, toPeerAddresses(addresses).front(), now);
         }
     }
+    updateFleetMembers();
     co_return true;
 }
 
@@ -303,6 +305,9 @@
         return;
     }
     m_addressBook.updateFromReport(from.id, from.address, report.slowLink, m_dependencies.clock.now());
+    if (report.dutyFence != 0) {
+        m_reportSchedule.onDutyHolder(from.address, report.dutyFence, m_dependencies.clock.now());
+    }
     if (m_duties) {
         m_duties->onReport(from.id, from.incarnation, report);
     }
@@ -323,7 +328,13 @@
 
 void MachinesPlatformServices::updateFleetMembers()
 {
-    const auto candidates = leaseCandidates(m_dependencies.settings.host.id, m_peers->members());
+    const auto members = leaseCandidates(m_dependencies.settings.host.id, m_peers->members());
+    std::set<HostId> known(members.begin(), members.end());
+    // At the start, gossip knows few of the hosts that the platform's table lists.
+    for (auto &it : m_addressBook.hosts(m_dependencies.clock.now())) {
+        known.insert(std::move(it));
+    }
+    const std::vector<HostId> candidates(known.begin(), known.end());
     const auto hosts = static_cast<std::uint32_t>(candidates.size());
     m_requestPath->driver().withScheduler([hosts](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.setFleetHosts(hosts); });
     if (m_duties) {
--- a/apps/guavafieldd/machines_platform_services.hpp
+++ b/apps/guavafieldd/machines_platform_services.hpp
@@ -5,6 +5,7 @@
 #include "apps/guavafieldd/daemon_service.hpp"
 
 #include <guavafield/coordination/fleet/address_book.hpp>
+#include <guavafield/coordination/fleet/report_schedule.hpp>
 #include <guavafield/protocol/settings/daemon_settings.hpp>
 #include <guavafield/state/clock.hpp>
 #include <guavafield/state/counters.hpp>
@@ -94,6 +95,7 @@
     std::shared_ptr<DirectoryService> m_directory;
     std::shared_ptr<DutyService> m_duties;
     AddressBook m_addressBook;
+    ReportSchedule m_reportSchedule;
     std::deque<RecentCrash> m_recentCrashes;
     std::uint64_t m_lastCrashNumber{0};
     // Highest crash number received from each incarnation of a peer, to count repeated reports once. Key: host ID, slash, incarnation.
--- a/src/guavafield/coordination/fleet/address_book.cpp
+++ b/src/guavafield/coordination/fleet/address_book.cpp
@@ -38,6 +38,17 @@
     return result;
 }
 
+std::vector<HostId> AddressBook::hosts(SteadyTime now) const
+{
+    std::vector<HostId> result;
+    for (const auto &[host, entry] : m_entries) {
+        if (now - entry.lastUpdate < internal::addressTimeout) {
+            result.push_back(host);
+        }
+    }
+    return result;
+}
+
 std::size_t AddressBook::countResponsive(SteadyTime now) const
 {
     return static_cast<std::size_t>(
--- a/src/guavafield/coordination/fleet/address_book.hpp
+++ b/src/guavafield/coordination/fleet/address_book.hpp
@@ -25,6 +25,8 @@
 
     /*! @brief Returns the addresses to which reports are sent; hosts known to have fast links come first. */
     [[nodiscard]] std::vector<PeerAddress> addresses(SteadyTime now) const;
+    /*! @brief Returns the hosts to which reports are sent. */
+    [[nodiscard]] std::vector<HostId> hosts(SteadyTime now) const;
     /*! @brief Returns the number of hosts that reported recently. */
     [[nodiscard]] std::size_t countResponsive(SteadyTime now) const;
 
--- a/src/guavafield/coordination/lease/lease_client.cpp
+++ b/src/guavafield/coordination/lease/lease_client.cpp
@@ -12,6 +12,8 @@
 constexpr int maxDriftPercent = 5;
 // Candidates with a lower rank poll the row; the others read it only when a take-over may be due.
 constexpr std::uint32_t pollingRanks = 3;
+// Bounds the pause after failures at 16 times the first one.
+constexpr int maxDoublings = 4;
 constexpr std::uint32_t maxStaggeredRank = 40;
 
 bool contains(const std::vector<LeaseHolder> &list, const LeaseHolder &holder)
@@ -25,6 +27,9 @@
 
 std::vector<LeaseAction> LeaseClient::step(SteadyTime now)
 {
+    if (m_firstStep == SteadyTime{}) {
+        m_firstStep = now;
+    }
     return advance(now);
 }
 
@@ -32,12 +37,15 @@
 {
     m_outstanding = false;
     std::visit(Overloaded{
-                   [&](const TransactionCommitted &committed) { applyRecord(m_pendingRecord, committed.versions.at(0), now); },
+                   [&](const TransactionCommitted &committed) {
+                       m_failures = 0;
+                       applyRecord(m_pendingRecord, committed.versions.at(0), now);
+                   },
                    [&](const TransactionConflict &conflict) { applyRow(conflict.current, now); },
                    [&](const TransactionUnknown &) { m_mustRead = true; },
                    [&](const TransactionRejected &) {
                        m_pendingRenewals.erase(m_pendingRecord.renewal);
-                       m_notBefore = now + m_settings.retryEvery;
+                       backOff(now);
                    },
                },
                reply);
@@ -49,9 +57,10 @@
     m_outstanding = false;
     const auto *rows = std::get_if<ReadRows>(&reply);
     if (rows == nullptr || rows->rows.size() != 1) {
-        m_notBefore = now + m_settings.retryEvery;
+        backOff(now);
         return advance(now);
     }
+    m_failures = 0;
     m_mustRead = false;
     // An older version than the known one is a stale read; a conditional write on the known version detects whether it is current.
     if (!m_rowKnown || rows->rows[0].version >= m_version) {
@@ -74,6 +83,19 @@
     return advance(now);
 }
 
+void LeaseClient::backOff(SteadyTime now) noexcept
+{
+    // The recorded holder is needed again at once when the service returns; of the others, one is enough.
+    const auto factor = isRecordedHolder() ? 1 : 1 << std::min(m_failures, internal::maxDoublings);
+    ++m_failures;
+    m_notBefore = now + m_settings.retryEvery * factor;
+}
+
+bool LeaseClient::waitsForAnnouncement(SteadyTime now) const noexcept
+{
+    return m_rank >= internal::pollingRanks && (holderRecentlyAnnounced(now) || now < m_firstStep + m_settings.takeOverDelayPerRank * m_rank);
+}
+
 void LeaseClient::setRank(std::uint32_t rank) noexcept
 {
     m_rank = std::min(rank, internal::maxStaggeredRank);
@@ -191,7 +213,7 @@
 std::optional<LeaseAction> LeaseClient::nextOperation(SteadyTime now)
 {
     if (m_mustRead) {
-        return read(now);
+        return m_rowKnown || !waitsForAnnouncement(now) ? std::optional(read(now)) : std::nullopt;
     }
     if (isRecordedHolder()) {
         return nextAsHolder(now);
--- a/src/guavafield/coordination/lease/lease_client.hpp
+++ b/src/guavafield/coordination/lease/lease_client.hpp
@@ -108,6 +108,10 @@
     [[nodiscard]] bool isRecordedHolder() const noexcept;
     [[nodiscard]] bool holderRecentlyAnnounced(SteadyTime now) const noexcept;
     [[nodiscard]] SteadyTime takeOverDueAt() const noexcept;
+    // Delays the next call after a failed one.
+    void backOff(SteadyTime now) noexcept;
+    // Whether a host that has not read the row yet can expect to hear who holds the lease.
+    [[nodiscard]] bool waitsForAnnouncement(SteadyTime now) const noexcept;
     [[nodiscard]] std::vector<LeaseAction> advance(SteadyTime now);
     [[nodiscard]] std::optional<LeaseAction> nextOperation(SteadyTime now);
     [[nodiscard]] std::optional<LeaseAction> nextAsHolder(SteadyTime now);
@@ -146,6 +150,9 @@
     LeaseRecord m_pendingRecord;
     bool m_outstanding{false};
     bool m_mustRead{true};
+    // Failed calls in a row.
+    int m_failures{0};
+    SteadyTime m_firstStep{};
     SteadyTime m_notBefore{};
     SteadyTime m_lastRead{};
     SteadyTime m_nextRenewal{};
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -50,8 +50,17 @@
 // Entries that change one after the other, as when many upstreams start, are read and pushed together.
 constexpr Milliseconds changePause{50};
 constexpr Milliseconds retryPause{250};
+// In a fleet that follows one reader, all hosts together try a failed platform about as often as so many hosts do.
+constexpr std::size_t hostsThatRetryAtOnce = 16;
+constexpr Milliseconds maxRetryPause{6'000};
 // A host that follows its peers tries the platform again at this interval after a failure, so that it can read for others again.
 constexpr Milliseconds tryInterval{1'500};
+// Hosts with slow links leave the reading to others for this long after their start, while the hosts learn of each other.
+constexpr Milliseconds slowLinkReaderDelay{2'500};
+// A document is served to all hosts of a large fleet only while that takes no longer than reading it from the platform.
+constexpr std::size_t maxServedBytes = 12'000'000;
+// Spreads the requests of a large fleet for one document.
+constexpr Milliseconds maxFetchDelay{300};
 // What an answer says was true a little before it arrived.
 constexpr Milliseconds answerDelay{20};
 
@@ -67,6 +76,7 @@
 
 void DirectoryService::start()
 {
+    m_startedAt = m_dependencies.clock.now();
     for (const auto table : {DirectoryTable::Document, DirectoryTable::Upstreams}) {
         spawnLoop(m_dependencies.strand, [self = shared_from_this(), table] { return self->follow(table); });
     }
@@ -86,16 +96,20 @@
     if (text.content != mirror(table).content() || text.after != after || text.rows.empty()) {
         text = FormattedRows{mirror(table).content(), after, formatRows(mirror(table), after)};
     }
+    if (largeFleet() && table == DirectoryTable::Document && text.rows.size() * m_hosts > internal::maxServedBytes) {
+        // Not a table; the peer reads it from the platform.
+        return {};
+    }
     return formatTable(mirror(table), text.rows, now);
 }
 
 bool DirectoryService::reads() const
 {
     // A host that cannot reach the platform would slow the others down with reports that tell them nothing.
-    if (!reachesPlatform()) {
+    const auto now = m_dependencies.clock.now();
+    if (!reachesPlatform() || (m_dependencies.slowLink && now - m_startedAt < internal::slowLinkReaderDelay)) {
         return false;
     }
-    const auto now = m_dependencies.clock.now();
     const auto own = internal::readerOrder(m_dependencies.slowLink, m_dependencies.host);
     return std::ranges::none_of(m_peers, [&](const auto &it) {
         const auto &peer = it.second;
@@ -110,6 +124,12 @@
     return largeFleet() && before >= internal::firstReaders ? internal::staleAfterLargeFleet : internal::staleAfter;
 }
 
+Milliseconds DirectoryService::retryPause() const noexcept
+{
+    const auto factor = std::max<std::size_t>(1, m_hosts / internal::hostsThatRetryAtOnce);
+    return std::min(internal::maxRetryPause, internal::retryPause * static_cast<int>(factor));
+}
+
 asio::awaitable<void> DirectoryService::follow(DirectoryTable table)
 {
     const auto index = static_cast<std::size_t>(table);
@@ -119,8 +139,10 @@
         const auto known = knowledge(table);
         const bool reader = mirror(table).hasBeenRead() && reads();
         const bool behind = std::exchange(m_behind[index], false);
-        const bool tryAgain = !m_available[index] && m_dependencies.clock.now() >= m_tryAt[index];
-        if (mirror(table).hasBeenRead() && !reader && !behind && !tryAgain && known.age < staleAfter()) {
+        const bool current = known.age < staleAfter();
+        const bool pausing = m_dependencies.clock.now() < m_failedAt[index] + (current ? std::max(internal::tryInterval, retryPause()) : retryPause());
+        const bool wanted = reader || behind || !m_available[index] || !current;
+        if (mirror(table).hasBeenRead() && (pausing || !wanted)) {
             co_await sleepFor(internal::idleStep);
             continue;
         }
@@ -138,7 +160,7 @@
         // After a failed reading the rest may be missing too, so only a gap asks for all rows.
         whole = gap;
         if (failed) {
-            m_tryAt[index] = m_dependencies.clock.now() + internal::tryInterval;
+            m_failedAt[index] = m_dependencies.clock.now();
         }
         if (failed || (!reader && !gap)) {
             co_await sleepFor(internal::retryPause);
@@ -329,12 +351,12 @@
     if (!own.hasBeenRead() || knowledge->content > own.complete()) {
         auto &lack = m_lacks[static_cast<std::size_t>(table)];
         const auto now = m_dependencies.clock.now();
-        if (largeFleet() && m_available[static_cast<std::size_t>(table)]) {
+        // Changes of upstreams are pushed in a large fleet; the document is fetched from a peer in any.
+        if (largeFleet() && m_available[static_cast<std::size_t>(table)] && (table == DirectoryTable::Upstreams || !own.hasBeenRead())) {
             if (!lack || own.complete() >= lack->content) {
                 lack = Lack{now, knowledge->content};
             }
-            const auto patience = table == DirectoryTable::Upstreams ? internal::pushWait : Milliseconds{0};
-            if (now - lack->since >= patience) {
+            if (now - lack->since >= internal::pushWait) {
                 m_behind[static_cast<std::size_t>(table)] = true;
                 lack.reset();
             }
@@ -351,12 +373,18 @@
 
 asio::awaitable<void> DirectoryService::fetchFrom(Member peer, DirectoryTable table)
 {
+    if (largeFleet()) {
+        // The same for a host each time, and different for each host.
+        const auto delay = stableIdHash(m_dependencies.host) % static_cast<std::uint64_t>(internal::maxFetchDelay.count());
+        co_await sleepFor(Milliseconds{static_cast<Milliseconds::rep>(delay)});
+    }
     const auto after = mirror(table).hasBeenRead() ? mirror(table).content() : 0;
     const auto text = co_await m_dependencies.fetch(peer.address, table, after);
     m_fetching[static_cast<std::size_t>(table)] = false;
     const auto parsed = text ? capture([&] { return parseTable(*text.value); }) : Outcome<TableText>{std::nullopt, text.error};
     if (!parsed) {
         logEvent(LogLevel::Warning, "fleet:", {}, "table not fetched, peer=" + peer.id + " cause=\"" + parsed.error.message + "\"");
+        m_behind[static_cast<std::size_t>(table)] = true;
         co_return;
     }
     const auto confirmed = m_dependencies.clock.now() - parsed.value->age - internal::answerDelay;
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -122,6 +122,8 @@
     // Age of the knowledge from which this host reads for itself.
     [[nodiscard]] Milliseconds staleAfter() const;
     [[nodiscard]] Milliseconds changesRepeated() const noexcept;
+    // Pause after a failed call; longer in large fleets, where any host that succeeds informs the others.
+    [[nodiscard]] Milliseconds retryPause() const noexcept;
     [[nodiscard]] boost::asio::awaitable<void> follow(DirectoryTable table);
     [[nodiscard]] boost::asio::awaitable<void> fetchFrom(Member peer, DirectoryTable table);
     [[nodiscard]] boost::asio::awaitable<void> watchOutages();
@@ -145,9 +147,10 @@
     std::deque<std::pair<SteadyTime, RowVersion>> m_recent;
     std::size_t m_hosts{1};
     std::array<bool, 2> m_available{true, true};
-    // When a table that could not be read is tried again.
-    std::array<SteadyTime, 2> m_tryAt{};
+    // When a table could not be read last.
+    std::array<SteadyTime, 2> m_failedAt{};
     StringMap<Peer> m_peers;
+    SteadyTime m_startedAt{};
     bool m_stopped{false};
 };
 
--- a/src/guavafield/transport/fleet/duty_service.cpp
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -20,8 +20,8 @@
 constexpr Milliseconds leaseTerm{2'500};
 constexpr Milliseconds leaseRenewal{800};
 constexpr Milliseconds leaseRetry{400};
-// Gossip knows the hosts by then.
-constexpr Milliseconds leaseFirstStep{1'000};
+// The other hosts are known by then.
+constexpr Milliseconds leaseFirstStep{1'400};
 constexpr std::string_view sealTable = "sealed";
 // Seals stay for longer than any host looks back.
 constexpr BillingWindow keptSeals = 200;
--- a/src/guavafield/transport/peer/peer_service.cpp
+++ b/src/guavafield/transport/peer/peer_service.cpp
@@ -144,6 +144,15 @@
         });
     }
 
+    void postReportTo(HostReport report, PeerAddress to)
+    {
+        asio::post(m_strand, [self = shared_from_this(), report = std::move(report), to]() mutable {
+            if (self->m_socket.is_open()) {
+                self->sendReportTo(std::move(report), std::array{to});
+            }
+        });
+    }
+
 private:
     void receive()
     {
@@ -454,6 +463,11 @@
     m_impl->postReport(std::move(report), std::move(first));
 }
 
+void PeerService::sendReportTo(HostReport report, PeerAddress to)
+{
+    m_impl->postReportTo(std::move(report), to);
+}
+
 void PeerService::leave()
 {
     m_impl->post([](Membership &membership, SteadyTime now) { return membership.leave(now); });
--- a/src/guavafield/transport/peer/peer_service.hpp
+++ b/src/guavafield/transport/peer/peer_service.hpp
@@ -88,6 +88,8 @@
      * @param first Addresses in the order in which they are to become relays.
      */
     void sendReport(HostReport report, std::vector<PeerAddress> first);
+    /*! @brief Sends a report to one address. */
+    void sendReportTo(HostReport report, PeerAddress to);
     /*! @brief Announces that this host stops. */
     void leave();
     void onPlatformHosts(std::vector<PlatformHost> hosts);
