Share the demand of long prompts between hosts

Change: reports carry the engine time that both groups needed on a host; the boundary follows the sum. Work of peers is kept for longer in large fleets, which report less often. Test: StreamIsolationTest::hostsWithFewRequestsAgreeThroughReports.

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -226,8 +226,9 @@
     if (m_directory->known(DirectoryTable::Upstreams)) {
         report.upstreams = m_directory->knowledge(DirectoryTable::Upstreams);
     }
-    m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) {
+    m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime schedulerNow) {
         report.work = scheduler.localWork();
+        report.engineDemand = scheduler.engineDemand(schedulerNow);
         for (const auto &it : scheduler.takeCrashes()) {
             m_recentCrashes.push_back({BrokenRequest{++m_lastCrashNumber, it}, now});
         }
@@ -316,7 +317,7 @@
     }
     auto &lastNumber = m_lastCrashNumberByPeer[from.id + "/" + std::to_string(from.incarnation)];
     m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
-        scheduler.onPeerWork(from.id, report.work, now);
+        scheduler.onPeerWork(from.id, report.work, report.engineDemand, now);
         for (const auto &it : report.broken) {
             if (it.number > lastNumber) {
                 lastNumber = it.number;
--- a/src/guavafield/coordination/fleet/host_report.hpp
+++ b/src/guavafield/coordination/fleet/host_report.hpp
@@ -56,6 +56,7 @@
     RowVersion changesAfter{0};
     std::vector<MirroredRow> changes;
     std::vector<PeerWork> work;
+    std::vector<EngineDemand> engineDemand;
     std::vector<WindowCounts> windows;
     // Fencing token of the duty lease; 0 if the sender does not hold it.
     Fence dutyFence{0};
--- a/src/guavafield/coordination/request/fwd.hpp
+++ b/src/guavafield/coordination/request/fwd.hpp
@@ -5,6 +5,7 @@
 
 class RequestScheduler;
 struct CrashRecord;
+struct EngineDemand;
 struct LoadReport;
 struct PeerWork;
 struct RequestInfo;
--- a/src/guavafield/coordination/request/placement.hpp
+++ b/src/guavafield/coordination/request/placement.hpp
@@ -77,6 +77,15 @@
         m_isolation.onPause(seconds);
     }
 
+    [[nodiscard]] StreamIsolation &isolation() noexcept
+    {
+        return m_isolation;
+    }
+    [[nodiscard]] const StreamIsolation &isolation() const noexcept
+    {
+        return m_isolation;
+    }
+
     /*! @brief Returns the learned prefill rate of an engine in tokens per second. */
     [[nodiscard]] double tokensPerSecond() const noexcept
     {
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -89,9 +89,14 @@
     return m_impl->demand().busiest(limit, now);
 }
 
-void RequestScheduler::onPeerWork(std::string_view host, std::span<const PeerWork> work, SteadyTime now)
+void RequestScheduler::onPeerWork(std::string_view host, std::span<const PeerWork> work, std::span<const EngineDemand> demand, SteadyTime now)
 {
-    m_impl->onPeerWork(host, work, now);
+    m_impl->onPeerWork(host, work, demand, now);
+}
+
+std::vector<EngineDemand> RequestScheduler::engineDemand(SteadyTime now) const
+{
+    return m_impl->engineDemand(now);
 }
 
 std::vector<PeerWork> RequestScheduler::localWork() const
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -83,7 +83,9 @@
     [[nodiscard]] std::vector<TeamDemand> localDemand(std::size_t limit, SteadyTime now) const;
 
     /*! @brief Replaces a peer's reported work at upstreams of self-queueing pools. */
-    void onPeerWork(std::string_view host, std::span<const PeerWork> work, SteadyTime now);
+    void onPeerWork(std::string_view host, std::span<const PeerWork> work, std::span<const EngineDemand> demand, SteadyTime now);
+    /*! @brief Returns the recent demand of this host on the engines of each pool, for reports to peers. */
+    [[nodiscard]] std::vector<EngineDemand> engineDemand(SteadyTime now) const;
     /*! @brief Returns this host's work at upstreams of self-queueing pools, to be reported to peers. */
     [[nodiscard]] std::vector<PeerWork> localWork() const;
 
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -38,7 +38,8 @@
     void onLoadReport(std::string_view upstream, const LoadReport &report, SteadyTime now);
     void onCacheEvents(std::string_view upstream, std::span<const CacheEvent> events);
     void onUpstreamLeaving(std::string_view upstream, Milliseconds notice, SteadyTime now);
-    void onPeerWork(std::string_view host, std::span<const PeerWork> work, SteadyTime now);
+    void onPeerWork(std::string_view host, std::span<const PeerWork> work, std::span<const EngineDemand> demand, SteadyTime now);
+    [[nodiscard]] std::vector<EngineDemand> engineDemand(SteadyTime now) const;
     [[nodiscard]] std::vector<PeerWork> localWork() const;
     [[nodiscard]] StringMap<PoolLoad> poolLoads() const;
     [[nodiscard]] std::vector<Digest> takeCrashes();
@@ -87,8 +88,9 @@
     void dispatchTo(Pool &pool, RequestEntry &entry, const PlacementDecision &decision, SteadyTime now);
     [[nodiscard]] AttemptResolution onSelfQueueingFailure(RequestEntry &entry, UpstreamState &upstream, const AttemptFailed &failure, SteadyTime now);
     // Adds (sign 1) or subtracts (sign -1) the work of one report at the upstreams.
-    void addPeerWork(std::span<const PeerWork> work, int sign);
+    void addPeerWork(std::span<const PeerWork> work, std::span<const EngineDemand> demand, int sign);
     void applyPeerWorkTo(UpstreamState &added);
+    void applyPeerDemandTo(std::string_view pool, Placement &placement) const;
     void expirePeerWork(SteadyTime now);
 
     // Dispatch, in scheduler_dispatch.cpp.
@@ -139,11 +141,14 @@
     struct PeerWorkReport
     {
         std::vector<PeerWork> work;
+        std::vector<EngineDemand> demand;
         SteadyTime at{};
     };
 
     // Latest report of each peer, included in the sums at the upstreams.
     StringMap<PeerWorkReport> m_peerWork;
+    // A report expires after this time, as its sender has died or is cut off and its work is unknown.
+    Milliseconds m_peerWorkTtl{4'000};
     // All upstreams by stableIdHash() of their id.
     std::unordered_map<std::uint64_t, UpstreamState *> m_upstreamsByIdHash;
     // Fingerprints of broken connections not yet reported to peers.
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -19,8 +19,9 @@
 constexpr std::uint32_t failuresBeforeDown = 3;
 // Broken connections before a request is quarantined; a single one may be caused by another request.
 constexpr std::uint32_t brokenConnectionsBeforeQuarantine = 2;
-// Reports of a peer expire after this time, as it has died or is partitioned and its work is unknown.
-constexpr Milliseconds peerWorkTtl{4'000};
+// Hosts of larger fleets report less often.
+constexpr Milliseconds minPeerWorkTtl{4'000};
+constexpr Milliseconds peerWorkTtlPerHost{35};
 
 // All values are integers, so that subtracting a report cancels its addition exactly.
 void addScaled(UpstreamState &upstream, const PeerWork &work, int sign) noexcept
@@ -38,6 +39,7 @@
     settings.reserve = std::min(internal::maxReserve, internal::fleetReserve / std::max(1U, hosts));
     settings.maxBalance = settings.reserve + 1;
     m_poolRetries.configure(settings);
+    m_peerWorkTtl = std::max(internal::minPeerWorkTtl, internal::peerWorkTtlPerHost * static_cast<int>(hosts));
 }
 
 void RequestScheduler::Impl::configureSelfQueueing(const Configuration &configuration)
@@ -48,6 +50,7 @@
         if (!pool.selfQueueing || pool.selfQueueing->facts.engine != facts.engine) {
             auto waiting = pool.selfQueueing ? std::move(pool.selfQueueing->waiting) : decltype(pool.selfQueueing->waiting)();
             pool.selfQueueing.emplace(SelfQueueing{facts, Placement(m_settings.dataCentre, facts.engine), std::move(waiting)});
+            applyPeerDemandTo(id, pool.selfQueueing->placement);
         }
         pool.selfQueueing->facts = facts;
     }
@@ -147,18 +150,40 @@
     return std::exchange(m_unreportedCrashes, {});
 }
 
-void RequestScheduler::Impl::onPeerWork(std::string_view host, std::span<const PeerWork> work, SteadyTime now)
+void RequestScheduler::Impl::onPeerWork(std::string_view host, std::span<const PeerWork> work, std::span<const EngineDemand> demand, SteadyTime now)
 {
     expirePeerWork(now);
     auto &report = m_peerWork[std::string(host)];
-    addPeerWork(report.work, -1);
+    addPeerWork(report.work, report.demand, -1);
     report.work.assign(work.begin(), work.end());
+    report.demand.assign(demand.begin(), demand.end());
     report.at = now;
-    addPeerWork(report.work, 1);
+    addPeerWork(report.work, report.demand, 1);
 }
 
-void RequestScheduler::Impl::addPeerWork(std::span<const PeerWork> work, int sign)
+std::vector<EngineDemand> RequestScheduler::Impl::engineDemand(SteadyTime now) const
 {
+    std::vector<EngineDemand> result;
+    for (const auto &[id, pool] : m_pools) {
+        if (pool.selfQueueing && pool.selfQueueing->facts.engine) {
+            auto &demand = result.emplace_back(pool.selfQueueing->placement.isolation().localDemand(now));
+            demand.pool = stableIdHash(id);
+        }
+    }
+    return result;
+}
+
+void RequestScheduler::Impl::addPeerWork(std::span<const PeerWork> work, std::span<const EngineDemand> demand, int sign)
+{
+    for (auto &[id, pool] : m_pools) {
+        if (!pool.selfQueueing) {
+            continue;
+        }
+        const auto it = std::ranges::find(demand, stableIdHash(id), &EngineDemand::pool);
+        if (it != demand.end()) {
+            pool.selfQueueing->placement.isolation().addPeerDemand(*it, sign);
+        }
+    }
     for (const auto &it : work) {
         if (const auto upstream = m_upstreamsByIdHash.find(it.upstream); upstream != m_upstreamsByIdHash.end()) {
             internal::addScaled(*upstream->second, it, sign);
@@ -178,12 +203,22 @@
     }
 }
 
+void RequestScheduler::Impl::applyPeerDemandTo(std::string_view pool, Placement &placement) const
+{
+    for (const auto &[host, report] : m_peerWork) {
+        const auto it = std::ranges::find(report.demand, stableIdHash(pool), &EngineDemand::pool);
+        if (it != report.demand.end()) {
+            placement.isolation().addPeerDemand(*it, 1);
+        }
+    }
+}
+
 void RequestScheduler::Impl::expirePeerWork(SteadyTime now)
 {
     std::erase_if(m_peerWork, [&](const auto &it) {
-        const bool expired = now - it.second.at > internal::peerWorkTtl;
+        const bool expired = now - it.second.at > m_peerWorkTtl;
         if (expired) {
-            addPeerWork(it.second.work, -1);
+            addPeerWork(it.second.work, it.second.demand, -1);
         }
         return expired;
     });
--- a/src/guavafield/coordination/request/stream_isolation.cpp
+++ b/src/guavafield/coordination/request/stream_isolation.cpp
@@ -19,11 +19,12 @@
 constexpr double undisturbedFraction = 0.2;
 // Engines of one pool differ in speed, and full batches slow them down further.
 constexpr double slowestEngineFactor = 1.4;
-// Below this rate of streams with a short target on this host, there is nothing to protect.
-constexpr double minSensitivePerSecond = 0.02;
+// With fewer recent streams that have a short target, there is nothing to protect.
+constexpr double minSensitiveStreams = 0.5;
+constexpr double millisecondsPerSecond = 1'000;
 // A coarse boundary, so that hosts whose demand differs a little agree on it.
 constexpr double boundaryStep = 0.125;
-constexpr double boundaryHysteresis = 0.12;
+constexpr double boundaryHysteresis = 0.04;
 // Waiting time after which a long prompt moves to the other range; it delays all streams there.
 constexpr double longPenaltySeconds = 0.1;
 constexpr double otherPenaltySeconds = 0.06;
@@ -66,9 +67,10 @@
 {
     const double chunkSeconds = internal::prefillChunkTokens / tokensPerSecond;
     m_disturbedPause = internal::slowestEngineFactor * m_tokensPerEvent * (m_stepSeconds + chunkSeconds);
-    const double longDemand = m_longDemand.valueAt(now);
-    const double otherDemand = m_otherDemand.valueAt(now);
-    if (m_sensitiveStreams.rateAt(now) < internal::minSensitivePerSecond || longDemand <= 0 || otherDemand <= 0) {
+    const double longDemand = m_longDemand.valueAt(now) + static_cast<double>(m_peerLong) / internal::millisecondsPerSecond;
+    const double otherDemand = m_otherDemand.valueAt(now) + static_cast<double>(m_peerOther) / internal::millisecondsPerSecond;
+    const double sensitive = m_sensitiveStreams.valueAt(now) + static_cast<double>(m_peerSensitive);
+    if (sensitive < internal::minSensitiveStreams || longDemand <= 0 || otherDemand <= 0) {
         m_boundary = 0;
         return;
     }
@@ -78,6 +80,22 @@
     }
 }
 
+EngineDemand StreamIsolation::localDemand(SteadyTime now) const noexcept
+{
+    const auto rounded = [](double value) { return static_cast<std::uint32_t>(std::lround(value)); };
+    return {0,
+            rounded(m_longDemand.valueAt(now) * internal::millisecondsPerSecond),
+            rounded(m_otherDemand.valueAt(now) * internal::millisecondsPerSecond),
+            rounded(m_sensitiveStreams.valueAt(now))};
+}
+
+void StreamIsolation::addPeerDemand(const EngineDemand &demand, int sign) noexcept
+{
+    m_peerLong += sign * static_cast<std::int64_t>(demand.longMilliseconds);
+    m_peerOther += sign * static_cast<std::int64_t>(demand.otherMilliseconds);
+    m_peerSensitive += sign * static_cast<std::int64_t>(demand.sensitiveStreams);
+}
+
 EngineRange StreamIsolation::rangeFor(const RequestInfo &request) const noexcept
 {
     if (m_boundary == 0) {
--- a/src/guavafield/coordination/request/stream_isolation.hpp
+++ b/src/guavafield/coordination/request/stream_isolation.hpp
@@ -8,6 +8,17 @@
 
 namespace guavafield {
 
+/*! @brief Engine time that recent requests of a pool needed on one host. Integers, so that subtracting a report cancels its addition exactly. */
+struct EngineDemand
+{
+    // stableIdHash() of the pool.
+    std::uint64_t pool{0};
+    std::uint32_t longMilliseconds{0};
+    std::uint32_t otherMilliseconds{0};
+    // Streams that would be late beside long prompts.
+    std::uint32_t sensitiveStreams{0};
+};
+
 /*!
  * @brief Range of engines on which a group of requests is preferably placed.
  *
@@ -57,6 +68,11 @@
      */
     void update(double tokensPerSecond, SteadyTime now);
 
+    /*! @brief Returns the recent demand of this host; the pool is not set. */
+    [[nodiscard]] EngineDemand localDemand(SteadyTime now) const noexcept;
+    /*! @brief Adds (sign 1) or subtracts (sign -1) the demand that another host reported. */
+    void addPeerDemand(const EngineDemand &demand, int sign) noexcept;
+
     /*! @brief Returns the engines that a request is preferably placed on. */
     [[nodiscard]] EngineRange rangeFor(const RequestInfo &request) const noexcept;
     /*! @brief Returns the fraction of engines that are kept free of long prompts; 0 while there is no division. */
@@ -83,6 +99,10 @@
     DecayingSum m_otherDemand;
     // Streams for which the disturbed pause would be too long.
     DecayingSum m_sensitiveStreams;
+    // Sums of the latest reports of other hosts, in milliseconds and streams.
+    std::int64_t m_peerLong{0};
+    std::int64_t m_peerOther{0};
+    std::int64_t m_peerSensitive{0};
     // Longest pause that prefills of other requests cause, in seconds; 0 if unknown.
     double m_disturbedPause{0};
     // Engines with a lower rank are kept free of long prompts; 0 while there is no division.
--- a/src/guavafield/protocol/peer/peer.capnp
+++ b/src/guavafield/protocol/peer/peer.capnp
@@ -112,6 +112,15 @@
   slowLink @11 :Bool;
   relayTo @12 :List(Address);
   dutyFence @13 :UInt64;
+  engineDemand @14 :List(EngineDemand);
+}
+
+# Engine time that recent requests of a pool needed, in milliseconds.
+struct EngineDemand {
+  pool @0 :UInt64;
+  longMs @1 :UInt32;
+  otherMs @2 :UInt32;
+  sensitiveStreams @3 :UInt32;
 }
 
 # The only capability of a new connection. Both sides prove that they know the fleet secret.
--- a/src/guavafield/protocol/peer/peer.capnp.h
+++ b/src/guavafield/protocol/peer/peer.capnp.h
@@ -32,6 +32,7 @@
 CAPNP_DECLARE_SCHEMA(8e74c14ebc0254ca);
 CAPNP_DECLARE_SCHEMA(90e9c49b36e50190);
 CAPNP_DECLARE_SCHEMA(d3542986f6c278a7);
+CAPNP_DECLARE_SCHEMA(8789d65ae539f6c1);
 CAPNP_DECLARE_SCHEMA(f36d4245383ee8d0);
 CAPNP_DECLARE_SCHEMA(d3b2f460316e976f);
 CAPNP_DECLARE_SCHEMA(f29d4133ed7759e0);
@@ -239,7 +240,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 5, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EngineDemand {
+  EngineDemand() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8789d65ae539f6c1, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1709,6 +1725,9 @@
 
   inline  ::uint64_t getDutyFence() const;
 
+  inline bool hasEngineDemand() const;
+  inline  ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>::Reader getEngineDemand() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1807,6 +1826,13 @@
   inline  ::uint64_t getDutyFence();
   inline void setDutyFence( ::uint64_t value);
 
+  inline bool hasEngineDemand();
+  inline  ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>::Builder getEngineDemand();
+  inline void setEngineDemand( ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>::Builder initEngineDemand(unsigned int size);
+  inline void adoptEngineDemand(::capnp::Orphan< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>> disownEngineDemand();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1835,6 +1861,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class EngineDemand::Reader {
+public:
+  typedef EngineDemand Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPool() const;
+
+  inline  ::uint32_t getLongMs() const;
+
+  inline  ::uint32_t getOtherMs() const;
+
+  inline  ::uint32_t getSensitiveStreams() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EngineDemand::Builder {
+public:
+  typedef EngineDemand Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPool();
+  inline void setPool( ::uint64_t value);
+
+  inline  ::uint32_t getLongMs();
+  inline void setLongMs( ::uint32_t value);
+
+  inline  ::uint32_t getOtherMs();
+  inline void setOtherMs( ::uint32_t value);
+
+  inline  ::uint32_t getSensitiveStreams();
+  inline void setSensitiveStreams( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EngineDemand::Pipeline {
+public:
+  typedef EngineDemand Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Gate::Client
     : public virtual ::capnp::Capability::Client {
@@ -4231,6 +4348,96 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HostReport::Reader::hasEngineDemand() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostReport::Builder::hasEngineDemand() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>::Reader HostReport::Reader::getEngineDemand() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::getEngineDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void HostReport::Builder::setEngineDemand( ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::initEngineDemand(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void HostReport::Builder::adoptEngineDemand(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>> HostReport::Builder::disownEngineDemand() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t EngineDemand::Reader::getPool() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EngineDemand::Builder::getPool() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EngineDemand::Builder::setPool( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EngineDemand::Reader::getLongMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EngineDemand::Builder::getLongMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EngineDemand::Builder::setLongMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EngineDemand::Reader::getOtherMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EngineDemand::Builder::getOtherMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void EngineDemand::Builder::setOtherMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EngineDemand::Reader::getSensitiveStreams() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EngineDemand::Builder::getSensitiveStreams() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void EngineDemand::Builder::setSensitiveStreams( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Gate::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/guavafield/protocol/peer/peer_codec.cpp
+++ b/src/guavafield/protocol/peer/peer_codec.cpp
@@ -128,6 +128,14 @@
         work[n].setWaitingTokens(report.work[n].waitingTokens);
         work[n].setRunning(report.work[n].running);
     }
+    auto demand = builder.initEngineDemand(static_cast<unsigned>(report.engineDemand.size()));
+    for (unsigned n = 0; n < demand.size(); ++n) {
+        const auto &it = report.engineDemand[n];
+        demand[n].setPool(it.pool);
+        demand[n].setLongMs(it.longMilliseconds);
+        demand[n].setOtherMs(it.otherMilliseconds);
+        demand[n].setSensitiveStreams(it.sensitiveStreams);
+    }
     auto windows = builder.initWindows(static_cast<unsigned>(report.windows.size()));
     for (unsigned n = 0; n < windows.size(); ++n) {
         const auto &counts = report.windows[n].teams;
@@ -268,6 +276,9 @@
     for (const auto it : reader.getWork()) {
         report.work.push_back({it.getUpstream(), it.getWaitingTokens(), it.getRunning()});
     }
+    for (const auto it : reader.getEngineDemand()) {
+        report.engineDemand.push_back({it.getPool(), it.getLongMs(), it.getOtherMs(), it.getSensitiveStreams()});
+    }
     for (const auto it : limited(reader.getWindows())) {
         auto &window = report.windows.emplace_back(WindowCounts{it.getWindow(), {}});
         for (const auto team : it.getTeams()) {
--- a/test/coordination/request/placement_test.cpp
+++ b/test/coordination/request/placement_test.cpp
@@ -219,7 +219,7 @@
                 work.push_back({stableIdHash("u" + std::to_string(n)), 200'000, 20});
             }
         }
-        host.scheduler.onPeerWork("h2", work, host.now);
+        host.scheduler.onPeerWork("h2", work, {}, host.now);
         CPPUNIT_ASSERT_EQUAL(UpstreamId("u4"), host.send(info)->upstream);
         host.now += std::chrono::seconds{10};
         (void)host.step();
@@ -231,7 +231,7 @@
     {
         PlacementFixture host(1);
         const auto running = [&] { return host.scheduler.poolLoads().at("p").running; };
-        const auto report = [&](std::string_view from, std::vector<PeerWork> work) { host.scheduler.onPeerWork(from, work, host.now); };
+        const auto report = [&](std::string_view from, std::vector<PeerWork> work) { host.scheduler.onPeerWork(from, work, {}, host.now); };
         report("h2", {{stableIdHash("u0"), 1'000, 3}, {stableIdHash("u1"), 0, 4}});
         report("h3", {{stableIdHash("u1"), 0, 5}, {stableIdHash("late"), 0, 7}});
         CPPUNIT_ASSERT_EQUAL(12.0, running());
--- a/test/coordination/request/stream_isolation_test.cpp
+++ b/test/coordination/request/stream_isolation_test.cpp
@@ -269,6 +269,7 @@
     CPPUNIT_TEST(lenientTargetsNeedNoDivision);
     CPPUNIT_TEST(boundaryFollowsDemand);
     CPPUNIT_TEST(smallChangesOfDemandKeepTheBoundary);
+    CPPUNIT_TEST(hostsWithFewRequestsAgreeThroughReports);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -363,6 +364,40 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, boundaries.size());
     }
+
+    // In a large fleet one host sees few requests. Hosts that disagreed on the boundary would choose different owners for the same prefix.
+    void hostsWithFewRequestsAgreeThroughReports()
+    {
+        constexpr std::size_t hostCount = 60;
+        std::vector<StreamIsolation> hosts(hostCount, StreamIsolation(tokensPerEvent));
+        std::vector<std::vector<EngineDemand>> known(hostCount, std::vector<EngineDemand>(hostCount));
+        SteadyTime now{std::chrono::seconds{1'000}};
+        SplitMix random(11);
+        for (int n = 0; n < 3'000; ++n) {
+            now += Milliseconds{20};
+            auto &host = hosts[random.below(hostCount)];
+            const bool isLong = random.uniform() < 0.4;
+            host.update(tokensPerSecond, now);
+            host.onDispatch(isLong ? longPrompt() : shortPrompt(Milliseconds{250}), isLong ? 0.08 : 0.03, now);
+            // One host reports to all others at a time, so that a report is 1.2 s old at most.
+            const auto sender = static_cast<std::size_t>(n) % hostCount;
+            const auto demand = hosts[sender].localDemand(now);
+            for (std::size_t k = 0; k < hostCount; ++k) {
+                if (k != sender) {
+                    hosts[k].addPeerDemand(known[k][sender], -1);
+                    hosts[k].addPeerDemand(demand, 1);
+                    known[k][sender] = demand;
+                }
+            }
+        }
+        std::set<double> boundaries;
+        for (auto &it : hosts) {
+            it.update(tokensPerSecond, now);
+            boundaries.insert(it.reservedFraction());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, boundaries.size());
+        CPPUNIT_ASSERT(*boundaries.begin() > 0.2 && *boundaries.begin() < 0.6);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamIsolationTest);
