Test the calls of a large fleet to a failed platform and for a changed document

Cause: the change of calls needs tests that fail without it. Change: three tests of DirectoryService, two of LeaseClient.

--- a/test/coordination/lease/lease_client_test.cpp
+++ b/test/coordination/lease/lease_client_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(announcedReleaseIsTakenOverAtOnce);
     CPPUNIT_TEST(malformedRowIsNotTakenOver);
     CPPUNIT_TEST(ranksAreDistinct);
+    CPPUNIT_TEST(candidateFarDownWaitsForTheHolderToBeHeard);
+    CPPUNIT_TEST(candidateBacksOffFromAFailedService);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -196,7 +198,49 @@
         CPPUNIT_ASSERT_EQUAL(hosts.size(), ranks.size());
     }
 
+    // Guards against a read of the row by every host of a large fleet that starts at once.
+    void candidateFarDownWaitsForTheHolderToBeHeard()
+    {
+        LeaseClient client(settings(), leaseCodec());
+        client.setRank(100);
+        SteadyTime now{std::chrono::seconds{1'000}};
+        CPPUNIT_ASSERT(client.step(now).empty());
+        client.onHolderAnnounced("other", 1, now + Milliseconds{900});
+        CPPUNIT_ASSERT(client.step(now + Milliseconds{1'000}).empty());
+        // Nobody is heard for longer than it takes the hosts before this one to try.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client.step(now + std::chrono::seconds{60}).size());
+        LeaseClient first(settings(), leaseCodec());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.step(now).size());
+    }
+
+    // Guards against candidates that all try again several times a second while the service refuses them.
+    void candidateBacksOffFromAFailedService()
+    {
+        LeaseClient client(settings(), leaseCodec());
+        int calls = 0;
+        SteadyTime now{std::chrono::seconds{1'000}};
+        for (int n = 0; n < 200; ++n) {
+            now += Milliseconds{100};
+            for (const auto &action : client.step(now)) {
+                if (std::holds_alternative<ReadAction>(action)) {
+                    ++calls;
+                    (void)client.onRead(ReadFailed{}, now);
+                }
+            }
+        }
+        // 20 s in steps of 1, 2, 4, 8 and 16 s.
+        CPPUNIT_ASSERT(calls >= 4 && calls <= 6);
+    }
+
 private:
+    static LeaseSettings settings()
+    {
+        LeaseSettings result;
+        result.name = "duties";
+        result.self = LeaseHolder{"self", 1};
+        return result;
+    }
+
     // The first host begins a send and is paused; the second host takes over.
     static void pauseAndTakeOver(LeaseHarness &harness)
     {
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -95,6 +95,9 @@
     CPPUNIT_TEST(hostThatKeepsUpReadsNothing);
     CPPUNIT_TEST(firstPartOfAPushIsNoConfirmation);
     CPPUNIT_TEST(peersThatAreBehindDoNotHideALack);
+    CPPUNIT_TEST(largeFleetTriesAFailedPlatformSeldom);
+    CPPUNIT_TEST(largeFleetFetchesTheDocumentFromThePeer);
+    CPPUNIT_TEST(documentThatIsTooLargeForOneHostIsRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -343,6 +346,66 @@
         follower.service->stop();
     }
 
+    // Guards against 195 hosts that each ask a failed platform several times a second.
+    void largeFleetTriesAFailedPlatformSeldom()
+    {
+        for (const auto &it : m_hosts) {
+            it->service->setHosts(195);
+            it->cut = true;
+        }
+        CPPUNIT_ASSERT(runUntil([&] { return readers() == 0; }));
+        int calls = 0;
+        for (const auto &it : m_hosts) {
+            calls -= it->calls;
+        }
+        const auto begin = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT(runUntil([&] { return std::chrono::steady_clock::now() - begin > std::chrono::seconds{4}; }));
+        for (const auto &it : m_hosts) {
+            calls += it->calls;
+        }
+        // One call a table and host in 3 s, and those that were due at the beginning.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(calls) + " calls", calls <= 3 * 2 * 4);
+        for (const auto &it : m_hosts) {
+            it->cut = false;
+        }
+        m_store.write(DirectoryTable::Document, "config", "2", m_clock.now());
+        CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(2) && readers() == 1; }));
+    }
+
+    // Guards against one call to the platform a host for each change of the document.
+    void largeFleetFetchesTheDocumentFromThePeer()
+    {
+        for (const auto &it : m_hosts) {
+            it->service->setHosts(100);
+        }
+        int calls = 0;
+        const auto countFollowers = [&](int sign) {
+            for (const auto &it : m_hosts) {
+                calls += it->service->reads() ? 0 : sign * it->calls;
+            }
+        };
+        countFollowers(-1);
+        for (Revision revision = 2; revision < 8; ++revision) {
+            m_store.write(DirectoryTable::Document, "config", std::to_string(revision), m_clock.now());
+            CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(revision); }));
+        }
+        countFollowers(1);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(calls) + " calls", calls <= 3);
+    }
+
+    // Guards against a document that one host would have to send to so many others that it is in force too late.
+    void documentThatIsTooLargeForOneHostIsRead()
+    {
+        auto &reader = readingHost();
+        for (const auto &it : m_hosts) {
+            it->service->setHosts(300);
+        }
+        m_store.write(DirectoryTable::Document, "more", std::string(100'000, 'x'), m_clock.now());
+        m_store.write(DirectoryTable::Document, "config", "2", m_clock.now());
+        CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(2); }));
+        CPPUNIT_ASSERT(reader.service->format(DirectoryTable::Document, 0).empty());
+    }
+
 private:
     // Returns the host that reads for the others.
     [[nodiscard]] Host &readingHost() const
