Send all unreported windows to a new holder of the duties

Change: each report has the window that settles and, in turn, the others that are not known to be reported; windows that were reported are left out. Test: WindowTest::newHolderGetsAllUnreportedWindowsInThreeReports; the old rotation repeats only the last window while it settles.

--- a/src/guavafield/coordination/usage/window_aggregator.cpp
+++ b/src/guavafield/coordination/usage/window_aggregator.cpp
@@ -2,6 +2,7 @@
 #include <guavafield/coordination/usage/window_aggregator.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace guavafield {
 
@@ -55,14 +56,20 @@
     }
 }
 
-std::vector<WindowCounts> WindowAggregator::ownCounts(WallTime time, std::uint64_t turn) const
+std::vector<WindowCounts> WindowAggregator::ownCounts(WallTime time, std::uint64_t turn, BillingWindow reportedUpTo) const
 {
     const auto current = windowAt(time);
     // The window that has just ended will be sealed soon, and in a large fleet each host reports rarely, so every report includes it.
     const bool isSettling = time - endOf(current - 1) < Milliseconds{m_length} / 2;
-    const auto earlier = isSettling ? current - 1 : current - 1 - turn % internal::repeatedWindows;
+    const auto latest = isSettling ? current - 2 : current - 1;
+    std::set<BillingWindow> windows{current, isSettling ? current - 1 : current};
+    // A new holder of the duties needs the counts of all windows that its predecessor has not reported.
+    const auto unreported = latest - std::min(reportedUpTo, latest);
+    if (unreported > 0) {
+        windows.insert(latest - turn % std::min(unreported, internal::repeatedWindows));
+    }
     std::vector<WindowCounts> result;
-    for (const auto window : {current, earlier}) {
+    for (const auto window : windows) {
         const auto it = m_windows.find(window);
         const auto own = it == m_windows.end() ? StringMap<HostCounts>::const_iterator{} : it->second.find(internal::ownHost);
         if (it == m_windows.end() || own == it->second.end()) {
--- a/src/guavafield/coordination/usage/window_aggregator.hpp
+++ b/src/guavafield/coordination/usage/window_aggregator.hpp
@@ -43,11 +43,12 @@
     void onReport(std::string_view host, std::span<const WindowCounts> windows);
 
     /*!
-     * @brief Returns the host's own counts of the current window and of one earlier window, to be sent to peers.
-     * @param turn Selects the earlier window in the second half of the current one; in the first half it is always the previous window. Increase it
-     * with each call.
+     * @brief Returns the host's own counts to be sent to peers: those of the current window, in its first half those of the previous one, and those of
+     * one earlier window that is not known to be reported.
+     * @param turn Selects the earlier window. Increase it with each call.
+     * @param reportedUpTo Last window that is known to be reported.
      */
-    [[nodiscard]] std::vector<WindowCounts> ownCounts(WallTime time, std::uint64_t turn) const;
+    [[nodiscard]] std::vector<WindowCounts> ownCounts(WallTime time, std::uint64_t turn, BillingWindow reportedUpTo) const;
     /*! @brief Returns the sum of all hosts' counts of a window for the listed teams. */
     [[nodiscard]] TeamCounts totals(BillingWindow window, std::span<const TeamId> teams) const;
     /*! @brief Returns the first window with a count; 0 before the first count. */
--- a/src/guavafield/transport/fleet/duty_service.cpp
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -97,7 +97,7 @@
 std::vector<WindowCounts> DutyService::ownCounts()
 {
     const auto time = m_time.now(m_dependencies.clock.now());
-    return time ? m_ledger.ownCounts(*time, m_turn++) : std::vector<WindowCounts>();
+    return time ? m_ledger.ownCounts(*time, m_turn++, m_reporter.reportedUpTo()) : std::vector<WindowCounts>();
 }
 
 void DutyService::setCandidates(std::span<const HostId> candidates)
--- a/test/coordination/usage/window_test.cpp
+++ b/test/coordination/usage/window_test.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 #include <algorithm>
 
 namespace guavafield {
@@ -14,6 +16,7 @@
     CPPUNIT_TEST(countsOfAFailedHostAreKept);
     CPPUNIT_TEST(lostReportIsRepeated);
     CPPUNIT_TEST(endedWindowIsInEachReportWhileItSettles);
+    CPPUNIT_TEST(newHolderGetsAllUnreportedWindowsInThreeReports);
     CPPUNIT_TEST(onlySealedFiguresAreReported);
     CPPUNIT_TEST(firstSealHolds);
     CPPUNIT_TEST(windowsOfAnEarlierHolderAreNotRepeated);
@@ -48,7 +51,7 @@
         const auto next = m_aggregator.endOf(200) + Milliseconds{100};
         bool told = false;
         for (std::uint64_t turn = 0; turn < 3; ++turn) {
-            for (const auto &it : m_aggregator.ownCounts(next, turn)) {
+            for (const auto &it : m_aggregator.ownCounts(next, turn, 0)) {
                 told = told || it.window == 200;
             }
         }
@@ -62,12 +65,34 @@
         const auto settleTime = WindowReporterSettings{}.settleTime;
         for (std::uint64_t turn = 0; turn < 6; ++turn) {
             for (const auto after : {Milliseconds{0}, settleTime / 2, settleTime - Milliseconds{1}}) {
-                const auto counts = m_aggregator.ownCounts(m_aggregator.endOf(200) + after, turn);
+                const auto counts = m_aggregator.ownCounts(m_aggregator.endOf(200) + after, turn, 0);
                 CPPUNIT_ASSERT(std::ranges::any_of(counts, [](const auto &it) { return it.window == 200; }));
             }
         }
     }
 
+    // Guards against a new holder of the duties that seals windows without the counts that went to its predecessor only.
+    void newHolderGetsAllUnreportedWindowsInThreeReports()
+    {
+        for (const BillingWindow window : {198U, 199U, 200U}) {
+            m_aggregator.count("a", m_aggregator.endOf(window) - Milliseconds{1});
+        }
+        for (const auto after : {Milliseconds{100}, Milliseconds{4'000}}) {
+            std::set<BillingWindow> told;
+            for (std::uint64_t turn = 0; turn < 3; ++turn) {
+                for (const auto &it : m_aggregator.ownCounts(m_aggregator.endOf(200) + after, turn, 197)) {
+                    told.insert(it.window);
+                }
+            }
+            CPPUNIT_ASSERT(told.contains(198) && told.contains(199) && told.contains(200));
+        }
+        // Reported windows are of no use to anyone.
+        for (std::uint64_t turn = 0; turn < 3; ++turn) {
+            const auto counts = m_aggregator.ownCounts(m_aggregator.endOf(200) + Milliseconds{4'000}, turn, 200);
+            CPPUNIT_ASSERT(std::ranges::none_of(counts, [](const auto &it) { return it.window < 201; }));
+        }
+    }
+
     // Guards against reporting a window twice with different figures.
     void onlySealedFiguresAreReported()
     {
