Replace a holder of the duties as soon as it says that its lease has ended

Change: a candidate that hears this from the holder itself does not wait for the term. A late renewal of the old holder and the take-over exclude each other by the row's version, and the new holder still waits for the gap between two holders. The longest pause of a stream is in its last log line. Test: LeaseClientTest::holderThatLostItsLeaseIsReplacedAtOnce, which fails without.

--- a/src/guavafield/coordination/lease/lease_client.cpp
+++ b/src/guavafield/coordination/lease/lease_client.cpp
@@ -163,7 +163,9 @@
 {
     if (fence >= m_record.fence) {
         m_announcedHolder = holder;
+        m_announcedFence = fence;
         m_holderAnnouncedAt = now;
+        m_endedFence.reset();
     }
 }
 
@@ -171,6 +173,7 @@
 {
     if (m_holderAnnouncedAt && host == m_announcedHolder) {
         m_holderAnnouncedAt.reset();
+        m_endedFence = m_announcedFence;
         m_lastRead = {};
     }
 }
@@ -182,7 +185,9 @@
 
 SteadyTime LeaseClient::takeOverDueAt() const noexcept
 {
-    const auto term = m_record.holder ? m_record.term * (100 + internal::maxDriftPercent) / 100 : Milliseconds{0};
+    // A holder whose own view of its lease has ended sends nothing more under that fence.
+    const bool ended = !m_record.holder || (!m_settings.recordsUnreleased && m_endedFence == m_record.fence);
+    const auto term = ended ? Milliseconds{0} : m_record.term * (100 + internal::maxDriftPercent) / 100;
     auto due = m_unchangedSince + term;
     if (m_holderAnnouncedAt) {
         due = std::max(due, *m_holderAnnouncedAt + m_settings.term);
--- a/src/guavafield/coordination/lease/lease_client.hpp
+++ b/src/guavafield/coordination/lease/lease_client.hpp
@@ -141,6 +141,9 @@
 
     // The host that last announced that it holds the lease, and when.
     HostId m_announcedHolder;
+    Fence m_announcedFence{0};
+    // Fence of the lease whose holder has announced that it no longer holds it.
+    std::optional<Fence> m_endedFence;
     std::optional<SteadyTime> m_holderAnnouncedAt;
 
     // Renewals that were sent and are not known to have failed, with the time just before each was sent.
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -197,9 +197,10 @@
     std::uint32_t count = 0;
     const bool valid = takeEvents(event.events, text, count);
     if (!text.empty()) {
-        if (!m_firstEventAt) {
-            m_firstEventAt = std::chrono::steady_clock::now();
-        }
+        const auto now = std::chrono::steady_clock::now();
+        m_longestPause = m_firstEventAt ? std::max(m_longestPause, std::chrono::duration_cast<Milliseconds>(now - m_lastEventAt)) : Milliseconds{0};
+        m_lastEventAt = now;
+        m_firstEventAt = m_firstEventAt.value_or(now);
         if (!std::exchange(m_firstTokenTold, true)) {
             m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
         }
@@ -433,6 +434,7 @@
     text += " code=" + std::to_string(static_cast<unsigned>(code)) + " attempts=" + std::to_string(m_nextAttempt - 1);
     text += " upstream=" + (m_lastUpstream.empty() ? std::string("-") : m_lastUpstream);
     text += " first_ms=" + (m_firstEventAt ? milliseconds(*m_firstEventAt) : std::string("-")) + " total_ms=" + milliseconds(now);
+    text += " pause_ms=" + std::to_string(m_longestPause.count());
     text += " executed=" + std::string(m_mayHaveRun || status == m_head.status ? "maybe" : "no");
     logEvent(LogLevel::Info, "http:", m_call.envelope.id, text);
     m_context->latencies.add(m_call.pool, m_firstEventAt ? std::optional(*m_firstEventAt - m_plan.received) : std::nullopt, now - m_plan.received);
--- a/src/guavafield/transport/http/forward_request.hpp
+++ b/src/guavafield/transport/http/forward_request.hpp
@@ -100,6 +100,10 @@
     // Last event that the caller has.
     std::optional<std::uint64_t> m_lastEvent;
     std::optional<SteadyTime> m_firstEventAt;
+    // Valid once there was a first event.
+    SteadyTime m_lastEventAt{};
+    // Between two events.
+    Milliseconds m_longestPause{0};
     UpstreamId m_lastUpstream;
     // An upstream may have run the request in an attempt that is over.
     bool m_mayHaveRun{false};
--- a/test/coordination/lease/lease_client_test.cpp
+++ b/test/coordination/lease/lease_client_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(ranksAreDistinct);
     CPPUNIT_TEST(candidateFarDownWaitsForTheHolderToBeHeard);
     CPPUNIT_TEST(candidateBacksOffFromAFailedService);
+    CPPUNIT_TEST(holderThatLostItsLeaseIsReplacedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -232,6 +233,40 @@
         CPPUNIT_ASSERT(calls >= 4 && calls <= 6);
     }
 
+    // Guards against duties that nobody holds for another term after their holder, cut off from the service, has said that its lease has ended.
+    void holderThatLostItsLeaseIsReplacedAtOnce()
+    {
+        for (const bool announced : {false, true}) {
+            auto machineSettings = settings();
+            machineSettings.recordsUnreleased = false;
+            machineSettings.term = Milliseconds{2'500};
+            machineSettings.renewEvery = Milliseconds{800};
+            LeaseClient client(machineSettings, leaseCodec());
+            LeaseRecord record;
+            record.holder = LeaseHolder{"other", 1};
+            record.fence = 4;
+            record.term = machineSettings.term;
+            const Row row{{"lease", "duties"}, 9, leaseCodec().encode(record)};
+            const SteadyTime begin{std::chrono::seconds{1'000}};
+            client.onHolderAnnounced("other", 4, begin);
+            std::optional<SteadyTime> takenAt;
+            for (auto now = begin; !takenAt && now < begin + std::chrono::seconds{10}; now += Milliseconds{100}) {
+                if (announced && now == begin + Milliseconds{500}) {
+                    client.onNonHolderAnnounced("other");
+                }
+                auto actions = client.step(now);
+                while (!actions.empty() && std::holds_alternative<ReadAction>(actions.front())) {
+                    actions = client.onRead(ReadRows{{row}}, now);
+                }
+                if (!actions.empty() && std::holds_alternative<TransactAction>(actions.front())) {
+                    takenAt = now;
+                }
+            }
+            CPPUNIT_ASSERT(takenAt.has_value());
+            CPPUNIT_ASSERT(announced ? *takenAt <= begin + Milliseconds{1'000} : *takenAt >= begin + machineSettings.term);
+        }
+    }
+
 private:
     static LeaseSettings settings()
     {
