Count runs of streams that end with the upstream's own error

Change: an answer with status 500 or above that is not a refusal counts. Test: ForwardTest::runThatEndsWithAnErrorIsCounted. Streams whose answer was lost before their first event are not counted, since nobody here knows whether they began.

--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -180,8 +180,11 @@
     }
     m_head.status = event.status;
     m_head.headers = std::move(event.headers);
-    if (!m_call.target.stream) {
+    // An upstream's own error is the end of a run, also of a stream that has sent nothing.
+    if (!m_call.target.stream || m_head.status >= 500) {
         countStarted();
+    }
+    if (!m_call.target.stream) {
         m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
         m_firstEventAt = std::chrono::steady_clock::now();
     }
--- a/test/transport/http/forward_test.cpp
+++ b/test/transport/http/forward_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(missingEventIsNotPassedOver);
     CPPUNIT_TEST(earlyAnswerToALongBody);
     CPPUNIT_TEST(callersCloseCancels);
+    CPPUNIT_TEST(runThatEndsWithAnErrorIsCounted);
     CPPUNIT_TEST(refusalNamesATime);
     CPPUNIT_TEST(keysAndRoutesAreChecked);
     CPPUNIT_TEST(unsureHostRefusesNobodyForGood);
@@ -327,6 +328,26 @@
         CPPUNIT_ASSERT(closed.wait());
     }
 
+    // Guards against usage that is not billed: an engine's own error ends a run, a refusal without a run does not.
+    void runThatEndsWithAnErrorIsCounted()
+    {
+        for (const bool ran : {true, false}) {
+            FakeUpstream upstream([&](FakeCall &call) {
+                if (ran) {
+                    call.reply(500, "failed", echo(call));
+                } else {
+                    call.reply(503, "full", "X-Guavafield-Request-Id: " + idOf(call) + "\r\nX-Guavafield-Not-Executed: 1\r\n");
+                }
+            });
+            std::atomic<int> counted{0};
+            auto fixture = make({&upstream});
+            fixture->hooks.started = [&](const TeamId &) { ++counted; };
+            fixture->start();
+            CPPUNIT_ASSERT_EQUAL(ran ? 500U : 503U, fixture->call(request("/stream/x"))->result_int());
+            CPPUNIT_ASSERT_EQUAL(ran ? 1 : 0, counted.load());
+        }
+    }
+
     // Guards against a refusal that is held back, or that does not say when to come back.
     void refusalNamesATime()
     {
