Share the fixture of the forwarding tests

Cause: routes, upstreams and genuine answers stood twice, in ForwardTest and HazardsTest. Change: forward_fixture; the same 22 and 6 cases, no check changed.

--- a/test/transport/http/forward_test.cpp
+++ b/test/transport/http/forward_test.cpp
@@ -1,7 +1,5 @@
 // Tests of requests that are passed on unchanged, with upstreams that fail in every way that a socket shows.
-#include "transport/http/path_fixture.hpp"
-
-#include "platform/request_dialect.hpp"
+#include "transport/http/forward_fixture.hpp"
 
 #include <guavafield/transport/http/event_splitter.hpp>
 
@@ -11,28 +9,6 @@
 
 namespace {
 
-constexpr std::string_view seal = "X-Guavafield-Response-Seal: s.1\r\n";
-
-std::string idOf(const FakeCall &call)
-{
-    return std::string(call.request()["X-Guavafield-Request-Id"]);
-}
-
-std::string echo(const FakeCall &call)
-{
-    return "X-Guavafield-Request-Id: " + idOf(call) + "\r\n" + std::string(seal);
-}
-
-std::string event(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
-}
-
-void beginEvents(FakeCall &call)
-{
-    call.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + echo(call) + "\r\n");
-}
-
 void sendEvent(FakeCall &call, const std::string &bytes)
 {
     std::ostringstream chunk;
@@ -94,7 +70,7 @@
             CPPUNIT_ASSERT_EQUAL(std::string("kept"), std::string(call.request()["X-Other"]));
             call.reply(418, "short and stout", echo(call));
         });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         const auto answer = fixture->call(request("/call/x?y=1", "X-Guavafield-Deadline-Ms: 900\r\nX-Other: kept\r\n"));
         CPPUNIT_ASSERT_EQUAL(418U, answer->result_int());
@@ -107,7 +83,7 @@
     void hidesKeysAndReservedHeaders()
     {
         FakeUpstream upstream([&](FakeCall &call) { call.reply(200, "x", echo(call)); });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         const auto answer = fixture->call(request("/call/x",
                                                   "X-Guavafield-Hold: h\r\nX-Guavafield-Pin-Ms: 9\r\nX-Guavafield-Kv-Backup: 1.2.3.4:5\r\n"
@@ -123,7 +99,7 @@
     void unsealedSuccessIsNotPassedOn()
     {
         FakeUpstream upstream([&](FakeCall &call) { call.reply(200, "x", "X-Guavafield-Request-Id: " + idOf(call) + "\r\n"); });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         CPPUNIT_ASSERT_EQUAL(502U, fixture->call(request("/once/x"))->result_int());
     }
@@ -131,7 +107,7 @@
     void encodedAnswerIsNotPassedOn()
     {
         FakeUpstream upstream([&](FakeCall &call) { call.reply(200, "x", echo(call) + "Content-Encoding: gzip\r\n"); });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         CPPUNIT_ASSERT_EQUAL(502U, fixture->call(request("/once/x"))->result_int());
     }
@@ -143,7 +119,7 @@
             call.reply(200, "stray", "X-Guavafield-Request-Id: other\r\n" + std::string(seal));
             call.reply(200, "mine", echo(call));
         });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         const auto answer = fixture->call(request("/once/x"));
         CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
@@ -154,7 +130,7 @@
     void refusalWithoutProofBecomesUnknown()
     {
         FakeUpstream upstream([&](FakeCall &call) { call.reply(503, "busy", "X-Guavafield-Request-Id: " + idOf(call) + "\r\n"); });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         CPPUNIT_ASSERT_EQUAL(502U, fixture->call(request("/once/x"))->result_int());
     }
@@ -164,7 +140,7 @@
     {
         FakeUpstream first([&](FakeCall &call) { call.drop(); });
         FakeUpstream second([&](FakeCall &call) { call.drop(); });
-        auto fixture = make({&first, &second});
+        auto fixture = makeForwardFixture({&first, &second});
         fixture->start();
         const auto answer = fixture->call(request("/once/x"));
         CPPUNIT_ASSERT_EQUAL(502U, answer->result_int());
@@ -184,7 +160,7 @@
         };
         FakeUpstream first(handler);
         FakeUpstream second(handler);
-        auto fixture = make({&first, &second});
+        auto fixture = makeForwardFixture({&first, &second});
         fixture->start();
         CPPUNIT_ASSERT_EQUAL(200U, fixture->call(request("/once/x"))->result_int());
         CPPUNIT_ASSERT_EQUAL(2, calls.load());
@@ -202,7 +178,7 @@
         };
         FakeUpstream first(handler);
         FakeUpstream second(handler);
-        auto fixture = make({&first, &second});
+        auto fixture = makeForwardFixture({&first, &second});
         fixture->start();
         CPPUNIT_ASSERT_EQUAL(200U, fixture->call(request("/call/x"))->result_int());
     }
@@ -214,7 +190,7 @@
             call.send("HTTP/1.1 200 OK\r\n" + echo(call) + "Connection: close\r\n\r\nwhole");
             call.drop();
         });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         const auto answer = fixture->call(request("/once/x"));
         CPPUNIT_ASSERT_EQUAL(200U, answer->result_int());
@@ -240,7 +216,7 @@
         };
         FakeUpstream first(handler);
         FakeUpstream second(handler);
-        auto fixture = make({&first, &second});
+        auto fixture = makeForwardFixture({&first, &second});
         fixture->start();
         const auto answer = fixture->call(request("/resume/x"));
         CPPUNIT_ASSERT(answer.has_value());
@@ -254,7 +230,7 @@
             sendEvent(call, event(1));
             call.drop();
         });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         CPPUNIT_ASSERT(!fixture->call(request("/stream/x")).has_value());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.calls());
@@ -268,7 +244,7 @@
             sendEvent(call, event(1) + "id: 2\ndata: ha");
             call.send("0\r\n\r\n");
         });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         auto client = fixture->connect();
         client.send(request("/stream/x"));
@@ -286,7 +262,7 @@
             sendEvent(call, event(3));
             call.send("0\r\n\r\n");
         });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         auto client = fixture->connect();
         client.send(request("/stream/x"));
@@ -298,7 +274,7 @@
     void earlyAnswerToALongBody()
     {
         FakeUpstream upstream([&](FakeCall &call) { call.reply(413, "too long", echo(call)); });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         const std::string body(200'000, 'x');
         CPPUNIT_ASSERT_EQUAL(413U, fixture->call(request("/call/x", {}, body))->result_int());
@@ -318,7 +294,7 @@
                 closed.set();
             }
         });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         auto client = fixture->connect();
         client.send(request("/resume/x"));
@@ -340,7 +316,7 @@
                 }
             });
             std::atomic<int> counted{0};
-            auto fixture = make({&upstream});
+            auto fixture = makeForwardFixture({&upstream});
             fixture->hooks.started = [&](const TeamId &) { ++counted; };
             fixture->start();
             CPPUNIT_ASSERT_EQUAL(ran ? 500U : 503U, fixture->call(request("/stream/x"))->result_int());
@@ -351,7 +327,7 @@
     // Guards against a refusal that is held back, or that does not say when to come back.
     void refusalNamesATime()
     {
-        auto fixture = make({});
+        auto fixture = makeForwardFixture({});
         fixture->start();
         const auto answer = fixture->call(request("/call/x"));
         CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
@@ -362,7 +338,7 @@
     void keysAndRoutesAreChecked()
     {
         FakeUpstream upstream([&](FakeCall &call) { call.reply(200, std::string(call.request()["X-Guavafield-Tenant"]), echo(call)); });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         CPPUNIT_ASSERT_EQUAL(404U, fixture->call(request("/nowhere/x"))->result_int());
         CPPUNIT_ASSERT_EQUAL(401U, fixture->call(request("/call/x", {}, "b", "another"))->result_int());
@@ -378,12 +354,12 @@
     // Guards against a host that turns callers away for good while it cannot know the newest configuration.
     void unsureHostRefusesNobodyForGood()
     {
-        auto fixture = make({});
+        auto fixture = makeForwardFixture({});
         fixture->confirmed = false;
         fixture->start();
         CPPUNIT_ASSERT_EQUAL(503U, fixture->call(request("/nowhere/x"))->result_int());
         CPPUNIT_ASSERT_EQUAL(503U, fixture->call(request("/call/x", {}, "b", "another"))->result_int());
-        auto empty = make({});
+        auto empty = makeForwardFixture({});
         empty->start(false);
         CPPUNIT_ASSERT_EQUAL(503U, empty->call(request("/call/x"))->result_int());
     }
@@ -392,7 +368,7 @@
     void ambiguousFramingIsRefused()
     {
         FakeUpstream upstream([&](FakeCall &call) { call.reply(200, "x", echo(call)); });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         const std::string line = "POST /call/x HTTP/1.1\r\n";
         const std::string host = "Host: app.example\r\n";
@@ -445,46 +421,6 @@
         CPPUNIT_ASSERT(!bounded.feed("data: a line that does not end", events));
         CPPUNIT_ASSERT(!eventId("data: x\n\n").has_value());
     }
-
-private:
-    static std::unique_ptr<PathFixture> make(const std::vector<FakeUpstream *> &upstreams)
-    {
-        auto fixture = std::make_unique<PathFixture>();
-        fixture->hooks.forward = std::make_shared<const ForwardDialect>(platform::requestDialect());
-        auto &configuration = fixture->configuration;
-        configuration.pools["p"].id = "p";
-        const auto digest = KeyHasher(std::string(fleetSecret)).digest(testKey);
-        configuration.keys[toHex(digest)] = ApiKey{toHex(digest), "acme", digest, false};
-        route(configuration, "/call/", Repeat::Always, false);
-        route(configuration, "/once/", Repeat::Never, false);
-        route(configuration, "/stream/", Repeat::Never, true);
-        route(configuration, "/resume/", Repeat::Resume, true);
-        route(configuration, "/open/", Repeat::Always, false);
-        configuration.routes["/open/"].open = true;
-        for (std::size_t n = 0; n < upstreams.size(); ++n) {
-            const auto id = "u" + std::to_string(n + 1);
-            fixture->addUpstream(id, *upstreams[n], false);
-            configuration.upstreams[id].pool = "p";
-        }
-        return fixture;
-    }
-
-    static void route(Configuration &configuration, const std::string &prefix, Repeat repeat, bool stream)
-    {
-        PoolTarget target;
-        target.pools = {{"p", 1}};
-        target.repeat = repeat;
-        target.stream = stream;
-        target.maxAttempts = repeat == Repeat::Never ? 1 : 2;
-        target.target = Milliseconds{400};
-        Route route;
-        route.id = prefix;
-        route.prefix = prefix;
-        route.target = target;
-        route.timeout = Milliseconds{20'000};
-        route.host = "app.example";
-        configuration.routes[prefix] = route;
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForwardTest);
--- a/test/transport/http/hazards_test.cpp
+++ b/test/transport/http/hazards_test.cpp
@@ -1,7 +1,5 @@
 // Tests of upstreams that stall, feed bytes without end or repeat answers, and of stops under load.
-#include "transport/http/path_fixture.hpp"
-
-#include "platform/request_dialect.hpp"
+#include "transport/http/forward_fixture.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -16,21 +14,10 @@
 
 namespace {
 
-constexpr std::string_view seal = "X-Guavafield-Response-Seal: s.1\r\n";
 // What the buffers of both systems may hold besides what the host has read.
 constexpr std::size_t socketBufferBytes = std::size_t{24} << 20U;
 constexpr std::size_t endlessBytes = std::size_t{200} << 20U;
 
-std::string echo(const FakeCall &call)
-{
-    return "X-Guavafield-Request-Id: " + std::string(call.request()["X-Guavafield-Request-Id"]) + "\r\n" + std::string(seal);
-}
-
-std::string event(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
-}
-
 bool sendChunk(FakeCall &call, const std::string &bytes)
 {
     std::ostringstream chunk;
@@ -38,11 +25,6 @@
     return call.send(chunk.str());
 }
 
-void beginEvents(FakeCall &call)
-{
-    call.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + echo(call) + "\r\n");
-}
-
 // Sends bytes at full speed until the other side closes, and returns how many it took.
 std::size_t sendWithoutEnd(FakeCall &call, std::string_view start, const std::string &piece)
 {
@@ -81,8 +63,7 @@
         std::string copy;
         std::atomic<int> connections{0};
         FakeUpstream upstream([&](FakeCall &call) {
-            const auto own =
-                "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n" + echo(call) + "\r\n" + std::string(call.request()["X-Guavafield-Request-Id"]).substr(0, 6);
+            const auto own = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n" + echo(call) + "\r\n" + idOf(call).substr(0, 6);
             // The copy comes in two reads.
             if (!copy.empty()) {
                 call.send(std::string_view(copy).substr(0, 20));
@@ -92,7 +73,7 @@
             call.send(own);
             copy = own;
         });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         for (const auto *id : {"first1", "second", "third3", "fourth"}) {
             const auto answer = fixture->call(request("/once/x", id));
@@ -119,7 +100,7 @@
         };
         FakeUpstream first(handler);
         FakeUpstream second(handler);
-        auto fixture = make({&first, &second});
+        auto fixture = makeForwardFixture({&first, &second});
         fixture->start();
         const auto begin = std::chrono::steady_clock::now();
         const auto answer = fixture->call(request("/resume/x"));
@@ -139,7 +120,7 @@
             sendChunk(call, event(2));
             call.send("0\r\n\r\n");
         });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         const auto answer = fixture->call(request("/resume/x"));
         CPPUNIT_ASSERT(answer.has_value());
@@ -174,7 +155,7 @@
                 }
                 sent = sendWithoutEnd(call, start, it.piece);
             });
-            auto fixture = make({&upstream});
+            auto fixture = makeForwardFixture({&upstream});
             fixture->start();
             const auto answer = fixture->call(request("/once/x"));
             CPPUNIT_ASSERT_MESSAGE(it.name, answer.has_value());
@@ -191,7 +172,7 @@
         std::atomic<std::size_t> sent{0};
         FakeUpstream upstream(
             [&](FakeCall &call) { sent += sendWithoutEnd(call, "HTTP/1.1 200 OK\r\n" + echo(call) + "Connection: close\r\n\r\n", std::string(16'384, 'a')); });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->settings.limits.responseBytes = std::uint64_t{64} << 20U;
         fixture->settings.limits.heldAnswerBytes = std::uint64_t{32} << 20U;
         fixture->start();
@@ -215,7 +196,7 @@
     {
         constexpr std::size_t callers = 60;
         FakeUpstream upstream([&](FakeCall &call) { call.reply(200, "x", echo(call)); });
-        auto fixture = make({&upstream});
+        auto fixture = makeForwardFixture({&upstream});
         fixture->settings.shutdown.listenerCloseDelay = Milliseconds{0};
         fixture->start();
         // While the host's threads are busy, connections with requests gather in front of it.
@@ -243,43 +224,6 @@
         }
         CPPUNIT_ASSERT(stopped.wait());
     }
-
-private:
-    static std::unique_ptr<PathFixture> make(const std::vector<FakeUpstream *> &upstreams)
-    {
-        auto fixture = std::make_unique<PathFixture>();
-        fixture->hooks.forward = std::make_shared<const ForwardDialect>(platform::requestDialect());
-        auto &configuration = fixture->configuration;
-        configuration.pools["p"].id = "p";
-        const auto digest = KeyHasher(std::string(fleetSecret)).digest(testKey);
-        configuration.keys[toHex(digest)] = ApiKey{toHex(digest), "acme", digest, false};
-        route(configuration, "/call/", Repeat::Always, false);
-        route(configuration, "/once/", Repeat::Never, false);
-        route(configuration, "/resume/", Repeat::Resume, true);
-        for (std::size_t n = 0; n < upstreams.size(); ++n) {
-            const auto id = "u" + std::to_string(n + 1);
-            fixture->addUpstream(id, *upstreams[n], false);
-            configuration.upstreams[id].pool = "p";
-        }
-        return fixture;
-    }
-
-    static void route(Configuration &configuration, const std::string &prefix, Repeat repeat, bool stream)
-    {
-        PoolTarget target;
-        target.pools = {{"p", 1}};
-        target.repeat = repeat;
-        target.stream = stream;
-        target.maxAttempts = repeat == Repeat::Never ? 1 : 2;
-        target.target = Milliseconds{400};
-        Route route;
-        route.id = prefix;
-        route.prefix = prefix;
-        route.target = target;
-        route.timeout = Milliseconds{20'000};
-        route.host = "app.example";
-        configuration.routes[prefix] = route;
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HazardsTest);
