Run the directory's tests on a manual clock

A pause of the test process makes the hosts' knowledge older than 1 s, and then they rightly read for themselves, or one takes over as reader. Change: the hosts' clock moves with the test's steps. All checks and bounds are as before.

--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -33,15 +33,15 @@
     {
         DirectoryDependencies dependencies{io.get_executor(), clock, name, false, {}, {"op", "servers"}, {}, {}, {}, {}, {}};
         const auto indexOf = [](const std::string &table) { return table == "op" ? 0U : 1U; };
-        dependencies.feed.follow = [this, &store, indexOf](std::string table, RowVersion after, Milliseconds wait) -> asio::awaitable<TableReply> {
+        dependencies.feed.follow = [this, &store, &clock, indexOf](std::string table, RowVersion after, Milliseconds wait) -> asio::awaitable<TableReply> {
             ++calls;
-            const auto end = std::chrono::steady_clock::now() + wait;
+            const auto end = clock.now() + wait;
             while (true) {
                 if (cut) {
                     co_return TableUnavailable{"cut"};
                 }
                 auto changes = store.tables[indexOf(table)].changesAfter(after);
-                if (!changes->empty() || std::chrono::steady_clock::now() >= end) {
+                if (!changes->empty() || clock.now() >= end) {
                     co_return TablePage{*changes, store.version};
                 }
                 asio::steady_timer timer(co_await asio::this_coro::executor, Milliseconds{10});
@@ -104,6 +104,7 @@
     void setUp() override
     {
         m_io = std::make_unique<asio::io_context>();
+        m_clock.advance(std::chrono::seconds{1'000});
         m_store = Store();
         m_hosts.clear();
         m_silent.clear();
@@ -221,7 +222,7 @@
                 calls -= it->service->reads() ? 0 : it->calls;
                 it->service->onReport(member, report);
                 exchangeReports();
-                m_io->run_for(Milliseconds{10});
+                runFor(Milliseconds{10});
                 calls += it->service->reads() ? 0 : it->calls;
             }
         }
@@ -282,7 +283,7 @@
         };
         auto version = follower.service->knowledge(DirectoryTable::Upstreams).complete;
         tell(version);
-        m_io->run_for(Milliseconds{700});
+        runFor(Milliseconds{700});
         const auto before = follower.calls;
         for (int n = 0; n < 60; ++n) {
             HostReport pushed;
@@ -292,7 +293,7 @@
             pushed.upstreams = TableKnowledge{version, version, Milliseconds{5}};
             follower.service->onReport(reader, pushed);
             tell(version + 1);
-            m_io->run_for(Milliseconds{20});
+            runFor(Milliseconds{20});
         }
         CPPUNIT_ASSERT_EQUAL(version, follower.service->knowledge(DirectoryTable::Upstreams).content);
         CPPUNIT_ASSERT_EQUAL(before, follower.calls);
@@ -306,7 +307,7 @@
         const auto parts = pushInParts(reader);
         auto follower = m_hosts.back()->service->reads() ? m_hosts.front()->service : m_hosts.back()->service;
         m_silent = reader.name;
-        m_io->run_for(Milliseconds{100});
+        runFor(Milliseconds{100});
         const auto before = follower->knowledge(DirectoryTable::Upstreams);
         HostReport part;
         part.changesOnly = true;
@@ -340,7 +341,7 @@
             follower.service->onReport(reader, report);
             report.upstreams = TableKnowledge{had, had, Milliseconds{5}};
             follower.service->onReport(peer, report);
-            m_io->run_for(Milliseconds{50});
+            runFor(Milliseconds{50});
         }
         CPPUNIT_ASSERT_EQUAL(m_store.version, follower.service->knowledge(DirectoryTable::Upstreams).content);
         follower.service->stop();
@@ -358,8 +359,8 @@
         for (const auto &it : m_hosts) {
             calls -= it->calls;
         }
-        const auto begin = std::chrono::steady_clock::now();
-        CPPUNIT_ASSERT(runUntil([&] { return std::chrono::steady_clock::now() - begin > std::chrono::seconds{4}; }));
+        const auto begin = m_clock.now();
+        CPPUNIT_ASSERT(runUntil([&] { return m_clock.now() - begin > std::chrono::seconds{4}; }));
         for (const auto &it : m_hosts) {
             calls += it->calls;
         }
@@ -445,11 +446,21 @@
                 return false;
             }
             exchangeReports();
-            m_io->run_for(Milliseconds{50});
+            runFor(Milliseconds{50});
         }
         return true;
     }
 
+    // The hosts' clock moves with the test and not with the machine, so that a pause of the test makes no knowledge old.
+    void runFor(Milliseconds time)
+    {
+        constexpr Milliseconds step{10};
+        for (Milliseconds spent{0}; spent < time; spent += step) {
+            m_io->run_for(step);
+            m_clock.advance(step);
+        }
+    }
+
     void exchangeReports()
     {
         for (std::size_t from = 0; from < m_hosts.size(); ++from) {
@@ -476,7 +487,7 @@
         return host.service->known(table) ? std::optional(host.service->knowledge(table)) : std::nullopt;
     }
 
-    SystemClock m_clock;
+    ManualClock m_clock;
     std::unique_ptr<asio::io_context> m_io;
     Store m_store;
     std::vector<std::unique_ptr<Host>> m_hosts;
