Refuse requests for the last quarter of the listeners' time at a stop

Requests were taken until the listener closed, 3.2 s after the process had seen the signal, which on a slow host is half a second later. Change: for the last quarter of that time requests are refused with the promise that they were not run, and the listener still answers. Test: HazardsTest::lateRequestsAreRefusedBeforeTheListenerCloses.

--- a/src/guavafield/transport/http/request_path.cpp
+++ b/src/guavafield/transport/http/request_path.cpp
@@ -1,6 +1,7 @@
 // Assembly and end of the request path.
 #include <guavafield/transport/http/request_path.hpp>
 
+#include <guavafield/transport/durable/sleep.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -22,6 +23,8 @@
 // Requests that are ended by the limit of the shutdown get this long to tell their callers.
 constexpr Milliseconds endingTime{1'000};
 constexpr Milliseconds drainCheck{10};
+// Requests that come in the rest of the listeners' time are refused, as they may not end within the shutdown.
+constexpr double servedListenFraction = 0.75;
 
 } // namespace internal
 
@@ -94,10 +97,11 @@
     const auto &shutdown = m_context->settings.shutdown;
     const auto begin = std::chrono::steady_clock::now();
     beginDrain();
-    asio::steady_timer timer(m_context->executor, std::min(shutdown.listenerCloseDelay, shutdown.shutdownTimeout));
-    boost::system::error_code ec;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    const auto listenTime = std::min(shutdown.listenerCloseDelay, shutdown.shutdownTimeout);
+    const auto serveTime = std::chrono::duration_cast<Milliseconds>(listenTime * internal::servedListenFraction);
+    co_await sleepFor(serveTime);
     m_context->refusing.store(true, std::memory_order_release);
+    co_await sleepFor(listenTime - serveTime);
     m_server->stopListening();
     const auto spent = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begin);
     const auto noRequests = [this] { return requestsInFlight() == 0; };
--- a/test/transport/http/hazards_test.cpp
+++ b/test/transport/http/hazards_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(bytesWithoutEndAreBounded);
     CPPUNIT_TEST(bodiesWithoutEndShareOneBound);
     CPPUNIT_TEST(acceptedRequestsAreAnsweredOnStop);
+    CPPUNIT_TEST(lateRequestsAreRefusedBeforeTheListenerCloses);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +225,30 @@
         }
         CPPUNIT_ASSERT(stopped.wait());
     }
+
+    // A request that is taken late in a stop may still run when the process has to end, and would be cut. Its caller is told to go elsewhere instead.
+    void lateRequestsAreRefusedBeforeTheListenerCloses()
+    {
+        FakeUpstream upstream([&](FakeCall &call) { call.reply(200, "x", echo(call)); });
+        auto fixture = makeForwardFixture({&upstream});
+        fixture->settings.shutdown.listenerCloseDelay = Milliseconds{2'000};
+        fixture->start();
+        Signal stopped;
+        boost::asio::co_spawn(fixture->io(), fixture->path().stop(), [&](const std::exception_ptr &, bool) { stopped.set(); });
+        unsigned last = 0;
+        bool refusedOnNewConnection = false;
+        try {
+            while (!refusedOnNewConnection) {
+                const auto answer = fixture->call(request("/call/x"));
+                last = answer ? answer->result_int() : 0;
+                refusedOnNewConnection = last == 503 && notRun(answer->body());
+            }
+        } catch (const boost::system::system_error &) {
+            // The listener has closed.
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(last), refusedOnNewConnection);
+        CPPUNIT_ASSERT(stopped.wait());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HazardsTest);
