--- a/test/coordination/request/stream_isolation_test.cpp
+++ b/test/coordination/request/stream_isolation_test.cpp
@@ -85,6 +85,7 @@
     {
         const auto end = addSeconds(m_now, seconds);
         std::vector<SteadyTime> next;
+        next.reserve(load.size());
         for (const auto &it : load) {
             next.push_back(addSeconds(m_now, interval(it.perSecond)));
         }
