Log which list of upstreams a request was placed by, and its age

The log could not tell apart why a request went to an upstream that had left: an entry that was kept although it was missing, a host with old knowledge, or changes that came late.

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -100,12 +100,21 @@
                                        {std::string(platform::names::operatorTable), std::string(platform::names::serverTable)},
                                        platform::directoryCodec(KeyHasher(m_dependencies.settings.host.fleetSecret)),
                                        m_dependencies.applyConfiguration,
-                                       [this](SteadyTime at) { m_requestPath->configurationConfirmed(at); },
+                                       [this](DirectoryTable table, SteadyTime at) { confirmTable(table, at); },
                                        [this] { sendReport(); },
                                        [this](PeerAddress peer, DirectoryTable table, RowVersion after) { return fetchTable(peer, table, after); }};
     return std::make_shared<DirectoryService>(std::move(dependencies));
 }
 
+void MachinesPlatformServices::confirmTable(DirectoryTable table, SteadyTime at)
+{
+    if (table == DirectoryTable::Document) {
+        m_requestPath->configurationConfirmed(at);
+    } else {
+        m_requestPath->upstreamsConfirmed(at);
+    }
+}
+
 std::shared_ptr<DutyService> MachinesPlatformServices::makeDuties()
 {
     const auto &settings = m_dependencies.settings;
--- a/apps/guavafieldd/machines_platform_services.hpp
+++ b/apps/guavafieldd/machines_platform_services.hpp
@@ -70,6 +70,7 @@
     };
 
     [[nodiscard]] std::shared_ptr<DirectoryService> makeDirectory();
+    void confirmTable(DirectoryTable table, SteadyTime at);
     [[nodiscard]] std::shared_ptr<DutyService> makeDuties();
     [[nodiscard]] std::unique_ptr<PeerService> makePeers();
     [[nodiscard]] boost::asio::awaitable<Outcome<std::string>> fetchTable(PeerAddress peer, DirectoryTable table, RowVersion after);
--- a/src/guavafield/coordination/fleet/fleet_directory.cpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.cpp
@@ -23,6 +23,7 @@
         return nullptr;
     }
     auto result = std::make_shared<Configuration>(m_document);
+    result->upstreamsVersion = upstreams.content();
     for (const auto &[id, known] : m_upstreams) {
         if (known.upstream && result->pools.contains(known.upstream->pool)) {
             result->upstreams.emplace(id, *known.upstream);
@@ -85,6 +86,9 @@
         const bool mayReturn = known.upstream && !known.upstream->leaving && m_outageEnd && now - *m_outageEnd < internal::expiryGrace;
         if (!known.removeAt) {
             known.removeAt = mayReturn ? *m_outageEnd + internal::expiryGrace : now;
+            if (mayReturn) {
+                m_kept.push_back({it->first, std::chrono::ceil<Milliseconds>(*known.removeAt - now)});
+            }
         }
         if (now >= *known.removeAt) {
             changed |= known.upstream.has_value();
@@ -128,4 +132,9 @@
     return std::exchange(m_faults, {});
 }
 
+std::vector<KeptUpstream> FleetDirectory::takeKeptUpstreams()
+{
+    return std::exchange(m_kept, {});
+}
+
 } // namespace guavafield
--- a/src/guavafield/coordination/fleet/fleet_directory.hpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.hpp
@@ -31,6 +31,14 @@
     std::function<Result<UpstreamEntry>(std::string_view id, std::string_view text)> upstream;
 };
 
+/*! @brief An upstream without an entry that stays in use for a short time. */
+struct KeptUpstream
+{
+    UpstreamId id;
+    // How long it stays in use unless its entry returns.
+    Milliseconds duration{0};
+};
+
 /*! @brief A row that could not be decoded. */
 struct InvalidDirectoryRow
 {
@@ -63,6 +71,8 @@
     }
     /*! @brief Returns and clears the rows that could not be decoded since the last call. */
     [[nodiscard]] std::vector<InvalidDirectoryRow> takeInvalidRows();
+    /*! @brief Returns and clears the upstreams that were kept without an entry since the last call. */
+    [[nodiscard]] std::vector<KeptUpstream> takeKeptUpstreams();
 
 private:
     struct KnownUpstream
@@ -92,6 +102,7 @@
     // Time at which the upstreams table was first read after an outage.
     std::optional<SteadyTime> m_outageEnd;
     std::vector<InvalidDirectoryRow> m_faults;
+    std::vector<KeptUpstream> m_kept;
 };
 
 } // namespace guavafield
--- a/src/guavafield/state/configuration.hpp
+++ b/src/guavafield/state/configuration.hpp
@@ -252,6 +252,8 @@
     StringMap<Model> models;
     StringMap<Route> routes;
     StringMap<Upstream> upstreams;
+    // Version of the platform's table that listed the upstreams; 0 where no table lists them.
+    std::uint64_t upstreamsVersion{0};
     StringMap<UpstreamPool> pools;
     // Go before the limits of the settings.
     std::optional<CallerLimits> callerLimits;
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -274,31 +274,36 @@
                  {},
                  "row ignored, key=" + it.key + " version=" + std::to_string(it.version) + " cause=\"" + it.error.message + "\" place=" + it.error.place);
     }
-    if (const auto confirmed = mirror(DirectoryTable::Document).confirmed()) {
-        m_dependencies.confirm(*confirmed);
+    for (const auto &it : m_directory.takeKeptUpstreams()) {
+        logEvent(LogLevel::Info, "fleet:", {}, "upstream kept without an entry, upstream=" + it.id + " for_ms=" + std::to_string(it.duration.count()));
+    }
+    for (const auto table : {DirectoryTable::Document, DirectoryTable::Upstreams}) {
+        if (const auto confirmed = mirror(table).confirmed()) {
+            m_dependencies.confirm(table, *confirmed);
+        }
     }
 }
 
 void DirectoryService::logChanges(const Configuration &configuration) const
 {
-    const auto version = std::to_string(mirror(DirectoryTable::Upstreams).content());
+    const auto known = knowledge(DirectoryTable::Upstreams);
+    const auto source = " version=" + std::to_string(known.content) + " knowledge_age_ms=" + std::to_string(known.age.count());
     const auto log = [&](const Upstream &it, std::string_view state) {
         const auto kind = std::string(describe(it.kind));
         logEvent(LogLevel::Info,
                  "fleet:",
                  {},
-                 "upstream " + std::string(state) + ", upstream=" + it.id + " pool=" + it.pool + " data_centre=" + it.dataCentre + " kind=" + kind
-                     + " version=" + version);
+                 "upstream " + std::string(state) + ", upstream=" + it.id + " pool=" + it.pool + " data_centre=" + it.dataCentre + " kind=" + kind + source);
     };
     static const StringMap<Upstream> none;
     const auto &before = m_applied ? m_applied->upstreams : none;
     for (const auto &[id, it] : configuration.upstreams) {
-        const auto known = before.find(id);
-        if (known == before.end()) {
+        const auto earlier = before.find(id);
+        if (earlier == before.end()) {
             log(it, it.leaving ? "found leaving" : "found");
-        } else if (it.incarnation != known->second.incarnation) {
+        } else if (it.incarnation != earlier->second.incarnation) {
             log(it, "restarted");
-        } else if (it.leaving && !known->second.leaving) {
+        } else if (it.leaving && !earlier->second.leaving) {
             log(it, "leaving");
         }
     }
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -42,8 +42,8 @@
     DirectoryCodec codec;
     // Puts a configuration in force.
     std::function<void(std::shared_ptr<const Configuration>)> apply;
-    // The configuration in force was the newest at this time.
-    std::function<void(SteadyTime)> confirm;
+    // What is in force of the table was the newest at this time.
+    std::function<void(DirectoryTable, SteadyTime)> confirm;
     // Something changed that the peers should know at once.
     std::function<void()> announce;
     // Fetches a table from a peer.
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -166,6 +166,9 @@
     text += " expected_ms=" + std::to_string(dispatch.expected.count()) + " left_ms=" + std::to_string(timeLeft().count());
     text += " fetch_from=" + (dispatch.fetchFrom.empty() ? std::string("-") : dispatch.fetchFrom);
     text += " configuration=" + std::to_string(m_plan.grant.configuration->revision);
+    const auto age = m_context->upstreamsAge.since(std::chrono::steady_clock::now());
+    text += " upstreams_version=" + std::to_string(configuration->upstreamsVersion);
+    text += " upstreams_age_ms=" + (age ? std::to_string(age->count()) : std::string("-"));
     logEvent(LogLevel::Info, "http:", m_call.envelope.id, text);
     m_counted = false;
     m_firstTokenTold = false;
--- a/src/guavafield/transport/http/path_context.cpp
+++ b/src/guavafield/transport/http/path_context.cpp
@@ -29,6 +29,12 @@
     return confirmed == never || now - SteadyTime{std::chrono::nanoseconds{confirmed}} > age;
 }
 
+std::optional<Milliseconds> ConfigurationAge::since(SteadyTime now) const noexcept
+{
+    const auto confirmed = m_confirmed.load(std::memory_order_acquire);
+    return confirmed == never ? std::nullopt : std::optional(std::chrono::ceil<Milliseconds>(now - SteadyTime{std::chrono::nanoseconds{confirmed}}));
+}
+
 PathContext::PathContext(boost::asio::any_io_executor io,
                          const DaemonSettings &daemonSettings,
                          const Clock &daemonClock,
--- a/src/guavafield/transport/http/path_context.hpp
+++ b/src/guavafield/transport/http/path_context.hpp
@@ -21,6 +21,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace guavafield {
@@ -63,6 +64,8 @@
     }
     /*! @brief Returns whether the last confirmation is older than this, or there was none. */
     [[nodiscard]] bool olderThan(Milliseconds age, SteadyTime now) const noexcept;
+    /*! @brief Returns the time since the last confirmation; empty if there was none. */
+    [[nodiscard]] std::optional<Milliseconds> since(SteadyTime now) const noexcept;
 
 private:
     static constexpr std::int64_t never = -1;
@@ -103,6 +106,8 @@
     RequestPlaces places;
     AnswerMemory answers;
     ConfigurationAge age;
+    // Of the list of upstreams, where a table of the platform has it.
+    ConfigurationAge upstreamsAge;
     std::shared_ptr<RequestDriver> driver;
     Latencies latencies;
     // New requests are refused.
--- a/src/guavafield/transport/http/request_path.cpp
+++ b/src/guavafield/transport/http/request_path.cpp
@@ -65,6 +65,11 @@
     m_context->age.confirm(at);
 }
 
+void RequestPath::upstreamsConfirmed(SteadyTime at)
+{
+    m_context->upstreamsAge.confirm(at);
+}
+
 void RequestPath::closeKey(std::string_view key)
 {
     logEvent(LogLevel::Info, "http:", {}, "closing requests of withdrawn key " + std::string(key));
--- a/src/guavafield/transport/http/request_path.hpp
+++ b/src/guavafield/transport/http/request_path.hpp
@@ -39,6 +39,8 @@
     void configurationChanged();
     /*! @brief Notes that the configuration in force was confirmed as the newest at this time. */
     void configurationConfirmed(SteadyTime at);
+    /*! @brief Notes that the list of upstreams in force was confirmed as the newest at this time. */
+    void upstreamsConfirmed(SteadyTime at);
     /*! @brief Withdraws a key ahead of the configuration. */
     void closeKey(std::string_view key);
 
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -63,7 +63,7 @@
         };
         dependencies.codec.upstream = [](std::string_view, std::string_view) -> Result<UpstreamEntry> { return UpstreamEntry{}; };
         dependencies.apply = [this](const std::shared_ptr<const Configuration> &it) { revision = it->revision; };
-        dependencies.confirm = [](SteadyTime) {};
+        dependencies.confirm = [](DirectoryTable, SteadyTime) {};
         dependencies.announce = [] {};
         dependencies.fetch = [this](PeerAddress address, DirectoryTable table, RowVersion after) -> asio::awaitable<Outcome<std::string>> {
             co_return Outcome<std::string>{(*peers)[address.port]->service->format(table, after), {}};
