Send nothing more to an upstream that announced in an answer that it leaves

What callers see otherwise: requests that reach an upstream which is about to stop, and end with it. The upstream says so in the header of each answer; its entry may change later or never.

Cause: nothing read the header.

Only a new incarnation takes work again: not the same entry once more, nor its removal and return. A 421 says nothing, as another upstream answers there.

Measured: upstreamThatAnnouncedItsEndGetsNoRequests failed before (30 requests instead of 1), also with the one condition in UpstreamState taken out.

--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -79,6 +79,11 @@
     m_impl->onUpstreamLeaving(upstream, notice, now);
 }
 
+bool RequestScheduler::onDrainAnnounced(std::string_view upstream, SteadyTime now)
+{
+    return m_impl->onDrainAnnounced(upstream, now);
+}
+
 void RequestScheduler::onPeerDemand(std::string_view host, std::span<const TeamDemand> demand, Milliseconds age, SteadyTime now)
 {
     m_impl->onPeerDemand(host, demand, age, now);
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -77,6 +77,9 @@
     /*! @brief Handles an upstream's shutdown notice: it gets no new work and unfinished requests are migrated. */
     void onUpstreamLeaving(std::string_view upstream, Milliseconds notice, SteadyTime now);
 
+    /*! @brief Handles an upstream's announcement in an answer that it leaves: this incarnation gets no new work. Returns whether that is new. */
+    [[nodiscard]] bool onDrainAnnounced(std::string_view upstream, SteadyTime now);
+
     /*! @brief Applies the service rates reported by a peer; age is the time since their measurement. */
     void onPeerDemand(std::string_view host, std::span<const TeamDemand> demand, Milliseconds age, SteadyTime now);
     /*! @brief Returns the teams with the highest service rates on this host in descending order. */
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler_core.cpp
@@ -104,6 +104,7 @@
         state.idHash = stableIdHash(upstream.id);
         applyPeerWorkTo(state);
     }
+    state.drainAnnounced = m_drains.isLeaving(upstream.id, upstream.incarnation);
     if (!upstream.pool.empty()) {
         state.leavesAt = upstream.leavesAt;
     }
@@ -239,6 +240,18 @@
     }
 }
 
+bool RequestScheduler::Impl::onDrainAnnounced(std::string_view upstream, SteadyTime now)
+{
+    auto *state = findUpstream(upstream);
+    if (state == nullptr || state->drainAnnounced) {
+        return false;
+    }
+    m_drains.announce(state->upstream.id, state->upstream.incarnation, now);
+    state->drainAnnounced = true;
+    refreshSlots();
+    return true;
+}
+
 void RequestScheduler::Impl::onPeerDemand(std::string_view host, std::span<const TeamDemand> demand, Milliseconds age, SteadyTime now)
 {
     for (const auto &[team, cost] : m_demand.convertPeerRates(host, demand, age, now)) {
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -4,6 +4,7 @@
 #include <guavafield/coordination/request/admission_control.hpp>
 #include <guavafield/coordination/request/crash_tracker.hpp>
 #include <guavafield/coordination/request/demand_tracker.hpp>
+#include <guavafield/coordination/request/drain_registry.hpp>
 #include <guavafield/coordination/request/pool.hpp>
 #include <guavafield/coordination/request/request_scheduler.hpp>
 #include <guavafield/coordination/request/retry_budget.hpp>
@@ -38,6 +39,7 @@
     void onLoadReport(std::string_view upstream, const LoadReport &report, SteadyTime now);
     void onCacheEvents(std::string_view upstream, std::span<const CacheEvent> events);
     void onUpstreamLeaving(std::string_view upstream, Milliseconds notice, SteadyTime now);
+    [[nodiscard]] bool onDrainAnnounced(std::string_view upstream, SteadyTime now);
     void onPeerWork(std::string_view host, std::span<const PeerWork> work, std::span<const EngineDemand> demand, SteadyTime now);
     [[nodiscard]] std::vector<EngineDemand> engineDemand(SteadyTime now) const;
     [[nodiscard]] std::vector<PeerWork> localWork() const;
@@ -132,6 +134,7 @@
     // Budget for self-queueing pools, whose retries are limited across all hosts.
     RetryBudget m_poolRetries;
     CrashTracker m_crashes;
+    DrainRegistry m_drains;
     DemandTracker m_demand;
     // Addresses are stable; a removed upstream is kept while attempts run on it.
     StringMap<UpstreamState> m_upstreams;
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -30,6 +30,8 @@
     std::uint32_t suspects{0};
     // Set by a shutdown notice; reset by a new incarnation of the upstream.
     std::optional<SteadyTime> leavesAt;
+    // The current incarnation announced in an answer that it leaves, whatever its entry says.
+    bool drainAnnounced{false};
     // Set when attempts fail consecutively or the process died; reset by a later report or a successful probe.
     std::optional<SteadyTime> downSince;
     std::uint32_t consecutiveFailures{0};
@@ -63,7 +65,7 @@
     }
     [[nodiscard]] bool leaving() const noexcept
     {
-        return upstream.leaving || leavesAt.has_value();
+        return upstream.leaving || leavesAt.has_value() || drainAnnounced;
     }
     /*! @brief Whether the upstream may receive new work, i.e. is neither leaving, down nor ejected. */
     [[nodiscard]] bool usable() const noexcept
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -95,6 +95,7 @@
         }
         if (result == ExchangeResult::Ok) {
             facts = m_context->hooks.forward->readAnswer(m_exchange.header(), m_plan.id);
+            noteDrain(facts);
             if (!facts.stray) {
                 co_return true;
             }
@@ -110,6 +111,14 @@
     co_return false;
 }
 
+void ForwardAttempt::noteDrain(const AnswerFacts &facts)
+{
+    // An address that belongs to another upstream says nothing of this one.
+    if (facts.leaving && !facts.misdirected && m_context->driver->onDrainAnnounced(m_plan.upstream)) {
+        logEvent(LogLevel::Info, "http:", m_plan.id, "upstream announces that it leaves, upstream=" + m_plan.upstream);
+    }
+}
+
 asio::awaitable<ExchangeResult> ForwardAttempt::skipAnswer()
 {
     std::string body;
--- a/src/guavafield/transport/http/forward_dialect.hpp
+++ b/src/guavafield/transport/http/forward_dialect.hpp
@@ -62,6 +62,8 @@
     bool notExecuted{false};
     // Another upstream has taken over the address.
     bool misdirected{false};
+    // The upstream is about to stop and wants no further requests.
+    bool leaving{false};
     // Is the upstream's own whole answer, as far as the header shows.
     bool genuine{false};
     std::optional<LoadReport> load;
--- a/src/guavafield/transport/http/request_driver.cpp
+++ b/src/guavafield/transport/http/request_driver.cpp
@@ -104,6 +104,11 @@
     withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onCacheEvents(upstream, events, now); });
 }
 
+bool RequestDriver::onDrainAnnounced(std::string_view upstream)
+{
+    return withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { return scheduler.onDrainAnnounced(upstream, now); });
+}
+
 void RequestDriver::applyConfiguration(const Configuration &configuration)
 {
     withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.applyConfiguration(configuration, now); });
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -42,6 +42,8 @@
 
     void onLoadReport(std::string_view upstream, const LoadReport &report);
     void onCacheEvents(std::string_view upstream, std::span<const CacheEvent> events);
+    /*! @brief Takes an upstream's announcement that it leaves; returns whether that is new. */
+    [[nodiscard]] bool onDrainAnnounced(std::string_view upstream);
     void applyConfiguration(const Configuration &configuration);
 
     /*!
--- /dev/null
+++ b/test/transport/http/upstream_notices_test.cpp
@@ -0,0 +1,98 @@
+// Tests of what upstreams say about themselves in the headers of their answers.
+#include "transport/http/forward_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+
+namespace guavafield::test {
+
+namespace {
+
+std::string request(std::string_view path, int number)
+{
+    std::string text = "POST " + std::string(path) + " HTTP/1.1\r\nHost: app.example\r\nX-Guavafield-Request-Id: n" + std::to_string(number) + "\r\n";
+    return text + "Authorization: Token " + std::string(testKey) + "\r\nContent-Length: 5\r\n\r\nhello";
+}
+
+} // namespace
+
+class UpstreamNoticesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UpstreamNoticesTest);
+    CPPUNIT_TEST(upstreamThatAnnouncedItsEndGetsNoRequests);
+    CPPUNIT_TEST(announcementOfAnotherUpstreamAtTheAddressIsIgnored);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // An upstream that leaves says so in its answers, perhaps before its entry does or without ever changing it.
+    void upstreamThatAnnouncedItsEndGetsNoRequests()
+    {
+        for (const auto *path : {"/once/x", "/call/x", "/stream/x", "/resume/x"}) {
+            std::atomic<bool> leaving{true};
+            FakeUpstream first([&](FakeCall &call) { answer(call, leaving); });
+            FakeUpstream second([&](FakeCall &call) { answer(call, false); });
+            auto fixture = makeForwardFixture({&first, &second});
+            fixture->start();
+            int number = 0;
+            const auto send = [&](int count) {
+                for (int n = 0; n < count; ++n) {
+                    const auto reply = fixture->call(request(path, ++number));
+                    CPPUNIT_ASSERT(reply.has_value());
+                    CPPUNIT_ASSERT_EQUAL(200U, reply->result_int());
+                }
+            };
+            send(30);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, std::size_t{1}, first.calls());
+            // Neither the same entry again nor its removal and return is a new process.
+            fixture->applyConfiguration();
+            const auto entry = fixture->configuration.upstreams.at("u1");
+            fixture->configuration.upstreams.erase("u1");
+            fixture->applyConfiguration();
+            fixture->configuration.upstreams["u1"] = entry;
+            fixture->applyConfiguration();
+            send(30);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, std::size_t{1}, first.calls());
+            // The next process under the same id has not announced anything.
+            leaving = false;
+            fixture->configuration.upstreams["u1"].incarnation = entry.incarnation + 1;
+            fixture->applyConfiguration();
+            send(30);
+            CPPUNIT_ASSERT_MESSAGE(path, first.calls() > 1);
+        }
+    }
+
+    // The announcement of whoever has taken over an address says nothing about the upstream that had it.
+    void announcementOfAnotherUpstreamAtTheAddressIsIgnored()
+    {
+        std::atomic<int> calls{0};
+        FakeUpstream upstream([&](FakeCall &call) {
+            if (++calls == 1) {
+                call.reply(421, "another", "X-Guavafield-Request-Id: " + idOf(call) + "\r\nX-Guavafield-Not-Executed: 1\r\nServer-Leaving: 1\r\n");
+            } else {
+                answer(call, false);
+            }
+        });
+        auto fixture = makeForwardFixture({&upstream});
+        fixture->start();
+        CPPUNIT_ASSERT_EQUAL(503U, fixture->call(request("/once/x", 1))->result_int());
+        CPPUNIT_ASSERT_EQUAL(200U, fixture->call(request("/once/x", 2))->result_int());
+    }
+
+private:
+    static void answer(FakeCall &call, bool leaving)
+    {
+        const std::string notice = leaving ? "Server-Leaving: 1\r\n" : "";
+        if (call.path().starts_with("/once") || call.path().starts_with("/call")) {
+            call.reply(200, "done", echo(call) + notice);
+            return;
+        }
+        const auto body = event(1) + event(2);
+        call.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + echo(call) + notice + "\r\n"
+                  + body);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamNoticesTest);
+
+} // namespace guavafield::test
