Keep missing entries only after readings of the platform failed

What callers see otherwise: requests that reach an upstream up to 4.2 s after its entry was removed.

Cause: FleetDirectory took every gap of more than 1.2 s in what the host knew for an outage in which entries could not be renewed, and kept missing ones for 2.5 s more.

Change: a gap counts as an outage only if this host or a peer tried to read the table within it and failed.

--- a/src/guavafield/coordination/fleet/fleet_directory.cpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.cpp
@@ -56,7 +56,9 @@
 
 void FleetDirectory::detectOutage(const TableMirror &mirror, SteadyTime now)
 {
-    if (m_lastConfirmed && mirror.confirmed() && *mirror.confirmed() - *m_lastConfirmed > internal::outageThreshold) {
+    // Without a failed reading the gap is this host's own, e.g. while the host that reads for the others is replaced: entries were renewed all the time.
+    const bool readFailed = m_lastReadFailure && m_lastConfirmed && *m_lastReadFailure > *m_lastConfirmed;
+    if (readFailed && mirror.confirmed() && *mirror.confirmed() - *m_lastConfirmed > internal::outageThreshold) {
         m_outageEnd = now;
     }
     m_lastConfirmed = mirror.confirmed();
--- a/src/guavafield/coordination/fleet/fleet_directory.hpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.hpp
@@ -64,6 +64,12 @@
      */
     [[nodiscard]] std::shared_ptr<const Configuration> update(const TableMirror &document, const TableMirror &upstreams, SteadyTime now);
 
+    /*! @brief Notes that this host or a peer tried to read the table of upstreams and could not. */
+    void onReadFailed(SteadyTime now) noexcept
+    {
+        m_lastReadFailure = now;
+    }
+
     /*! @brief Returns when update() has to be called even if no table changes; empty if it need not be. */
     [[nodiscard]] const std::optional<SteadyTime> &nextWakeup() const noexcept
     {
@@ -99,6 +105,7 @@
     // The earliest removeAt.
     std::optional<SteadyTime> m_wakeup;
     std::optional<SteadyTime> m_lastConfirmed;
+    std::optional<SteadyTime> m_lastReadFailure;
     // Time at which the upstreams table was first read after an outage.
     std::optional<SteadyTime> m_outageEnd;
     std::vector<InvalidDirectoryRow> m_faults;
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -161,6 +161,9 @@
         whole = gap;
         if (failed) {
             m_failedAt[index] = m_dependencies.clock.now();
+            if (table == DirectoryTable::Upstreams) {
+                m_directory.onReadFailed(m_failedAt[index]);
+            }
         }
         if (failed || (!reader && !gap)) {
             co_await sleepFor(internal::retryPause);
@@ -332,6 +335,9 @@
     if (!report.changesOnly) {
         m_peers[from.id] = Peer{now, !report.withoutPlatform && isFresh(report.document) && isFresh(report.upstreams), report.slowLink};
     }
+    if (report.withoutPlatform) {
+        m_directory.onReadFailed(now);
+    }
     std::erase_if(m_peers, [now](const auto &it) { return now - it.second.heard > internal::peerRemembered; });
     auto &upstreams = mirror(DirectoryTable::Upstreams);
     const bool pushed = upstreams.hasBeenRead() && !report.changes.empty() && report.upstreams && upstreams.complete() >= report.changesAfter
