Suspect requests whose upstream crashed on their first event

What callers see otherwise: a request that crashes upstreams goes on doing so, and requests that merely waited beside it are taken for the cause.

Cause: a connection that broke made its request a suspect only if no header had come.

Change: a stream counts as begun with its first event that has data. The log says how far a failed attempt had come.

Measured: requestThatCrashesUpstreamsAfterTheHeaderIsStopped failed before (9 calls, bound 6). transport_http 68 of 68.

--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -155,7 +155,8 @@
         deliverFailure(AttemptFailed{ResultCode::UpstreamFailed, RetryReason::UpstreamError}, "not a genuine answer, status " + std::to_string(status));
         co_return;
     }
-    m_answerBegan = true;
+    m_headDelivered = true;
+    m_contentDelivered = !m_plan.stream;
     m_outlet.deliver(AnswerHead{m_plan.number, status, endToEndHeaders(m_exchange.header())});
     m_exchange.setSilence(m_plan.silenceTime);
     if (success && m_plan.stream) {
@@ -182,6 +183,7 @@
         // Bytes that complete no event, comments and empty events keep a connection busy but bring the caller nothing.
         const auto now = std::chrono::steady_clock::now();
         if (std::ranges::any_of(batch.events, hasData)) {
+            m_contentDelivered = true;
             lastProgress = now;
         } else if (result == ExchangeResult::Stalled || (result == ExchangeResult::Ok && now >= patience)) {
             m_outlet.deliver(AnswerStalled{m_plan.number});
@@ -229,11 +231,12 @@
         deliverFailure(failure, "no connection");
         break;
     case ExchangeResult::TimedOut:
-        failure = {ResultCode::UpstreamTimeout, m_answerBegan ? RetryReason::AnswerIncomplete : RetryReason::FirstTokenLate};
-        deliverFailure(failure, m_answerBegan ? "the answer stopped" : "no answer in time");
+        failure = {ResultCode::UpstreamTimeout, m_headDelivered ? RetryReason::AnswerIncomplete : RetryReason::FirstTokenLate};
+        deliverFailure(failure, m_headDelivered ? "the answer stopped" : "no answer in time");
         break;
     case ExchangeResult::Broken:
-        failure.upstreamCrashed = !m_answerBegan;
+        // An upstream that crashes when it writes the first event has sent its header.
+        failure.upstreamCrashed = !m_contentDelivered;
         deliverFailure(failure, "the connection ended before the answer did");
         break;
     case ExchangeResult::Ok:
@@ -251,6 +254,7 @@
     std::string text = "attempt failed, cause=\"" + std::string(cause) + "\" upstream=" + m_plan.upstream;
     text += " attempt=" + std::to_string(m_plan.number) + " reason=" + std::string(describe(failure.reason));
     text += failure.notExecuted ? " executed=no" : " executed=unknown";
+    text += m_contentDelivered ? " received=content" : m_headDelivered ? " received=header" : " received=nothing";
     logEvent(LogLevel::Warning, "http:", m_plan.id, text);
     m_outlet.deliver(AnswerFailed{m_plan.number, failure});
 }
--- a/src/guavafield/transport/http/forward_attempt.hpp
+++ b/src/guavafield/transport/http/forward_attempt.hpp
@@ -83,7 +83,10 @@
     ForwardAttemptPlan m_plan;
     UpstreamExchange m_exchange;
     AttemptOutlet m_outlet;
-    bool m_answerBegan{false};
+    // The header of the answer has been passed on.
+    bool m_headDelivered{false};
+    // So has an event with data, or the header of an answer that is no stream.
+    bool m_contentDelivered{false};
 };
 
 } // namespace guavafield
--- a/test/transport/http/hazards_test.cpp
+++ b/test/transport/http/hazards_test.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(secondCopyOfAnAnswerReachesNobody);
     CPPUNIT_TEST(stalledStreamThatSendsBytesGoesOnElsewhere);
     CPPUNIT_TEST(slowStreamIsKeptWhereItCannotGoOn);
+    CPPUNIT_TEST(requestThatCrashesUpstreamsAfterTheHeaderIsStopped);
     CPPUNIT_TEST(bytesWithoutEndAreBounded);
     CPPUNIT_TEST(bodiesWithoutEndShareOneBound);
     CPPUNIT_TEST(acceptedRequestsAreAnsweredOnStop);
@@ -129,6 +130,31 @@
         CPPUNIT_ASSERT_EQUAL(event(1) + event(2), answer->body());
     }
 
+    // An upstream may send the header before it crashes on the first event; the request is stopped all the same.
+    void requestThatCrashesUpstreamsAfterTheHeaderIsStopped()
+    {
+        const auto handler = [](FakeCall &call) {
+            beginEvents(call);
+            call.drop();
+        };
+        std::vector<std::unique_ptr<FakeUpstream>> upstreams;
+        std::vector<FakeUpstream *> pointers;
+        for (int n = 0; n < 8; ++n) {
+            pointers.push_back(upstreams.emplace_back(std::make_unique<FakeUpstream>(handler)).get());
+        }
+        auto fixture = makeForwardFixture(pointers);
+        fixture->start();
+        std::size_t calls = 0;
+        for (int n = 0; n < 6; ++n) {
+            std::ignore = fixture->call(request("/resume/x", "again" + std::to_string(n)));
+        }
+        for (const auto &it : upstreams) {
+            calls += it->calls();
+        }
+        // Three crashes, and as many repeats until all hosts know.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(calls), calls <= 6);
+    }
+
     // Bytes that never become an answer must neither fill the memory nor keep the caller waiting.
     void bytesWithoutEndAreBounded()
     {
