--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -17,6 +17,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <set>
+#include <sstream>
 #include <utility>
 
 namespace guavafield {
@@ -29,12 +30,8 @@
 constexpr std::string_view hostAddressTable = "hosts";
 constexpr Milliseconds addressRetryInterval{1'000};
 constexpr Milliseconds addressRefreshInterval{60'000};
-// Crashes are repeated in the reports to peers for this long, in case a report is lost.
-constexpr Milliseconds crashRepeatDuration{2'000};
 // Hosts with slower links neither read tables for other hosts nor relay to them while hosts with faster links are available.
 constexpr double minFastLinkMbit = 50;
-constexpr std::size_t maxCrashesPerReport = 8;
-constexpr std::size_t maxTrackedPeerIncarnations = 4'096;
 
 PlatformClientSettings makeClientSettings(Milliseconds connectTimeout, bool resetOnClose)
 {
@@ -204,6 +201,7 @@
 asio::awaitable<void> MachinesPlatformServices::reportLoop()
 {
     while (!m_stopped) {
+        logConvictions();
         const auto now = m_dependencies.clock.now();
         const auto hosts = m_addressBook.countResponsive(now) + 1;
         m_directory->setHosts(hosts);
@@ -212,11 +210,25 @@
             sendReport();
         } else if (const auto holder = m_reportSchedule.dutyHolder(now); receivers == ReportReceivers::DutyHolder && holder) {
             m_peers->sendReportTo(makeReport(), *holder);
+            if (auto crashes = makeCrashReport()) {
+                m_peers->sendReportTo(std::move(*crashes), *holder);
+            }
         }
         co_await sleepFor(ReportSchedule::interval);
     }
 }
 
+void MachinesPlatformServices::logConvictions()
+{
+    const auto convicted =
+        m_requestPath->driver().withScheduler([](RequestScheduler &scheduler, SteadyTime /*now*/) { return scheduler.crashEvidence().takeConvicted(); });
+    for (const auto &it : convicted) {
+        std::ostringstream text;
+        text << "requests refused for crashes, feature=" << std::hex << it.feature << std::dec << " crashes=" << it.crashes;
+        logEvent(LogLevel::Warning, "http:", {}, text.str());
+    }
+}
+
 bool MachinesPlatformServices::hasSlowLink() const
 {
     return m_dependencies.settings.host.linkMbit < internal::minFastLinkMbit;
@@ -224,7 +236,6 @@
 
 HostReport MachinesPlatformServices::makeReport()
 {
-    const auto now = m_dependencies.clock.now();
     HostReport report;
     report.wall = m_dependencies.clock.wallNow();
     report.slowLink = hasSlowLink();
@@ -238,17 +249,8 @@
     m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime schedulerNow) {
         report.work = scheduler.localWork();
         report.engineDemand = scheduler.engineDemand(schedulerNow);
-        for (const auto &it : scheduler.takeCrashes()) {
-            m_recentCrashes.push_back({BrokenRequest{++m_lastCrashNumber, it}, now});
-        }
+        report.crashes.verdicts = scheduler.crashEvidence().knowledge(schedulerNow).verdicts;
     });
-    while (!m_recentCrashes.empty()
-           && (now - m_recentCrashes.front().seenAt > internal::crashRepeatDuration || m_recentCrashes.size() > internal::maxCrashesPerReport)) {
-        m_recentCrashes.pop_front();
-    }
-    for (const auto &it : m_recentCrashes) {
-        report.broken.push_back(it.request);
-    }
     if (m_duties) {
         m_duties->onOwnTime(report.wall);
         report.windows = m_duties->ownCounts();
@@ -258,6 +260,16 @@
     return report;
 }
 
+std::optional<HostReport> MachinesPlatformServices::makeCrashReport()
+{
+    HostReport report;
+    report.crashesOnly = true;
+    report.crashes =
+        m_requestPath->driver().withScheduler([](RequestScheduler &scheduler, SteadyTime now) { return scheduler.crashEvidence().knowledge(now); });
+    report.crashes.verdicts.clear();
+    return report.crashes.crashes.empty() && report.crashes.begins.empty() ? std::nullopt : std::optional(std::move(report));
+}
+
 void MachinesPlatformServices::sendReport()
 {
     const auto addresses = m_addressBook.addresses(m_dependencies.clock.now());
@@ -265,6 +277,9 @@
         m_peers->sendReport(std::move(it), addresses);
     }
     m_peers->sendReport(makeReport(), addresses);
+    if (auto crashes = makeCrashReport()) {
+        m_peers->sendReport(std::move(*crashes), addresses);
+    }
 }
 
 asio::awaitable<bool> MachinesPlatformServices::writeAddress()
@@ -310,6 +325,10 @@
 
 void MachinesPlatformServices::onReport(const Member &from, const HostReport &report)
 {
+    if (report.crashesOnly) {
+        m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.crashEvidence().merge(report.crashes, now); });
+        return;
+    }
     m_directory->onReport(from, report);
     if (report.changesOnly) {
         return;
@@ -321,18 +340,9 @@
     if (m_duties) {
         m_duties->onReport(from.id, from.incarnation, report);
     }
-    if (m_lastCrashNumberByPeer.size() > internal::maxTrackedPeerIncarnations) {
-        m_lastCrashNumberByPeer.clear();
-    }
-    auto &lastNumber = m_lastCrashNumberByPeer[from.id + "/" + std::to_string(from.incarnation)];
     m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
         scheduler.onPeerWork(from.id, report.work, report.engineDemand, now);
-        for (const auto &it : report.broken) {
-            if (it.number > lastNumber) {
-                lastNumber = it.number;
-                scheduler.onPeerCrash(it.fingerprint, now);
-            }
-        }
+        scheduler.crashEvidence().merge(report.crashes, now);
     });
 }
 
--- a/apps/guavafieldd/machines_platform_services.hpp
+++ b/apps/guavafieldd/machines_platform_services.hpp
@@ -62,13 +62,6 @@
     }
 
 private:
-    // A request whose upstream connection failed, and when this host put it into its reports.
-    struct RecentCrash
-    {
-        BrokenRequest request;
-        SteadyTime seenAt{};
-    };
-
     [[nodiscard]] std::shared_ptr<DirectoryService> makeDirectory();
     void confirmTable(DirectoryTable table, SteadyTime at);
     [[nodiscard]] std::shared_ptr<DutyService> makeDuties();
@@ -76,6 +69,8 @@
     [[nodiscard]] boost::asio::awaitable<Outcome<std::string>> fetchTable(PeerAddress peer, DirectoryTable table, RowVersion after);
     [[nodiscard]] boost::asio::awaitable<void> reportLoop();
     [[nodiscard]] HostReport makeReport();
+    // Empty if there is nothing to tell of crashes.
+    [[nodiscard]] std::optional<HostReport> makeCrashReport();
     // Writes this host's peer address to the table of hosts, then reads the addresses of the other hosts periodically.
     [[nodiscard]] boost::asio::awaitable<void> registerHost();
     [[nodiscard]] boost::asio::awaitable<bool> writeAddress();
@@ -84,6 +79,7 @@
     void onReport(const Member &from, const HostReport &report);
     [[nodiscard]] bool hasSlowLink() const;
     void updateFleetMembers();
+    void logConvictions();
     void start();
     [[nodiscard]] std::optional<std::string> unreadyReason() const;
 
@@ -97,10 +93,6 @@
     std::shared_ptr<DutyService> m_duties;
     AddressBook m_addressBook;
     ReportSchedule m_reportSchedule;
-    std::deque<RecentCrash> m_recentCrashes;
-    std::uint64_t m_lastCrashNumber{0};
-    // Highest crash number received from each incarnation of a peer, to count repeated reports once. Key: host ID, slash, incarnation.
-    StringMap<std::uint64_t> m_lastCrashNumberByPeer;
     bool m_stopped{false};
 };
 
--- a/src/guavafield/coordination/fleet/host_report.hpp
+++ b/src/guavafield/coordination/fleet/host_report.hpp
@@ -3,6 +3,7 @@
 
 #include <guavafield/coordination/fleet/table_mirror.hpp>
 #include <guavafield/coordination/membership/member.hpp>
+#include <guavafield/coordination/request/crash_evidence.hpp>
 #include <guavafield/coordination/request/placement.hpp>
 #include <guavafield/state/types.hpp>
 
@@ -28,14 +29,6 @@
     std::vector<TeamCount> teams;
 };
 
-/*! @brief A request whose upstream connection failed before the response started. */
-struct BrokenRequest
-{
-    // Increases with each such request of an incarnation of the host.
-    std::uint64_t number{0};
-    Digest fingerprint{};
-};
-
 /*! @brief A report from one host to the others. */
 struct HostReport
 {
@@ -62,8 +55,9 @@
     Fence dutyFence{0};
     // Last billing window up to which all are reported to the platform, as far as the sender knows.
     std::uint64_t reportedUpTo{0};
-    // Broken requests of the last few seconds.
-    std::vector<BrokenRequest> broken;
+    // The report contains nothing but crashes and what began after them; other reports contain the verdicts only, as a datagram is small.
+    bool crashesOnly{false};
+    CrashKnowledge crashes;
 };
 
 /*! @brief Returns the number that identifies a team in host reports. */
--- /dev/null
+++ b/src/guavafield/coordination/request/crash_evidence.cpp
@@ -0,0 +1,364 @@
+// Attribution of crashes to what their suspects have in common.
+#include <guavafield/coordination/request/crash_evidence.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace guavafield {
+
+namespace internal {
+
+// Crashes are compared for this long.
+constexpr Milliseconds crashMemory{60'000};
+// Hosts of the largest fleets report to each other within this time.
+constexpr Milliseconds reportedFor{8'000};
+constexpr std::size_t momentsToConvict = 3;
+// Crashes closer together count as one moment. By the next one, a sound part that is in use has begun somewhere, and this host has been told.
+constexpr Milliseconds momentDistance{500};
+// A part under one request only may be as innocent as the request's other parts.
+constexpr std::size_t requestsToConvictPart = 2;
+// If more upstreams than this break within a short time, the cause is not one request.
+constexpr Milliseconds widespreadTime{2'000};
+constexpr double widespreadFraction = 0.3;
+constexpr std::size_t minWidespread = 6;
+// Verdicts that are as young as this rest on what a widespread failure left.
+constexpr Milliseconds rashVerdict{4'000};
+// Bounds of memory and of reports.
+constexpr std::size_t maxCrashes = 128;
+constexpr std::size_t maxSuspects = 32;
+constexpr std::size_t maxParts = 16;
+constexpr std::size_t maxBegins = 8'192;
+constexpr std::size_t maxVerdicts = 256;
+constexpr std::size_t maxReportedCrashes = 6;
+// All crashes of a report fit into one datagram.
+constexpr std::size_t maxReportedWords = 90;
+constexpr std::size_t wordsOfCrash = 4;
+constexpr std::size_t wordsOfSuspect = 3;
+constexpr std::size_t maxReportedBegins = 16;
+constexpr std::size_t maxReportedVerdicts = 8;
+
+Milliseconds since(SteadyTime at, SteadyTime now) noexcept
+{
+    return std::chrono::ceil<Milliseconds>(std::max(now - at, SteadyTime::duration::zero()));
+}
+
+bool holds(const CrashSuspect &suspect, std::uint64_t feature)
+{
+    return suspect.request == feature || std::ranges::find(suspect.parts, feature) != suspect.parts.end();
+}
+
+std::size_t countMoments(std::vector<SteadyTime> times)
+{
+    std::ranges::sort(times);
+    std::size_t count = 0;
+    SteadyTime last{};
+    for (const auto it : times) {
+        if (count == 0 || it - last >= momentDistance) {
+            ++count;
+            last = it;
+        }
+    }
+    return count;
+}
+
+// Keeps the newest observations.
+template <typename Observation>
+void limitNewest(std::vector<Observation> &observations, std::size_t limit)
+{
+    std::ranges::sort(observations, {}, &Observation::age);
+    if (observations.size() > limit) {
+        observations.resize(limit);
+    }
+}
+
+// Drops the suspects for which a datagram has no room.
+void limitWords(std::vector<CrashObservation> &crashes)
+{
+    std::size_t words = 0;
+    for (auto &crash : crashes) {
+        words += wordsOfCrash;
+        std::size_t kept = 0;
+        for (const auto &suspect : crash.suspects) {
+            words += wordsOfSuspect + suspect.parts.size();
+            kept += words <= maxReportedWords ? 1 : 0;
+        }
+        crash.suspects.resize(std::min(kept, crash.suspects.size()));
+    }
+    std::erase_if(crashes, [](const auto &it) { return it.suspects.empty(); });
+}
+
+} // namespace internal
+
+CrashSuspect crashSuspectOf(const RequestInfo &request)
+{
+    CrashSuspect suspect;
+    for (std::size_t n = 0; n < sizeof(suspect.request); ++n) {
+        suspect.request = suspect.request << 8U | request.fingerprint[n];
+    }
+    const auto n = std::min(request.sharedParts.size(), internal::maxParts);
+    suspect.parts.assign(request.sharedParts.begin(), request.sharedParts.begin() + static_cast<std::ptrdiff_t>(n));
+    return suspect;
+}
+
+bool CrashEvidence::add(Crashes &crashes, const CrashId &crash, SteadyTime at, const CrashSuspect &suspect)
+{
+    const auto [it, added] = crashes.try_emplace(crash, Crash{at, {}});
+    auto &known = it->second;
+    known.at = std::min(known.at, at);
+    const bool isNew = known.suspects.size() < internal::maxSuspects && std::ranges::find(known.suspects, suspect) == known.suspects.end();
+    if (isNew) {
+        known.suspects.push_back(suspect);
+    }
+    if (added && crashes.size() > internal::maxCrashes) {
+        crashes.erase(std::ranges::min_element(crashes, {}, [](const auto &entry) { return entry.second.at; }));
+    }
+    return isNew;
+}
+
+void CrashEvidence::expire(Crashes &crashes, SteadyTime now)
+{
+    std::erase_if(crashes, [now](const auto &it) { return now - it.second.at > internal::crashMemory; });
+}
+
+void CrashEvidence::onCrash(const CrashId &crash, CrashSuspect suspect, std::size_t upstreams, SteadyTime now)
+{
+    if (now < m_widespreadUntil) {
+        m_widespreadUntil = now + internal::widespreadTime;
+        return;
+    }
+    add(m_ownCrashes, crash, now, suspect);
+    add(m_crashes, crash, now, suspect);
+    dropWidespreadFailure(upstreams, now);
+    evaluate(now);
+}
+
+void CrashEvidence::dropWidespreadFailure(std::size_t upstreams, SteadyTime now)
+{
+    const auto recent = [now](const auto &it) { return now - it.second.at <= internal::widespreadTime; };
+    const auto broken = static_cast<std::size_t>(std::ranges::count_if(m_ownCrashes, recent));
+    const auto limit = std::max(internal::minWidespread, static_cast<std::size_t>(internal::widespreadFraction * static_cast<double>(upstreams)));
+    if (broken <= limit) {
+        return;
+    }
+    m_widespreadUntil = now + internal::widespreadTime;
+    for (const auto &[crash, own] : m_ownCrashes) {
+        if (now - own.at <= internal::widespreadTime) {
+            m_crashes.erase(crash);
+        }
+    }
+    std::erase_if(m_ownCrashes, recent);
+    std::erase_if(m_verdicts, [now](const auto &it) { return now - it.second <= internal::rashVerdict; });
+}
+
+void CrashEvidence::onBegun(const CrashSuspect &suspect, SteadyTime now)
+{
+    for (const auto it : suspect.parts) {
+        m_ownBegins[it] = now;
+        addBegin(it, now);
+    }
+    // Most requests are never suspected, so that they need not be remembered.
+    if (isSuspected(suspect.request)) {
+        m_ownBegins[suspect.request] = now;
+        addBegin(suspect.request, now);
+    }
+    if (m_ownBegins.size() > internal::maxBegins) {
+        std::erase_if(m_ownBegins, [now](const auto &it) { return now - it.second > internal::crashMemory / 2; });
+        std::erase_if(m_begins, [now](const auto &it) { return now - it.second > internal::crashMemory / 2; });
+    }
+}
+
+void CrashEvidence::addBegin(std::uint64_t feature, SteadyTime at)
+{
+    auto &last = m_begins[feature];
+    last = std::max(last, at);
+    const auto verdict = m_verdicts.find(feature);
+    if (verdict != m_verdicts.end() && verdict->second < at) {
+        m_verdicts.erase(verdict);
+    }
+}
+
+bool CrashEvidence::isSuspected(std::uint64_t feature) const
+{
+    return m_verdicts.contains(feature) || std::ranges::any_of(m_crashes, [feature](const auto &it) {
+               return std::ranges::any_of(it.second.suspects, [feature](const auto &suspect) { return internal::holds(suspect, feature); });
+           });
+}
+
+std::optional<Milliseconds> CrashEvidence::refusedFor(const CrashSuspect &suspect, SteadyTime now) const
+{
+    std::optional<Milliseconds> result;
+    for (const auto &[feature, at] : m_verdicts) {
+        const auto left = std::chrono::ceil<Milliseconds>(at + retention - now);
+        if (left.count() > 0 && internal::holds(suspect, feature)) {
+            result = std::max(result.value_or(left), left);
+        }
+    }
+    return result;
+}
+
+std::vector<const CrashSuspect *> CrashEvidence::openSuspects(const Crash &crash) const
+{
+    std::vector<const CrashSuspect *> all;
+    std::vector<const CrashSuspect *> convicted;
+    for (const auto &suspect : crash.suspects) {
+        if (std::ranges::any_of(suspect.parts, [this](auto part) { return m_verdicts.contains(part); })) {
+            return {};
+        }
+        all.push_back(&suspect);
+        if (m_verdicts.contains(suspect.request)) {
+            convicted.push_back(&suspect);
+        }
+    }
+    return convicted.empty() ? all : convicted;
+}
+
+bool CrashEvidence::begunSince(std::uint64_t feature, SteadyTime at) const
+{
+    const auto it = m_begins.find(feature);
+    return it != m_begins.end() && it->second >= at;
+}
+
+CrashEvidence::BlameMap CrashEvidence::blameOfParts() const
+{
+    BlameMap result;
+    for (const auto &[id, crash] : m_crashes) {
+        std::set<std::uint64_t> counted;
+        for (const auto *suspect : openSuspects(crash)) {
+            for (std::size_t n = 0; n < suspect->parts.size(); ++n) {
+                const auto part = suspect->parts[n];
+                if (begunSince(part, crash.at)) {
+                    continue;
+                }
+                auto &blame = result[part];
+                blame.requests.insert(suspect->request);
+                blame.depth = std::max(blame.depth, n);
+                if (counted.insert(part).second) {
+                    blame.times.push_back(crash.at);
+                }
+            }
+        }
+    }
+    return result;
+}
+
+CrashEvidence::BlameMap CrashEvidence::blameOfRequests() const
+{
+    BlameMap result;
+    for (const auto &[id, crash] : m_crashes) {
+        for (const auto *suspect : openSuspects(crash)) {
+            if (!begunSince(suspect->request, crash.at)) {
+                result[suspect->request].times.push_back(crash.at);
+            }
+        }
+    }
+    return result;
+}
+
+void CrashEvidence::evaluate(SteadyTime now)
+{
+    expire(m_crashes, now);
+    expire(m_ownCrashes, now);
+    std::erase_if(m_verdicts, [now](const auto &it) { return now - it.second > retention; });
+    while (convictPart(now)) { }
+    convictRequests(now);
+}
+
+bool CrashEvidence::convictPart(SteadyTime now)
+{
+    const auto blames = blameOfParts();
+    const auto weight = [](const Blame &it) { return std::tuple(it.times.size(), it.depth); };
+    auto worst = blames.end();
+    for (auto it = blames.begin(); it != blames.end(); ++it) {
+        const auto &blame = it->second;
+        const bool enough = blame.requests.size() >= internal::requestsToConvictPart && internal::countMoments(blame.times) >= internal::momentsToConvict;
+        if (enough && (worst == blames.end() || weight(blame) > weight(worst->second))) {
+            worst = it;
+        }
+    }
+    if (worst == blames.end()) {
+        return false;
+    }
+    convict(worst->first, worst->second.times.size(), now);
+    return true;
+}
+
+void CrashEvidence::convictRequests(SteadyTime now)
+{
+    for (const auto &[request, blame] : blameOfRequests()) {
+        if (blame.times.size() >= internal::momentsToConvict && !m_verdicts.contains(request)) {
+            convict(request, blame.times.size(), now);
+        }
+    }
+}
+
+void CrashEvidence::convict(std::uint64_t feature, std::size_t crashes, SteadyTime at)
+{
+    if (m_verdicts.size() >= internal::maxVerdicts) {
+        m_verdicts.erase(std::ranges::min_element(m_verdicts, {}, [](const auto &it) { return it.second; }));
+    }
+    m_verdicts[feature] = at;
+    m_convicted.push_back({feature, crashes});
+}
+
+std::vector<CrashConviction> CrashEvidence::takeConvicted()
+{
+    return std::exchange(m_convicted, {});
+}
+
+CrashKnowledge CrashEvidence::knowledge(SteadyTime now) const
+{
+    CrashKnowledge result;
+    for (const auto &[id, crash] : m_ownCrashes) {
+        if (now - crash.at <= internal::reportedFor) {
+            result.crashes.push_back({id, internal::since(crash.at, now), crash.suspects});
+        }
+    }
+    internal::limitNewest(result.crashes, internal::maxReportedCrashes);
+    internal::limitWords(result.crashes);
+    std::set<std::uint64_t> open;
+    for (const auto &[id, crash] : m_crashes) {
+        for (const auto *suspect : openSuspects(crash)) {
+            open.insert(suspect->request);
+            open.insert(suspect->parts.begin(), suspect->parts.end());
+        }
+    }
+    for (const auto &[feature, at] : m_verdicts) {
+        open.insert(feature);
+        result.verdicts.push_back({feature, internal::since(at, now)});
+    }
+    for (const auto feature : open) {
+        const auto it = m_ownBegins.find(feature);
+        if (it != m_ownBegins.end() && now - it->second <= internal::reportedFor) {
+            result.begins.push_back({feature, internal::since(it->second, now)});
+        }
+    }
+    internal::limitNewest(result.begins, internal::maxReportedBegins);
+    internal::limitNewest(result.verdicts, internal::maxReportedVerdicts);
+    return result;
+}
+
+void CrashEvidence::merge(const CrashKnowledge &peer, SteadyTime now)
+{
+    for (const auto &it : peer.begins) {
+        addBegin(it.feature, now - it.age);
+    }
+    for (const auto &it : peer.verdicts) {
+        const auto at = now - it.age;
+        if (it.age < retention && !m_verdicts.contains(it.feature) && !begunSince(it.feature, at)) {
+            convict(it.feature, 0, at);
+        }
+    }
+    bool changed = false;
+    for (const auto &it : peer.crashes) {
+        for (const auto &suspect : it.suspects) {
+            changed |= it.age <= internal::crashMemory && add(m_crashes, it.crash, now - it.age, suspect);
+        }
+    }
+    if (changed) {
+        evaluate(now);
+    }
+}
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/coordination/request/crash_evidence.hpp
@@ -0,0 +1,162 @@
+// Finds out which prompt part or which request crashes the upstreams that run it, from the crashes that all hosts see.
+#pragma once
+
+#include <guavafield/coordination/request/request_info.hpp>
+#include <guavafield/state/types.hpp>
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace guavafield {
+
+/*! @brief A request that an upstream had not begun to answer when it crashed. */
+struct CrashSuspect
+{
+    // Identifies the request, its retries and its repeats by the caller.
+    std::uint64_t request{0};
+    // Parts of its prompt that other requests may share, most general first.
+    std::vector<std::uint64_t> parts;
+
+    friend bool operator==(const CrashSuspect &, const CrashSuspect &) = default;
+};
+
+/*! @brief Returns what identifies a request and its shared parts as a suspect. */
+[[nodiscard]] CrashSuspect crashSuspectOf(const RequestInfo &request);
+
+/*! @brief Identifies the crash of an upstream; the same on all hosts. */
+struct CrashId
+{
+    // stableIdHash() of the upstream.
+    std::uint64_t upstream{0};
+    // Of the process that ended.
+    Incarnation incarnation{0};
+
+    friend auto operator<=>(const CrashId &, const CrashId &) = default;
+};
+
+/*! @brief Suspects of one crash on one host. */
+struct CrashObservation
+{
+    CrashId crash;
+    // Time since the crash.
+    Milliseconds age{0};
+    std::vector<CrashSuspect> suspects;
+};
+
+/*! @brief An upstream began to answer a request with this part, or this request, which has been suspected. */
+struct BeginObservation
+{
+    std::uint64_t feature{0};
+    Milliseconds age{0};
+};
+
+/*! @brief A part or a request that is refused. */
+struct CrashVerdict
+{
+    std::uint64_t feature{0};
+    Milliseconds age{0};
+};
+
+/*! @brief A new verdict, for the log. */
+struct CrashConviction
+{
+    std::uint64_t feature{0};
+    // Crashes that spoke against it on this host; 0 if another host convicted it.
+    std::size_t crashes{0};
+};
+
+/*! @brief What one host tells the others. Complete as far as it goes: a later one includes all that still matters of earlier ones. */
+struct CrashKnowledge
+{
+    std::vector<CrashObservation> crashes;
+    std::vector<BeginObservation> begins;
+    std::vector<CrashVerdict> verdicts;
+};
+
+/*!
+ * @brief Compares the suspects of several crashes.
+ *
+ * A part is convicted after crashes at several moments, under different requests, without a request beginning with it since the first of them. What
+ * it explains is not held against the other suspects of the same crashes. A request is convicted by crashes that no part explains. A verdict ends when
+ * a request with the part, or the request itself, begins after all. Not thread-safe.
+ */
+class CrashEvidence
+{
+public:
+    /*! @brief Duration of a verdict. */
+    static constexpr Milliseconds retention{600'000};
+
+    /*!
+     * @brief Records that an upstream's connection broke before it began to answer a request of this host.
+     * @param upstreams Number of upstreams in the pool. If many of them break at once, the fault is this host's or its network's, and says nothing.
+     */
+    void onCrash(const CrashId &crash, CrashSuspect suspect, std::size_t upstreams, SteadyTime now);
+    /*! @brief Records that an upstream began to answer a request of this host. */
+    void onBegun(const CrashSuspect &suspect, SteadyTime now);
+
+    /*! @brief Returns for how long a request is refused; empty if it is not. */
+    [[nodiscard]] std::optional<Milliseconds> refusedFor(const CrashSuspect &suspect, SteadyTime now) const;
+
+    /*! @brief Returns what this host has seen, for its reports; bounded in size. */
+    [[nodiscard]] CrashKnowledge knowledge(SteadyTime now) const;
+    /*! @brief Takes what another host has seen. */
+    void merge(const CrashKnowledge &peer, SteadyTime now);
+    /*! @brief Returns and clears the parts and requests convicted since the last call. */
+    [[nodiscard]] std::vector<CrashConviction> takeConvicted();
+
+private:
+    struct Crash
+    {
+        SteadyTime at{};
+        std::vector<CrashSuspect> suspects;
+    };
+    // What is held against a part or a request.
+    struct Blame
+    {
+        // Of crashes, ascending.
+        std::vector<SteadyTime> times;
+        std::set<std::uint64_t> requests;
+        // Position in the prompt; larger is more specific.
+        std::size_t depth{0};
+    };
+    using Crashes = std::map<CrashId, Crash>;
+    using BlameMap = std::map<std::uint64_t, Blame>;
+
+    // Returns whether the suspect is new.
+    static bool add(Crashes &crashes, const CrashId &crash, SteadyTime at, const CrashSuspect &suspect);
+    static void expire(Crashes &crashes, SteadyTime now);
+    void dropWidespreadFailure(std::size_t upstreams, SteadyTime now);
+    void addBegin(std::uint64_t feature, SteadyTime at);
+    [[nodiscard]] bool isSuspected(std::uint64_t feature) const;
+    // Returns the suspects that the verdicts leave: none if a convicted part explains the crash, else the convicted requests, else all.
+    [[nodiscard]] std::vector<const CrashSuspect *> openSuspects(const Crash &crash) const;
+    [[nodiscard]] bool begunSince(std::uint64_t feature, SteadyTime at) const;
+    [[nodiscard]] BlameMap blameOfParts() const;
+    [[nodiscard]] BlameMap blameOfRequests() const;
+    void evaluate(SteadyTime now);
+    [[nodiscard]] bool convictPart(SteadyTime now);
+    void convictRequests(SteadyTime now);
+    void convict(std::uint64_t feature, std::size_t crashes, SteadyTime at);
+
+    // Of all hosts.
+    Crashes m_crashes;
+    // Those of m_crashes that this host has seen, with its own suspects.
+    Crashes m_ownCrashes;
+    // Crashes on this host say nothing until then.
+    SteadyTime m_widespreadUntil{};
+    // Last time at which a request began with a part, or a suspected request began, on any host and on this one.
+    std::unordered_map<std::uint64_t, SteadyTime> m_begins;
+    std::unordered_map<std::uint64_t, SteadyTime> m_ownBegins;
+    // When a part or a request was convicted.
+    std::map<std::uint64_t, SteadyTime> m_verdicts;
+    std::vector<CrashConviction> m_convicted;
+};
+
+} // namespace guavafield
--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -36,6 +36,8 @@
     bool resumable{false};
     // Hashes of the prompt's leading blocks, shortest prefix first.
     std::vector<std::uint64_t> prefixHashes;
+    // Ids of the prompt's parts that other requests may share, in their order.
+    std::vector<std::uint64_t> sharedParts;
     // Digest of team and body, keyed by the fleet secret.
     Digest fingerprint{};
     // Number of tokens of each prefix in prefixHashes, ascending; empty if unknown.
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -114,14 +114,9 @@
     return m_impl->poolLoads();
 }
 
-void RequestScheduler::onPeerCrash(const Digest &fingerprint, SteadyTime now)
+CrashEvidence &RequestScheduler::crashEvidence() noexcept
 {
-    m_impl->onBrokenConnection(fingerprint, now);
-}
-
-std::vector<Digest> RequestScheduler::takeCrashes()
-{
-    return m_impl->takeCrashes();
+    return m_impl->crashEvidence();
 }
 
 void RequestScheduler::onCrashRecord(const CrashRecord &record, SteadyTime now)
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -1,6 +1,7 @@
 // Request scheduling: admission, queueing, routing, retries and preemption. Performs no I/O; the time is passed in.
 #pragma once
 
+#include <guavafield/coordination/request/crash_evidence.hpp>
 #include <guavafield/coordination/request/placement.hpp>
 #include <guavafield/coordination/request/request_info.hpp>
 #include <guavafield/state/configuration.hpp>
@@ -95,10 +96,8 @@
     /*! @brief Returns the load of each self-queueing pool across all hosts. */
     [[nodiscard]] StringMap<PoolLoad> poolLoads() const;
 
-    /*! @brief Handles a peer's report that a request with this fingerprint broke a connection to a self-queueing upstream. */
-    void onPeerCrash(const Digest &fingerprint, SteadyTime now);
-    /*! @brief Returns the fingerprints of requests that broke such connections on this host since the last call. */
-    [[nodiscard]] std::vector<Digest> takeCrashes();
+    /*! @brief Returns the evidence of crashes in self-queueing pools, which hosts exchange. */
+    [[nodiscard]] CrashEvidence &crashEvidence() noexcept;
 
     void onCrashRecord(const CrashRecord &record, SteadyTime now);
     /*! @brief Returns the active crash records, newest first. */
--- a/src/guavafield/coordination/request/router.hpp
+++ b/src/guavafield/coordination/request/router.hpp
@@ -16,6 +16,11 @@
     std::vector<UpstreamState *> durable;
     std::vector<UpstreamState *> cheap;
 
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return durable.size() + cheap.size();
+    }
+
     template <typename Function>
     void forEach(Function &&function) const
     {
--- a/src/guavafield/coordination/request/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler_attempts.cpp
@@ -144,6 +144,7 @@
         const bool first = entry->lastTokens == SteadyTime{};
         if (auto &selfQueueing = poolOf(*entry).selfQueueing; selfQueueing && first) {
             selfQueueing->placement.onFirstToken(*entry, *it.upstream, secondsBetween(it.dispatched, now), now);
+            m_evidence.onBegun(crashSuspectOf(entry->info), now);
         }
         if (!entry->started()) {
             m_times.onFirstToken(entry->info, secondsBetween(it.dispatched, now), now);
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <guavafield/coordination/request/admission_control.hpp>
+#include <guavafield/coordination/request/crash_evidence.hpp>
 #include <guavafield/coordination/request/crash_tracker.hpp>
 #include <guavafield/coordination/request/demand_tracker.hpp>
 #include <guavafield/coordination/request/drain_registry.hpp>
@@ -44,9 +45,10 @@
     [[nodiscard]] std::vector<EngineDemand> engineDemand(SteadyTime now) const;
     [[nodiscard]] std::vector<PeerWork> localWork() const;
     [[nodiscard]] StringMap<PoolLoad> poolLoads() const;
-    [[nodiscard]] std::vector<Digest> takeCrashes();
-    // Counts a broken connection for a request and returns whether the request is now quarantined.
-    bool onBrokenConnection(const Digest &fingerprint, SteadyTime now);
+    [[nodiscard]] CrashEvidence &crashEvidence() noexcept
+    {
+        return m_evidence;
+    }
     void onPeerDemand(std::string_view host, std::span<const TeamDemand> demand, Milliseconds age, SteadyTime now);
 
     [[nodiscard]] const DemandTracker &demand() const noexcept
@@ -134,6 +136,8 @@
     // Budget for self-queueing pools, whose retries are limited across all hosts.
     RetryBudget m_poolRetries;
     CrashTracker m_crashes;
+    // The same for self-queueing pools, whose upstreams also run the requests of other hosts.
+    CrashEvidence m_evidence;
     DrainRegistry m_drains;
     DemandTracker m_demand;
     // Addresses are stable; a removed upstream is kept while attempts run on it.
@@ -154,8 +158,6 @@
     Milliseconds m_peerWorkTtl{4'000};
     // All upstreams by stableIdHash() of their id.
     std::unordered_map<std::uint64_t, UpstreamState *> m_upstreamsByIdHash;
-    // Fingerprints of broken connections not yet reported to peers.
-    std::vector<Digest> m_unreportedCrashes;
     std::uint64_t m_nextSequence{0};
     std::uint64_t m_nextDispatch{0};
     SteadyTime m_lastStep{};
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -17,8 +17,6 @@
 constexpr double fleetReserve = 27;
 constexpr double maxReserve = 3;
 constexpr std::uint32_t failuresBeforeDown = 3;
-// Broken connections before a request is quarantined; a single one may be caused by another request.
-constexpr std::uint32_t brokenConnectionsBeforeQuarantine = 2;
 // Hosts of larger fleets report less often.
 constexpr Milliseconds minPeerWorkTtl{4'000};
 constexpr Milliseconds peerWorkTtlPerHost{35};
@@ -58,6 +56,9 @@
 
 Admission RequestScheduler::Impl::submitSelfQueueing(Pool &pool, std::unique_ptr<RequestEntry> entry, SteadyTime now)
 {
+    if (const auto remaining = m_evidence.refusedFor(crashSuspectOf(entry->info), now)) {
+        return Refused{ResultCode::CrashSuspectRefused, *remaining};
+    }
     entry->suspect = false;
     entry->latestStart = now + std::chrono::duration_cast<Milliseconds>(entry->info.firstTokenTarget * internal::noUpstreamWaitFraction);
     m_poolRetries.onRequest(entry->info.className, now);
@@ -122,12 +123,13 @@
     }
     entry.attemptsRun += failure.notExecuted ? 0 : 1;
     endAttempt(entry, upstream, now);
-    if (failure.upstreamCrashed && !entry.started()) {
-        m_unreportedCrashes.push_back(entry.info.fingerprint);
-        if (onBrokenConnection(entry.info.fingerprint, now)) {
-            erase(entry, now);
-            return Refused{ResultCode::CrashSuspectRefused, CrashTracker::retention};
-        }
+    if (failure.upstreamCrashed && !entry.started() && !upstream.leaving()) {
+        const auto &pool = poolOf(entry).upstreams;
+        m_evidence.onCrash({upstream.idHash, upstream.upstream.incarnation}, crashSuspectOf(entry.info), pool.size(), now);
+    }
+    if (const auto remaining = m_evidence.refusedFor(crashSuspectOf(entry.info), now); remaining && !entry.started()) {
+        erase(entry, now);
+        return Refused{ResultCode::CrashSuspectRefused, *remaining};
     }
     if (!entry.attempts.empty()) {
         return RetryQueued{};
@@ -136,20 +138,6 @@
     return retry(entry, failure, unreachable, now);
 }
 
-bool RequestScheduler::Impl::onBrokenConnection(const Digest &fingerprint, SteadyTime now)
-{
-    if (m_crashes.onSoleSuspectCrash(fingerprint, now) < internal::brokenConnectionsBeforeQuarantine) {
-        return false;
-    }
-    m_crashes.quarantine(fingerprint, CrashTracker::retention, now);
-    return true;
-}
-
-std::vector<Digest> RequestScheduler::Impl::takeCrashes()
-{
-    return std::exchange(m_unreportedCrashes, {});
-}
-
 void RequestScheduler::Impl::onPeerWork(std::string_view host, std::span<const PeerWork> work, std::span<const EngineDemand> demand, SteadyTime now)
 {
     expirePeerWork(now);
--- a/src/guavafield/protocol/peer/peer.capnp
+++ b/src/guavafield/protocol/peer/peer.capnp
@@ -103,6 +103,7 @@
   upstreams @2 :TableKnowledge;
   work @3 :List(UpstreamWork);
   windows @4 :List(WindowCounts);
+  # Only of earlier versions.
   broken @5 :List(BrokenRequest);
   reportedUpTo @6 :UInt64;
   changesAfter @7 :UInt64;
@@ -113,6 +114,29 @@
   relayTo @12 :List(Address);
   dutyFence @13 :UInt64;
   engineDemand @14 :List(EngineDemand);
+  crashes @15 :List(CrashObservation);
+  begins @16 :List(FeatureAge);
+  verdicts @17 :List(FeatureAge);
+  crashesOnly @18 :Bool;
+}
+
+# A request that an upstream had not begun to answer when it crashed.
+struct CrashSuspect {
+  request @0 :UInt64;
+  parts @1 :List(UInt64);
+}
+
+struct CrashObservation {
+  upstream @0 :UInt64;
+  incarnation @1 :UInt64;
+  ageMs @2 :UInt32;
+  suspects @3 :List(CrashSuspect);
+}
+
+# Something that was seen of a part or a request, and how long ago.
+struct FeatureAge {
+  feature @0 :UInt64;
+  ageMs @1 :UInt32;
 }
 
 # Engine time that recent requests of a pool needed, in milliseconds.
--- a/src/guavafield/protocol/peer/peer.capnp.h
+++ b/src/guavafield/protocol/peer/peer.capnp.h
@@ -32,6 +32,9 @@
 CAPNP_DECLARE_SCHEMA(8e74c14ebc0254ca);
 CAPNP_DECLARE_SCHEMA(90e9c49b36e50190);
 CAPNP_DECLARE_SCHEMA(d3542986f6c278a7);
+CAPNP_DECLARE_SCHEMA(af6e707743c7ce54);
+CAPNP_DECLARE_SCHEMA(97a3d5af1a0e4d3e);
+CAPNP_DECLARE_SCHEMA(bf1b120de2e5c977);
 CAPNP_DECLARE_SCHEMA(8789d65ae539f6c1);
 CAPNP_DECLARE_SCHEMA(f36d4245383ee8d0);
 CAPNP_DECLARE_SCHEMA(d3b2f460316e976f);
@@ -240,7 +243,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 5, 11)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashSuspect {
+  CrashSuspect() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(af6e707743c7ce54, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashObservation {
+  CrashObservation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(97a3d5af1a0e4d3e, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FeatureAge {
+  FeatureAge() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bf1b120de2e5c977, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1728,6 +1776,17 @@
   inline bool hasEngineDemand() const;
   inline  ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>::Reader getEngineDemand() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasBegins() const;
+  inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader getBegins() const;
+
+  inline bool hasVerdicts() const;
+  inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader getVerdicts() const;
+
+  inline bool getCrashesOnly() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1833,6 +1892,30 @@
   inline void adoptEngineDemand(::capnp::Orphan< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::EngineDemand,  ::capnp::Kind::STRUCT>> disownEngineDemand();
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasBegins();
+  inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder getBegins();
+  inline void setBegins( ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder initBegins(unsigned int size);
+  inline void adoptBegins(::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>> disownBegins();
+
+  inline bool hasVerdicts();
+  inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder getVerdicts();
+  inline void setVerdicts( ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder initVerdicts(unsigned int size);
+  inline void adoptVerdicts(::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>> disownVerdicts();
+
+  inline bool getCrashesOnly();
+  inline void setCrashesOnly(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1861,6 +1944,270 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashSuspect::Reader {
+public:
+  typedef CrashSuspect Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashSuspect::Builder {
+public:
+  typedef CrashSuspect Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashSuspect::Pipeline {
+public:
+  typedef CrashSuspect Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashObservation::Reader {
+public:
+  typedef CrashObservation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashObservation::Builder {
+public:
+  typedef CrashObservation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getUpstream();
+  inline void setUpstream( ::uint64_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashObservation::Pipeline {
+public:
+  typedef CrashObservation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FeatureAge::Reader {
+public:
+  typedef FeatureAge Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFeature() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FeatureAge::Builder {
+public:
+  typedef FeatureAge Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFeature();
+  inline void setFeature( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FeatureAge::Pipeline {
+public:
+  typedef FeatureAge Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EngineDemand::Reader {
 public:
   typedef EngineDemand Reads;
@@ -4382,6 +4729,278 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool HostReport::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostReport::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>::Reader HostReport::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void HostReport::Builder::setCrashes( ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void HostReport::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>> HostReport::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashObservation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool HostReport::Reader::hasBegins() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostReport::Builder::hasBegins() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader HostReport::Reader::getBegins() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::getBegins() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void HostReport::Builder::setBegins( ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::initBegins(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void HostReport::Builder::adoptBegins(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>> HostReport::Builder::disownBegins() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool HostReport::Reader::hasVerdicts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostReport::Builder::hasVerdicts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader HostReport::Reader::getVerdicts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::getVerdicts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void HostReport::Builder::setVerdicts( ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::initVerdicts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void HostReport::Builder::adoptVerdicts(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>> HostReport::Builder::disownVerdicts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline bool HostReport::Reader::getCrashesOnly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS);
+}
+
+inline bool HostReport::Builder::getCrashesOnly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS);
+}
+inline void HostReport::Builder::setCrashesOnly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashSuspect::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashSuspect::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashSuspect::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashSuspect::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashSuspect::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashSuspect::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspect::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashSuspect::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashSuspect::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashSuspect::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashSuspect::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashSuspect::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CrashObservation::Reader::getUpstream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashObservation::Builder::getUpstream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashObservation::Builder::setUpstream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CrashObservation::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashObservation::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashObservation::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashObservation::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashObservation::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void CrashObservation::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashObservation::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashObservation::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader CrashObservation::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder CrashObservation::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashObservation::Builder::setSuspects( ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>::Builder CrashObservation::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashObservation::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>> CrashObservation::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::CrashSuspect,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FeatureAge::Reader::getFeature() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FeatureAge::Builder::getFeature() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FeatureAge::Builder::setFeature( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FeatureAge::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FeatureAge::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FeatureAge::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t EngineDemand::Reader::getPool() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/guavafield/protocol/peer/peer_codec.cpp
+++ b/src/guavafield/protocol/peer/peer_codec.cpp
@@ -96,6 +96,36 @@
     }
 }
 
+template <typename Observations>
+void writeAges(const Observations &observations, capnp::List<wire::FeatureAge>::Builder builder)
+{
+    for (unsigned n = 0; n < builder.size(); ++n) {
+        builder[n].setFeature(observations[n].feature);
+        builder[n].setAgeMs(toWire(observations[n].age));
+    }
+}
+
+void write(const CrashKnowledge &knowledge, wire::HostReport::Builder builder)
+{
+    auto crashes = builder.initCrashes(static_cast<unsigned>(knowledge.crashes.size()));
+    for (unsigned n = 0; n < crashes.size(); ++n) {
+        const auto &it = knowledge.crashes[n];
+        crashes[n].setUpstream(it.crash.upstream);
+        crashes[n].setIncarnation(it.crash.incarnation);
+        crashes[n].setAgeMs(toWire(it.age));
+        auto suspects = crashes[n].initSuspects(static_cast<unsigned>(it.suspects.size()));
+        for (unsigned k = 0; k < suspects.size(); ++k) {
+            suspects[k].setRequest(it.suspects[k].request);
+            auto parts = suspects[k].initParts(static_cast<unsigned>(it.suspects[k].parts.size()));
+            for (unsigned m = 0; m < parts.size(); ++m) {
+                parts.set(m, it.suspects[k].parts[m]);
+            }
+        }
+    }
+    writeAges(knowledge.begins, builder.initBegins(static_cast<unsigned>(knowledge.begins.size())));
+    writeAges(knowledge.verdicts, builder.initVerdicts(static_cast<unsigned>(knowledge.verdicts.size())));
+}
+
 void write(const HostReport &report, wire::HostReport::Builder builder)
 {
     builder.setWallMicroseconds(std::chrono::duration_cast<std::chrono::microseconds>(report.wall.time_since_epoch()).count());
@@ -103,6 +133,7 @@
     write(report.document, builder.initDocument());
     write(report.upstreams, builder.initUpstreams());
     builder.setChangesOnly(report.changesOnly);
+    builder.setCrashesOnly(report.crashesOnly);
     builder.setWithoutPlatform(report.withoutPlatform);
     builder.setSlowLink(report.slowLink);
     builder.setDutyFence(report.dutyFence);
@@ -146,12 +177,7 @@
             teams[k].setRequests(counts[k].requests);
         }
     }
-    auto broken = builder.initBroken(static_cast<unsigned>(report.broken.size()));
-    for (unsigned n = 0; n < broken.size(); ++n) {
-        const auto &fingerprint = report.broken[n].fingerprint;
-        broken[n].setNumber(report.broken[n].number);
-        broken[n].setFingerprint(kj::arrayPtr(fingerprint.data(), fingerprint.size()));
-    }
+    write(report.crashes, builder);
 }
 
 void write(const PeerMessage &message, wire::Datagram::Builder builder)
@@ -250,6 +276,28 @@
     return TableKnowledge{reader.getContent(), reader.getComplete(), Milliseconds(reader.getAgeMs())};
 }
 
+CrashKnowledge readCrashKnowledge(wire::HostReport::Reader reader)
+{
+    CrashKnowledge knowledge;
+    for (const auto it : limited(reader.getCrashes())) {
+        auto &crash = knowledge.crashes.emplace_back(CrashObservation{{it.getUpstream(), it.getIncarnation()}, Milliseconds(it.getAgeMs()), {}});
+        for (const auto suspect : limited(it.getSuspects())) {
+            const auto parts = limited(suspect.getParts());
+            auto &added = crash.suspects.emplace_back(CrashSuspect{suspect.getRequest(), {}});
+            for (const auto part : parts) {
+                added.parts.push_back(part);
+            }
+        }
+    }
+    for (const auto it : limited(reader.getBegins())) {
+        knowledge.begins.push_back({it.getFeature(), Milliseconds(it.getAgeMs())});
+    }
+    for (const auto it : limited(reader.getVerdicts())) {
+        knowledge.verdicts.push_back({it.getFeature(), Milliseconds(it.getAgeMs())});
+    }
+    return knowledge;
+}
+
 HostReport readReport(wire::HostReport::Reader reader)
 {
     HostReport report;
@@ -258,6 +306,7 @@
     report.document = readKnowledge(reader.getDocument());
     report.upstreams = readKnowledge(reader.getUpstreams());
     report.changesOnly = reader.getChangesOnly();
+    report.crashesOnly = reader.getCrashesOnly();
     report.withoutPlatform = reader.getWithoutPlatform();
     report.slowLink = reader.getSlowLink();
     report.dutyFence = reader.getDutyFence();
@@ -285,9 +334,7 @@
             window.teams.push_back({team.getTeam(), team.getRequests()});
         }
     }
-    for (const auto it : limited(reader.getBroken())) {
-        report.broken.push_back({it.getNumber(), readFingerprint(it.getFingerprint())});
-    }
+    report.crashes = readCrashKnowledge(reader);
     return report;
 }
 
--- a/src/guavafield/state/result.hpp
+++ b/src/guavafield/state/result.hpp
@@ -46,6 +46,7 @@
     HostStopping = 3007,
     ConfigurationTooOld = 3008,
     QueueFull = 3009,
+    CrashSuspectNotRun = 3010,
     // 4xxx upstream
     UpstreamUnreachable = 4001,
     UpstreamFailed = 4002,
--- a/src/guavafield/transport/http/forward_dialect.hpp
+++ b/src/guavafield/transport/http/forward_dialect.hpp
@@ -30,6 +30,8 @@
     // Prefixes of the prompt that other requests may share, shortest first: their hashes and tokens.
     std::vector<std::uint64_t> prefixHashes;
     std::vector<std::uint32_t> prefixTokens;
+    // Ids of the prompt's parts that other requests may share, in their order.
+    std::vector<std::uint64_t> sharedParts;
     // The caller has the events up to this one.
     std::optional<std::uint64_t> lastEventId;
 };
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -69,6 +69,7 @@
     info.resumable = m_call.target.repeat == Repeat::Resume;
     info.prefixHashes = envelope.prefixHashes;
     info.prefixTokens = envelope.prefixTokens;
+    info.sharedParts = envelope.sharedParts;
     info.fingerprint = m_plan.fingerprint;
     info.enginePriority = m_call.enginePriority;
     info.maxAttempts = m_call.target.maxAttempts;
@@ -395,6 +396,8 @@
     const bool promise = describe(code).httpStatus == 503 || describe(code).httpStatus == 429;
     if (promise && m_mayHaveRun) {
         code = ResultCode::UpstreamFailed;
+    } else if (!m_mayHaveRun && code == ResultCode::CrashSuspectRefused) {
+        code = ResultCode::CrashSuspectNotRun;
     } else if (!promise && !m_mayHaveRun && code != ResultCode::UpstreamTimeout) {
         code = ResultCode::NoUpstream;
     }
