Send nothing to an upstream while it asks for a pause

What callers see otherwise: attempts, and with them their time and the fleet's retries, are spent on an upstream that has just said for how long it is busy.

Cause: nothing read Retry-After in an upstream's refusal. The upstream counted as a little worse for 3 s and was tried again by the next request.

Change: the dialect reads the time of a 503, UpstreamNotices (before: DrainRegistry) keeps it by incarnation beside the announcement that an upstream leaves, and UpstreamState::accepting() closes every path that sends: first attempts, retries, moved streams and probes. A longer pause outlasts a shorter one; the removal and return of the entry ends none. A stray answer does not count, as its time began earlier. If all upstreams that run are paused, the refusal names the end of the first pause.

Measured: with the condition in accepting() taken out, pausedUpstreamIsNotChosen, downUpstreamIsNotProbedInItsPause, refusalNamesTheEndOfThePauses and upstreamThatAskedForAPauseGetsNoRequests fail (the last: sent again before 1.5 s).

--- a/src/guavafield/coordination/request/placement.cpp
+++ b/src/guavafield/coordination/request/placement.cpp
@@ -61,7 +61,7 @@
 
 bool probeDue(const UpstreamState &upstream, SteadyTime now)
 {
-    return upstream.downSince && upstream.outlier.probeDue(now) && !upstream.leaving() && upstream.outstanding() == 0;
+    return upstream.downSince && upstream.outlier.probeDue(now) && upstream.accepting() && upstream.outstanding() == 0;
 }
 
 // The ratio decays to 1 without new samples, so that a slow upstream is used again.
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -84,6 +84,11 @@
     return m_impl->onDrainAnnounced(upstream, now);
 }
 
+void RequestScheduler::onPauseRequested(std::string_view upstream, Milliseconds pause, SteadyTime now)
+{
+    m_impl->onPauseRequested(upstream, pause, now);
+}
+
 void RequestScheduler::onPeerDemand(std::string_view host, std::span<const TeamDemand> demand, Milliseconds age, SteadyTime now)
 {
     m_impl->onPeerDemand(host, demand, age, now);
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -80,6 +80,8 @@
 
     /*! @brief Handles an upstream's announcement in an answer that it leaves: this incarnation gets no new work. Returns whether that is new. */
     [[nodiscard]] bool onDrainAnnounced(std::string_view upstream, SteadyTime now);
+    /*! @brief Handles a refusal by which an upstream asks for a pause: this incarnation gets no request from this host meanwhile. */
+    void onPauseRequested(std::string_view upstream, Milliseconds pause, SteadyTime now);
 
     /*! @brief Applies the service rates reported by a peer; age is the time since their measurement. */
     void onPeerDemand(std::string_view host, std::span<const TeamDemand> demand, Milliseconds age, SteadyTime now);
--- a/src/guavafield/coordination/request/router.cpp
+++ b/src/guavafield/coordination/request/router.cpp
@@ -142,7 +142,7 @@
     const auto minDelay = internal::probeDelayPerTier * (tierCount - 1 - tier);
     upstreams.forEach([&](UpstreamState &it) {
         const bool due = it.outlier.probeDue(now) && now - it.outlier.nextProbe() >= minDelay;
-        if (due && !it.leaving() && it.outstanding() == 0) {
+        if (due && it.accepting() && it.outstanding() == 0) {
             found = &it;
         }
     });
--- a/src/guavafield/coordination/request/scheduler_checks.cpp
+++ b/src/guavafield/coordination/request/scheduler_checks.cpp
@@ -1,4 +1,4 @@
-// Periodic checks: outlier ejection, migration from leaving upstreams and removal of upstreams.
+// Periodic checks: outlier ejection, migration from leaving upstreams, ends of pauses and removal of upstreams.
 #include <guavafield/coordination/request/scheduler_core.hpp>
 
 #include <algorithm>
@@ -101,6 +101,18 @@
     requeue(entry);
 }
 
+void RequestScheduler::Impl::endPauses(SteadyTime now)
+{
+    if (now < m_nextResume) {
+        return;
+    }
+    m_nextResume = SteadyTime::max();
+    for (auto &[id, upstream] : m_upstreams) {
+        applyNotice(upstream, now);
+    }
+    refreshSlots();
+}
+
 void RequestScheduler::Impl::eraseRemovedUpstreams()
 {
     for (auto it = m_upstreams.begin(); it != m_upstreams.end();) {
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler_core.cpp
@@ -104,13 +104,24 @@
         state.idHash = stableIdHash(upstream.id);
         applyPeerWorkTo(state);
     }
-    state.drainAnnounced = m_drains.isLeaving(upstream.id, upstream.incarnation);
+    applyNotice(state, now);
     if (!upstream.pool.empty()) {
         state.leavesAt = upstream.leavesAt;
     }
     configureLimit(state);
 }
 
+void RequestScheduler::Impl::applyNotice(UpstreamState &upstream, SteadyTime now)
+{
+    const auto notice = m_notices.find(upstream.upstream.id, upstream.upstream.incarnation);
+    upstream.drainAnnounced = notice.leaving;
+    upstream.pausedUntil.reset();
+    if (notice.pausedUntil > now) {
+        upstream.pausedUntil = notice.pausedUntil;
+        m_nextResume = std::min(m_nextResume, notice.pausedUntil);
+    }
+}
+
 void RequestScheduler::Impl::configureLimit(UpstreamState &upstream) const
 {
     upstream.hosts = m_settings.hostsInDataCentre;
@@ -246,12 +257,21 @@
     if (state == nullptr || state->drainAnnounced) {
         return false;
     }
-    m_drains.announce(state->upstream.id, state->upstream.incarnation, now);
-    state->drainAnnounced = true;
+    m_notices.announceDrain(state->upstream.id, state->upstream.incarnation, now);
+    applyNotice(*state, now);
     refreshSlots();
     return true;
 }
 
+void RequestScheduler::Impl::onPauseRequested(std::string_view upstream, Milliseconds pause, SteadyTime now)
+{
+    if (auto *state = findUpstream(upstream)) {
+        m_notices.requestPause(state->upstream.id, state->upstream.incarnation, pause, now);
+        applyNotice(*state, now);
+        refreshSlots();
+    }
+}
+
 void RequestScheduler::Impl::onPeerDemand(std::string_view host, std::span<const TeamDemand> demand, Milliseconds age, SteadyTime now)
 {
     for (const auto &[team, cost] : m_demand.convertPeerRates(host, demand, age, now)) {
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -5,11 +5,11 @@
 #include <guavafield/coordination/request/crash_evidence.hpp>
 #include <guavafield/coordination/request/crash_tracker.hpp>
 #include <guavafield/coordination/request/demand_tracker.hpp>
-#include <guavafield/coordination/request/drain_registry.hpp>
 #include <guavafield/coordination/request/pool.hpp>
 #include <guavafield/coordination/request/request_scheduler.hpp>
 #include <guavafield/coordination/request/retry_budget.hpp>
 #include <guavafield/coordination/request/service_times.hpp>
+#include <guavafield/coordination/request/upstream_notices.hpp>
 
 #include <map>
 #include <memory>
@@ -41,6 +41,7 @@
     void onCacheEvents(std::string_view upstream, std::span<const CacheEvent> events);
     void onUpstreamLeaving(std::string_view upstream, Milliseconds notice, SteadyTime now);
     [[nodiscard]] bool onDrainAnnounced(std::string_view upstream, SteadyTime now);
+    void onPauseRequested(std::string_view upstream, Milliseconds pause, SteadyTime now);
     void onPeerWork(std::string_view host, std::span<const PeerWork> work, std::span<const EngineDemand> demand, SteadyTime now);
     [[nodiscard]] std::vector<EngineDemand> engineDemand(SteadyTime now) const;
     [[nodiscard]] std::vector<PeerWork> localWork() const;
@@ -67,6 +68,7 @@
 
     // Configuration and lookup, in scheduler_core.cpp.
     void configureUpstream(const Upstream &upstream, SteadyTime now);
+    void applyNotice(UpstreamState &upstream, SteadyTime now);
     void rebuildPools(const Configuration &configuration);
     void configureLimit(UpstreamState &upstream) const;
     void refreshSlots();
@@ -82,6 +84,7 @@
     void checkOutliers(const Pool &pool, SteadyTime now);
     void migrateFromLeaving(SteadyTime now);
     void migrate(RequestEntry &entry, UpstreamState &from, SteadyTime now);
+    void endPauses(SteadyTime now);
     [[nodiscard]] bool likelyFinishesWithin(const RequestEntry &entry, double seconds);
     void eraseRemovedUpstreams();
 
@@ -90,6 +93,8 @@
     [[nodiscard]] Admission submitSelfQueueing(Pool &pool, std::unique_ptr<RequestEntry> entry, SteadyTime now);
     void dispatchSelfQueueing(Pool &pool, SteadyTime now);
     void dispatchTo(Pool &pool, RequestEntry &entry, const PlacementDecision &decision, SteadyTime now);
+    // Returns for how long all upstreams of the pool that run are paused; 0 if one is not.
+    [[nodiscard]] static Milliseconds commonPause(const Pool &pool, SteadyTime now);
     [[nodiscard]] AttemptResolution onSelfQueueingFailure(RequestEntry &entry, UpstreamState &upstream, const AttemptFailed &failure, SteadyTime now);
     // Adds (sign 1) or subtracts (sign -1) the work of one report at the upstreams.
     void addPeerWork(std::span<const PeerWork> work, std::span<const EngineDemand> demand, int sign);
@@ -138,7 +143,9 @@
     CrashTracker m_crashes;
     // The same for self-queueing pools, whose upstreams also run the requests of other hosts.
     CrashEvidence m_evidence;
-    DrainRegistry m_drains;
+    UpstreamNotices m_notices;
+    // When the first paused upstream takes requests again.
+    SteadyTime m_nextResume{SteadyTime::max()};
     DemandTracker m_demand;
     // Addresses are stable; a removed upstream is kept while attempts run on it.
     StringMap<UpstreamState> m_upstreams;
--- a/src/guavafield/coordination/request/scheduler_dispatch.cpp
+++ b/src/guavafield/coordination/request/scheduler_dispatch.cpp
@@ -24,6 +24,7 @@
 std::vector<SchedulerAction> RequestScheduler::Impl::step(SteadyTime now)
 {
     m_lastStep = now;
+    endPauses(now);
     runPeriodicChecks(now);
     shedExpired(now);
     for (auto &[model, pool] : m_pools) {
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -84,12 +84,26 @@
         } else if (deadlineUnreachable || now >= entry->latestStart) {
             const auto code = deadlineUnreachable ? ResultCode::FirstTokenTargetUnreachable : entry->lastFailure.value_or(ResultCode::NoUpstream);
             pool.selfQueueing->waiting.erase(entry);
-            m_actions.emplace_back(ShedAction{entry->info.id, m_admission.refusal(code, internal::refusedRetrySeconds)});
+            auto refusal = m_admission.refusal(code, internal::refusedRetrySeconds);
+            refusal.retryAfter += commonPause(pool, now);
+            m_actions.emplace_back(ShedAction{entry->info.id, refusal});
             m_requests.erase(m_requests.find(entry->info.id));
         }
     }
 }
 
+Milliseconds RequestScheduler::Impl::commonPause(const Pool &pool, SteadyTime now)
+{
+    std::optional<SteadyTime> resume;
+    pool.upstreams.forEach([&](const UpstreamState &it) {
+        if (!it.leaving() && !it.downSince) {
+            const auto at = it.pausedUntil.value_or(now);
+            resume = std::min(resume.value_or(at), at);
+        }
+    });
+    return std::chrono::ceil<Milliseconds>(resume.value_or(now) - now);
+}
+
 void RequestScheduler::Impl::dispatchTo(Pool &pool, RequestEntry &entry, const PlacementDecision &decision, SteadyTime now)
 {
     auto &upstream = *decision.upstream;
--- /dev/null
+++ b/src/guavafield/coordination/request/upstream_notices.hpp
@@ -0,0 +1,59 @@
+// What upstreams said about themselves in their answers: that they leave, or that they want no requests for a time.
+#pragma once
+
+#include <guavafield/state/types.hpp>
+
+#include <cstddef>
+
+namespace guavafield {
+
+/*! @brief What holds for one incarnation of an upstream. */
+struct UpstreamNotice
+{
+    bool leaving{false};
+    // No request is wanted before.
+    SteadyTime pausedUntil{};
+};
+
+/*!
+ * @brief Remembers notices by incarnation.
+ *
+ * They outlive what else is known of an upstream: one whose entry in the platform's table lapses and returns is still leaving or paused. Only a new
+ * incarnation takes work again.
+ */
+class UpstreamNotices
+{
+public:
+    /*! @brief Far longer than an upstream serves after it announced that it leaves. */
+    static constexpr Milliseconds retention{600'000};
+    /*! @brief Bounds what a faulty upstream can ask for. */
+    static constexpr Milliseconds maxPause{600'000};
+
+    /*! @brief Records that the upstream leaves. */
+    void announceDrain(const UpstreamId &upstream, Incarnation incarnation, SteadyTime now);
+    /*! @brief Records that the upstream wants no requests for a time; a shorter pause does not end a longer one. */
+    void requestPause(const UpstreamId &upstream, Incarnation incarnation, Milliseconds pause, SteadyTime now);
+    /*! @brief Returns what this incarnation of the upstream said. */
+    [[nodiscard]] UpstreamNotice find(const UpstreamId &upstream, Incarnation incarnation) const;
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return m_records.size();
+    }
+
+private:
+    struct Record
+    {
+        Incarnation incarnation{0};
+        // Time of the last notice.
+        SteadyTime at{};
+        UpstreamNotice notice;
+    };
+
+    // Returns the record of the incarnation, empty if there was none or one of another incarnation.
+    [[nodiscard]] Record &recordOf(const UpstreamId &upstream, Incarnation incarnation, SteadyTime now);
+
+    // Bounded by retention.
+    StringMap<Record> m_records;
+};
+
+} // namespace guavafield
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -32,6 +32,8 @@
     std::optional<SteadyTime> leavesAt;
     // The current incarnation announced in an answer that it leaves, whatever its entry says.
     bool drainAnnounced{false};
+    // The current incarnation wants no requests before; reset by the first step after it.
+    std::optional<SteadyTime> pausedUntil;
     // Set when attempts fail consecutively or the process died; reset by a later report or a successful probe.
     std::optional<SteadyTime> downSince;
     std::uint32_t consecutiveFailures{0};
@@ -67,10 +69,15 @@
     {
         return upstream.leaving || leavesAt.has_value() || drainAnnounced;
     }
-    /*! @brief Whether the upstream may receive new work, i.e. is neither leaving, down nor ejected. */
+    /*! @brief Whether the upstream itself takes new work, be it a probe. */
+    [[nodiscard]] bool accepting() const noexcept
+    {
+        return !leaving() && !pausedUntil;
+    }
+    /*! @brief Whether the upstream may receive new work, i.e. accepts it and is neither down nor ejected. */
     [[nodiscard]] bool usable() const noexcept
     {
-        return !leaving() && !downSince && !outlier.ejected();
+        return accepting() && !downSince && !outlier.ejected();
     }
     [[nodiscard]] bool hasFreeSlot() const noexcept
     {
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -95,7 +95,7 @@
         }
         if (result == ExchangeResult::Ok) {
             facts = m_context->hooks.forward->readAnswer(m_exchange.header(), m_plan.id);
-            noteDrain(facts);
+            noteUpstream(facts);
             if (!facts.stray) {
                 co_return true;
             }
@@ -111,12 +111,21 @@
     co_return false;
 }
 
-void ForwardAttempt::noteDrain(const AnswerFacts &facts)
+void ForwardAttempt::noteUpstream(const AnswerFacts &facts)
 {
-    // An address that belongs to another upstream says nothing of this one.
-    if (facts.leaving && !facts.misdirected && m_context->driver->onDrainAnnounced(m_plan.upstream)) {
+    if (facts.misdirected) {
+        // Another upstream at the address says nothing of this one.
+        return;
+    }
+    if (facts.leaving && m_context->driver->onDrainAnnounced(m_plan.upstream)) {
         logEvent(LogLevel::Info, "http:", m_plan.id, "upstream announces that it leaves, upstream=" + m_plan.upstream);
     }
+    // The time of a stray answer began when it was due.
+    if (facts.pause && !facts.stray) {
+        m_context->driver->onPauseRequested(m_plan.upstream, *facts.pause);
+        const auto text = "upstream asks for a pause, upstream=" + m_plan.upstream + " pause_ms=" + std::to_string(facts.pause->count());
+        logEvent(LogLevel::Info, "http:", m_plan.id, text);
+    }
 }
 
 asio::awaitable<ExchangeResult> ForwardAttempt::skipAnswer()
--- a/src/guavafield/transport/http/forward_attempt.hpp
+++ b/src/guavafield/transport/http/forward_attempt.hpp
@@ -70,8 +70,8 @@
     // Reads headers until one answers this request; false if there is none, which has been reported.
     [[nodiscard]] boost::asio::awaitable<bool> readHeader(AnswerFacts &facts);
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> skipAnswer();
-    // Takes up that the upstream announces its end, in whichever answer.
-    void noteDrain(const AnswerFacts &facts);
+    // Takes up what the upstream says about itself, in whichever answer.
+    void noteUpstream(const AnswerFacts &facts);
     [[nodiscard]] Awaitable readAnswer(const AnswerFacts &facts);
     [[nodiscard]] Awaitable readStream();
     [[nodiscard]] Awaitable readWhole();
--- a/src/guavafield/transport/http/forward_dialect.hpp
+++ b/src/guavafield/transport/http/forward_dialect.hpp
@@ -66,6 +66,8 @@
     bool misdirected{false};
     // The upstream is about to stop and wants no further requests.
     bool leaving{false};
+    // The upstream refuses and wants no requests from this host for so long.
+    std::optional<Milliseconds> pause;
     // Is the upstream's own whole answer, as far as the header shows.
     bool genuine{false};
     std::optional<LoadReport> load;
--- a/src/guavafield/transport/http/request_driver.cpp
+++ b/src/guavafield/transport/http/request_driver.cpp
@@ -109,6 +109,11 @@
     return withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { return scheduler.onDrainAnnounced(upstream, now); });
 }
 
+void RequestDriver::onPauseRequested(std::string_view upstream, Milliseconds pause)
+{
+    withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onPauseRequested(upstream, pause, now); });
+}
+
 void RequestDriver::applyConfiguration(const Configuration &configuration)
 {
     withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.applyConfiguration(configuration, now); });
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -44,6 +44,8 @@
     void onCacheEvents(std::string_view upstream, std::span<const CacheEvent> events);
     /*! @brief Takes an upstream's announcement that it leaves; returns whether that is new. */
     [[nodiscard]] bool onDrainAnnounced(std::string_view upstream);
+    /*! @brief Takes an upstream's wish to get no requests from this host for a time. */
+    void onPauseRequested(std::string_view upstream, Milliseconds pause);
     void applyConfiguration(const Configuration &configuration);
 
     /*!
--- a/test/coordination/request/placement_test.cpp
+++ b/test/coordination/request/placement_test.cpp
@@ -79,6 +79,7 @@
                 result = *dispatch;
             } else if (const auto *shed = std::get_if<ShedAction>(&it)) {
                 refused = shed->refusal.code;
+                retryAfter = shed->refusal.retryAfter;
             }
         }
         return result;
@@ -103,6 +104,7 @@
     SteadyTime now{std::chrono::seconds{1'000}};
     std::uint32_t lastId{0};
     std::optional<ResultCode> refused;
+    Milliseconds retryAfter{0};
 };
 
 AttemptFailed brokenConnection()
@@ -124,6 +126,9 @@
     CPPUNIT_TEST(peerWorkIsIncludedInPlacement);
     CPPUNIT_TEST(newerReportReplacesPeerWork);
     CPPUNIT_TEST(leavingUpstreamIsNotChosen);
+    CPPUNIT_TEST(pausedUpstreamIsNotChosen);
+    CPPUNIT_TEST(downUpstreamIsNotProbedInItsPause);
+    CPPUNIT_TEST(refusalNamesTheEndOfThePauses);
     CPPUNIT_TEST(retryUsesAnotherUpstream);
     CPPUNIT_TEST(nonRepeatableRequestIsNotRetried);
     CPPUNIT_TEST(unexecutedRequestIsRetried);
@@ -263,6 +268,70 @@
         CPPUNIT_ASSERT_EQUAL(owner, next->fetchFrom);
     }
 
+    // An upstream that asks for a pause gets neither new requests nor retries of this host until it is over.
+    void pausedUpstreamIsNotChosen()
+    {
+        constexpr Milliseconds pause{4'000};
+        PlacementFixture host(1, 2);
+        host.scheduler.onPauseRequested("u0", pause, host.now);
+        const auto end = host.now + pause;
+        // Neither the same entry once more nor its removal and return is a new process.
+        host.apply();
+        const auto entry = host.configuration.upstreams.at("u0");
+        host.configuration.upstreams.erase("u0");
+        host.apply();
+        host.configuration.upstreams["u0"] = entry;
+        host.apply();
+        for (std::uint64_t prefix = 1; host.now < end; ++prefix, host.now += Milliseconds{37}) {
+            const auto dispatch = host.send(host.request(prefix * 7'919));
+            CPPUNIT_ASSERT(dispatch.has_value());
+            CPPUNIT_ASSERT_EQUAL(UpstreamId("u1"), dispatch->upstream);
+            (void)host.scheduler.onAttemptEnded(dispatch->request, dispatch->upstream, AttemptCompleted{}, host.now);
+        }
+        std::set<UpstreamId> used;
+        for (std::uint64_t prefix = 1; prefix <= 60; ++prefix) {
+            used.insert(host.send(host.request(prefix * 7'919))->upstream);
+        }
+        CPPUNIT_ASSERT(used.contains("u0"));
+    }
+
+    // A request that finds out whether an upstream is back counts as well.
+    void downUpstreamIsNotProbedInItsPause()
+    {
+        constexpr Milliseconds pause{60'000};
+        PlacementFixture host(1, 1);
+        const auto request = [&] {
+            auto info = host.request(1);
+            info.repeatable = true;
+            return info;
+        };
+        AttemptFailed failure{ResultCode::UpstreamUnreachable, RetryReason::ConnectFailed};
+        failure.notExecuted = true;
+        const auto first = host.send(request());
+        (void)host.scheduler.onAttemptEnded(first->request, first->upstream, failure, host.now);
+        host.scheduler.onPauseRequested("u0", pause, host.now);
+        for (const auto end = host.now + pause; host.now < end; host.now += Milliseconds{500}) {
+            CPPUNIT_ASSERT(!host.send(request()).has_value());
+        }
+        CPPUNIT_ASSERT(host.send(request()).has_value());
+    }
+
+    // Callers are told to come back when an upstream takes requests again, not before.
+    void refusalNamesTheEndOfThePauses()
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            PlacementFixture host(seed, 2);
+            host.scheduler.onPauseRequested("u0", Milliseconds{9'000}, host.now);
+            host.scheduler.onPauseRequested("u1", Milliseconds{6'000}, host.now);
+            CPPUNIT_ASSERT(!host.send(host.request(1)).has_value());
+            host.now += Milliseconds{1'000};
+            CPPUNIT_ASSERT(!host.step().has_value());
+            CPPUNIT_ASSERT(host.refused == ResultCode::NoUpstream);
+            CPPUNIT_ASSERT(host.retryAfter >= Milliseconds{5'000});
+            CPPUNIT_ASSERT(host.retryAfter <= Milliseconds{9'000});
+        }
+    }
+
     // A retry uses another engine than the one that failed, and attempts are limited by maxAttempts.
     void retryUsesAnotherUpstream()
     {
--- a/test/transport/http/upstream_notices_test.cpp
+++ b/test/transport/http/upstream_notices_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST_SUITE(UpstreamNoticesTest);
     CPPUNIT_TEST(upstreamThatAnnouncedItsEndGetsNoRequests);
     CPPUNIT_TEST(announcementOfAnotherUpstreamAtTheAddressIsIgnored);
+    CPPUNIT_TEST(upstreamThatAskedForAPauseGetsNoRequests);
+    CPPUNIT_TEST(refusalWithoutAReadableTimeIsNoPause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -79,6 +81,66 @@
         CPPUNIT_ASSERT_EQUAL(200U, fixture->call(request("/once/x", 2))->result_int());
     }
 
+    // A request that is sent before the pause is over finds the upstream as busy as before and costs its caller another attempt.
+    void upstreamThatAskedForAPauseGetsNoRequests()
+    {
+        using Clock = std::chrono::steady_clock;
+        constexpr std::chrono::milliseconds pause{1'500};
+        for (const auto *path : {"/once/x", "/call/x", "/stream/x", "/resume/x"}) {
+            std::atomic<bool> refused{false};
+            std::atomic<Clock::time_point> refusedAt{};
+            std::atomic<Clock::time_point> sentAgainAt{};
+            FakeUpstream first([&](FakeCall &call) {
+                if (!refused.exchange(true)) {
+                    refusedAt = Clock::now();
+                    call.reply(503, "busy", "X-Guavafield-Request-Id: " + idOf(call) + "\r\nX-Guavafield-Not-Executed: 1\r\nRetry-After: 1.5\r\n");
+                    return;
+                }
+                sentAgainAt = sentAgainAt.load() == Clock::time_point() ? Clock::now() : sentAgainAt.load();
+                answer(call, false);
+            });
+            FakeUpstream second([&](FakeCall &call) { answer(call, false); });
+            auto fixture = makeForwardFixture({&first, &second});
+            fixture->start();
+            int number = 0;
+            while (refusedAt.load() == Clock::time_point() || Clock::now() < refusedAt.load() + pause / 2) {
+                const auto reply = fixture->call(request(path, ++number));
+                CPPUNIT_ASSERT(reply.has_value());
+                CPPUNIT_ASSERT_EQUAL(200U, reply->result_int());
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, std::size_t{1}, first.calls());
+            // Without another upstream callers are refused until the pause is over.
+            fixture->configuration.upstreams.erase("u2");
+            fixture->applyConfiguration();
+            CPPUNIT_ASSERT_MESSAGE(path, waitUntil([&] {
+                                       const auto reply = fixture->call(request(path, ++number));
+                                       return reply.has_value() && reply->result_int() == 200;
+                                   }));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, std::size_t{2}, first.calls());
+            CPPUNIT_ASSERT_MESSAGE(path, sentAgainAt.load() - refusedAt.load() >= pause);
+        }
+    }
+
+    // A value that cannot be read must not keep an upstream out of use.
+    void refusalWithoutAReadableTimeIsNoPause()
+    {
+        for (const std::string value : {"", "soon", "-1", "nan", "1.5 s"}) {
+            std::atomic<int> calls{0};
+            FakeUpstream upstream([&](FakeCall &call) {
+                if (++calls == 1) {
+                    const std::string header = "Retry-After: " + value + "\r\n";
+                    call.reply(503, "busy", "X-Guavafield-Request-Id: " + idOf(call) + "\r\nX-Guavafield-Not-Executed: 1\r\n" + header);
+                } else {
+                    answer(call, false);
+                }
+            });
+            auto fixture = makeForwardFixture({&upstream});
+            fixture->start();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 503U, fixture->call(request("/once/x", 1))->result_int());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 200U, fixture->call(request("/once/x", 2))->result_int());
+        }
+    }
+
 private:
     static void answer(FakeCall &call, bool leaving)
     {
