Take a refusal for this request's only if it names the request

What callers see otherwise: "not run, try again" for a request that an upstream runs; a booking that is sent to a second upstream while the first runs it.

Cause: an upstream that writes an earlier refusal once more on a kept connection, without the id of a request, was believed: "not run" in an answer counted without looking whose answer it was. A copy with the earlier id was skipped before, too. An error without an id was passed on to the caller as its own.

Change: an answer that does not name this request says nothing about it. Its connection is closed, and the request may have run.

--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -120,8 +120,8 @@
     if (facts.leaving && m_context->driver->onDrainAnnounced(m_plan.upstream)) {
         logEvent(LogLevel::Info, "http:", m_plan.id, "upstream announces that it leaves, upstream=" + m_plan.upstream);
     }
-    // The time of a stray answer began when it was due.
-    if (facts.pause && !facts.stray) {
+    // The time of an earlier refusal began earlier.
+    if (facts.pause && facts.ours) {
         m_context->driver->onPauseRequested(m_plan.upstream, *facts.pause);
         const auto text = "upstream asks for a pause, upstream=" + m_plan.upstream + " pause_ms=" + std::to_string(facts.pause->count());
         logEvent(LogLevel::Info, "http:", m_plan.id, text);
@@ -148,6 +148,12 @@
     if (facts.load) {
         m_context->driver->onLoadReport(m_plan.upstream, *facts.load);
     }
+    if (!facts.ours) {
+        // It may be an earlier answer once more, so that it says nothing about this request.
+        m_exchange.abort();
+        deliverFailure(AttemptFailed{ResultCode::UpstreamFailed, RetryReason::UpstreamError}, "the answer names no request");
+        co_return;
+    }
     if (facts.notExecuted || facts.misdirected) {
         AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
         failure.notExecuted = true;
@@ -158,7 +164,7 @@
         co_return;
     }
     const bool success = internal::isSuccess(status);
-    const bool truthful = success ? facts.ours && facts.genuine : !internal::promisesNotRun(status) && (facts.ours || !facts.genuine);
+    const bool truthful = success ? facts.genuine : !internal::promisesNotRun(status);
     if (!truthful) {
         m_exchange.abort();
         deliverFailure(AttemptFailed{ResultCode::UpstreamFailed, RetryReason::UpstreamError}, "not a genuine answer, status " + std::to_string(status));
--- a/test/transport/http/fake_upstream.cpp
+++ b/test/transport/http/fake_upstream.cpp
@@ -103,6 +103,13 @@
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ec);
 }
 
+void FakeCall::reset()
+{
+    boost::system::error_code ec;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+    m_socket.close(ec);
+}
+
 std::string tokenChunk(unsigned n)
 {
     const auto number = std::to_string(n);
--- a/test/transport/http/fake_upstream.hpp
+++ b/test/transport/http/fake_upstream.hpp
@@ -67,6 +67,8 @@
     bool waitForClose();
     /*! @brief Closes the connection. */
     void drop();
+    /*! @brief Resets the connection. */
+    void reset();
 
 private:
     boost::asio::ip::tcp::socket &m_socket;
