Continue a stream only with events

What callers see otherwise: the text of the next upstream's answer in the middle of their stream.

Cause: a stream that broke off went on with whatever the next upstream answered with 200, also if that was no stream of events; errors were refused only once their body had been read.

Change: the header of an answer that is to continue a stream must be that of a stream of events, else the attempt has failed. This takes the place of the check after the body.

--- a/src/guavafield/transport/http/engine_attempt.cpp
+++ b/src/guavafield/transport/http/engine_attempt.cpp
@@ -2,6 +2,7 @@
 #include <guavafield/transport/http/engine_attempt.hpp>
 
 #include <guavafield/transport/http/engine_probe.hpp>
+#include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
 #include <guavafield/transport/log/log.hpp>
 
@@ -22,11 +23,6 @@
     return status >= 500 || status == 401 || status == 403 || status == 404 || status == 408 || status == 429;
 }
 
-bool isEventStream(std::string_view contentType) noexcept
-{
-    return contentType.starts_with("text/event-stream");
-}
-
 } // namespace internal
 
 EngineAttempt::EngineAttempt(std::shared_ptr<PathContext> context, const asio::any_io_executor &strand, std::shared_ptr<Mailbox> mailbox, AttemptPlan plan)
@@ -83,7 +79,7 @@
         deliverFailure(ResultCode::UpstreamFailed, RetryReason::UpstreamError);
         co_return;
     }
-    const bool isStream = internal::isEventStream(header[boost::beast::http::field::content_type]);
+    const bool isStream = isEventStream(header[boost::beast::http::field::content_type]);
     if (status == 200 && isStream != m_plan.stream) {
         deliverFailure(ResultCode::UpstreamFailed, RetryReason::UpstreamError);
         co_return;
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -3,9 +3,12 @@
 
 #include <guavafield/coordination/table/table.hpp>
 #include <guavafield/transport/http/event_splitter.hpp>
+#include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
 #include <guavafield/transport/log/log.hpp>
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -24,6 +27,12 @@
 constexpr double silentPauses = 4;
 constexpr Milliseconds leastSilence{1'500};
 
+bool isEventStream(const ServiceAnswer &head)
+{
+    const auto it = std::ranges::find_if(head.headers, [](const auto &header) { return boost::beast::iequals(header.first, "Content-Type"); });
+    return head.status == 200 && it != head.headers.end() && guavafield::isEventStream(it->second);
+}
+
 Milliseconds scaled(Milliseconds time, double factor)
 {
     return Milliseconds{static_cast<Milliseconds::rep>(static_cast<double>(time.count()) * factor)};
@@ -188,6 +197,12 @@
     if (!m_call.target.stream || m_head.status >= 500) {
         countStarted();
     }
+    if (m_answer->started() && !internal::isEventStream(m_head)) {
+        // An error is no continuation of a stream.
+        AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
+        co_await failAttempt(failure);
+        co_return;
+    }
     if (!m_call.target.stream) {
         m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
         m_firstEventAt = std::chrono::steady_clock::now();
@@ -280,12 +295,6 @@
 
 ForwardRequest::Awaitable ForwardRequest::sendWhole(AnswerCompleted &event)
 {
-    if (m_answer->started()) {
-        // An error is no continuation of a stream.
-        AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
-        co_await failAttempt(failure);
-        co_return;
-    }
     m_head.body = std::move(event.body);
     if (worthRetrying(m_head.status)) {
         AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
--- a/src/guavafield/transport/http/headers.cpp
+++ b/src/guavafield/transport/http/headers.cpp
@@ -97,6 +97,12 @@
     return headers;
 }
 
+bool isEventStream(std::string_view contentType) noexcept
+{
+    constexpr std::string_view type = "text/event-stream";
+    return internal::iequals(contentType.substr(0, type.size()), type);
+}
+
 std::string_view bearerToken(const boost::beast::http::fields &fields) noexcept
 {
     constexpr std::string_view scheme = "Bearer ";
--- a/src/guavafield/transport/http/headers.hpp
+++ b/src/guavafield/transport/http/headers.hpp
@@ -30,6 +30,9 @@
 /*! @brief Returns all headers that a proxy passes on. */
 [[nodiscard]] std::vector<std::pair<std::string, std::string>> endToEndHeaders(const boost::beast::http::fields &from);
 
+/*! @brief Returns whether a Content-Type is that of a stream of events. */
+[[nodiscard]] bool isEventStream(std::string_view contentType) noexcept;
+
 /*! @brief Returns the token of a bearer Authorization header; empty if there is none. */
 [[nodiscard]] std::string_view bearerToken(const boost::beast::http::fields &fields) noexcept;
 
--- a/test/transport/http/faulty_upstream_test.cpp
+++ b/test/transport/http/faulty_upstream_test.cpp
@@ -34,6 +34,13 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+std::string chunk(const std::string &bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
 // Header of a stream without a length that ends with the connection.
 std::string unframedStream(const FakeCall &call)
 {
@@ -46,6 +53,7 @@
 {
     CPPUNIT_TEST_SUITE(FaultyUpstreamTest);
     CPPUNIT_TEST(repeatedRefusalIsNotTakenForTheAnswer);
+    CPPUNIT_TEST(errorOfTheNextUpstreamIsNotPutIntoAStream);
     CPPUNIT_TEST(answerThatEndsInItsHeaderIsNoAnswer);
     CPPUNIT_TEST(unframedStreamEndsWithItsConnection);
     CPPUNIT_TEST(unframedAnswerThatIsResetIsNotWhole);
@@ -85,6 +93,47 @@
         }
     }
 
+    // After a part of a stream callers get its continuation or see that it broke off, never the next upstream's error.
+    void errorOfTheNextUpstreamIsNotPutIntoAStream()
+    {
+        const auto error = std::string("the engine failed");
+        const std::vector<std::function<void(FakeCall &)>> errors{
+            [&](FakeCall &call) { call.reply(500, error, echo(call)); },
+            [&](FakeCall &call) { call.reply(400, error, echo(call)); },
+            [&](FakeCall &call) { call.reply(404, error + "\n\n", echo(call)); },
+            [&](FakeCall &call) { call.reply(200, error + "\n\n", echo(call)); },
+            [&](FakeCall &call) { call.reply(204, "", echo(call)); },
+            [&](FakeCall &call) { call.send("HTTP/1.1 500 x\r\nConnection: close\r\n" + echo(call) + "\r\n" + error), call.drop(); },
+            [&](FakeCall &call) { call.send("HTTP/1.1 200 OK\r\nConnection: close\r\n" + echo(call) + "\r\n"), call.drop(); },
+            [&](FakeCall &call) { call.send(error + "\r\n\r\n"), call.drop(); },
+        };
+        for (std::size_t n = 0; n < errors.size(); ++n) {
+            std::atomic<int> calls{0};
+            const auto handler = [&](FakeCall &call) {
+                if (calls++ > 0) {
+                    errors[n](call);
+                    return;
+                }
+                beginEvents(call);
+                call.send(chunk(event(1) + event(2)));
+                call.drop();
+            };
+            FakeUpstream first(handler);
+            FakeUpstream second(handler);
+            auto fixture = makeForwardFixture({&first, &second});
+            fixture->start();
+            auto client = fixture->connect();
+            client.send(request("/resume/x"));
+            const auto all = client.readAll();
+            const auto text = std::to_string(n) + ": " + all;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 2, calls.load());
+            CPPUNIT_ASSERT_MESSAGE(text, all.find("e2") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(text, all.find(error) == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(text, all.find("HTTP/1.1", 1) == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(text, !all.ends_with(lastChunk));
+        }
+    }
+
     // A header without its end, wherever it stops, says neither the status nor the length of an answer.
     void answerThatEndsInItsHeaderIsNoAnswer()
     {
