Take a stream that ends with its connection before its first event for broken

What callers see otherwise: a 200 with an empty body, framed as whole, from an upstream that stopped right after its header.

Cause: where an answer has neither a length nor chunks, the end of the connection was its end, whatever had come before.

Change: without an event with data such a stream has broken off; it goes on elsewhere or the caller gets an error.

Measured: unframedStreamWithoutAnEventIsNotWhole failed before (200 on /stream/ and /resume/). transport_http 76 of 76. An end between two events cannot be told from the answer's own end.

--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -209,7 +209,9 @@
             co_await m_outlet.deliverAndWait(std::move(batch));
         }
     }
-    if (result != ExchangeResult::Ok || splitter.insideEvent()) {
+    // Where the connection ends the answer, an end before the first event is that of an upstream which stopped.
+    const bool cutOff = splitter.insideEvent() || (!m_exchange.complete() && !m_contentDelivered);
+    if (result != ExchangeResult::Ok || cutOff) {
         reportFailure(result == ExchangeResult::Ok ? ExchangeResult::Broken : result);
     } else {
         m_outlet.deliver(AnswerCompleted{m_plan.number, m_exchange.header().result_int(), {}, {}});
--- a/test/transport/http/faulty_upstream_test.cpp
+++ b/test/transport/http/faulty_upstream_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(answerThatEndsInItsHeaderIsNoAnswer);
     CPPUNIT_TEST(unframedStreamEndsWithItsConnection);
     CPPUNIT_TEST(unframedAnswerThatIsResetIsNotWhole);
+    CPPUNIT_TEST(unframedStreamWithoutAnEventIsNotWhole);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,6 +204,22 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 502U, fixture->call(request(path))->result_int());
         }
     }
+
+    // An upstream that closes right after the header of a stream has stopped before its first event.
+    void unframedStreamWithoutAnEventIsNotWhole()
+    {
+        for (const auto *path : {"/stream/x", "/resume/x"}) {
+            const auto handler = [](FakeCall &call) {
+                call.send(unframedStream(call));
+                call.drop();
+            };
+            FakeUpstream first(handler);
+            FakeUpstream second(handler);
+            auto fixture = makeForwardFixture({&first, &second});
+            fixture->start();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 502U, fixture->call(request(path))->result_int());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FaultyUpstreamTest);
