Put the parts of pushed changes in force together

What callers see otherwise: requests that reach an upstream more than 4 s after it announced that it leaves, and a seventh of the requests unserved in a fleet of 102 hosts and 1,001 upstreams.

Cause: a push comes in parts of three rows or so, and each part was put in force by itself: the whole table is gone through, a configuration of all upstreams is built and the scheduler takes it over. While a thousand upstreams start, their entries change several hundred times a second, and a host with an eighth of a core is busy with that for seconds. Hosts that are busy know little of the present, read for themselves and for others, and push the changes again: 3 to 4 times the bytes between data centres.

Change: pushed rows are put in force once in 50 ms. Readings of one's own are put in force at once as before.

--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -49,6 +49,8 @@
 constexpr Milliseconds idleStep{50};
 // Entries that change one after the other, as when many upstreams start, are read and pushed together.
 constexpr Milliseconds changePause{50};
+// The parts of a push, and pushes that follow each other, are put in force together: in a large fleet each configuration is large.
+constexpr Milliseconds updatePause{50};
 constexpr Milliseconds retryPause{250};
 // In a fleet that follows one reader, all hosts together try a failed platform about as often as so many hosts do.
 constexpr std::size_t hostsThatRetryAtOnce = 16;
@@ -194,9 +196,13 @@
     const auto before = target.content();
     const bool changed = whole ? target.replace(page.rows, page.complete, confirmed) : target.apply(page.rows, page.complete, confirmed);
     update();
-    if (!changed) {
-        return;
+    if (changed) {
+        announceChange(table, before);
     }
+}
+
+void DirectoryService::announceChange(DirectoryTable table, RowVersion before)
+{
     if (table == DirectoryTable::Upstreams) {
         const auto now = m_dependencies.clock.now();
         m_recent.emplace_back(now, before);
@@ -287,6 +293,21 @@
     }
 }
 
+void DirectoryService::updateSoon()
+{
+    if (std::exchange(m_updateScheduled, true)) {
+        return;
+    }
+    const auto wait = [self = shared_from_this()]() -> asio::awaitable<void> {
+        co_await sleepFor(internal::updatePause);
+        self->m_updateScheduled = false;
+        if (!self->m_stopped) {
+            self->update();
+        }
+    };
+    asio::co_spawn(m_dependencies.strand, wait, asio::detached);
+}
+
 void DirectoryService::logChanges(const Configuration &configuration) const
 {
     const auto known = knowledge(DirectoryTable::Upstreams);
@@ -344,8 +365,13 @@
         && report.upstreams->content > upstreams.complete();
     if (pushed) {
         const auto confirmed = now - report.upstreams->age - internal::answerDelay;
-        take(DirectoryTable::Upstreams, TablePage{report.changes, report.upstreams->complete}, confirmed, false);
+        const auto before = upstreams.content();
+        const bool changed = upstreams.apply(report.changes, report.upstreams->complete, confirmed);
         upstreams.advanceContent(report.upstreams->content);
+        updateSoon();
+        if (changed) {
+            announceChange(DirectoryTable::Upstreams, before);
+        }
     }
     if (!report.changesOnly) {
         consider(from, DirectoryTable::Document, report.document);
@@ -378,7 +404,9 @@
     } else {
         // The peer's latest change is one of those that this host has, and there was none after it.
         own.confirm(knowledge->complete, m_dependencies.clock.now() - knowledge->age - internal::answerDelay);
-        update();
+        if (!m_updateScheduled) {
+            update();
+        }
     }
 }
 
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -129,7 +129,11 @@
     [[nodiscard]] boost::asio::awaitable<void> watchOutages();
     void consider(const Member &from, DirectoryTable table, const std::optional<TableKnowledge> &knowledge);
     void take(DirectoryTable table, TableReply reply, SteadyTime confirmed, bool whole);
+    // Tells the peers of changes after a version, if this host reads for them.
+    void announceChange(DirectoryTable table, RowVersion before);
     void update();
+    // Updates after a short time in which further pushes may arrive.
+    void updateSoon();
     void logChanges(const Configuration &configuration) const;
     void noteSource(DirectoryTable table, bool available, const std::string &cause);
 
@@ -151,6 +155,7 @@
     std::array<SteadyTime, 2> m_failedAt{};
     StringMap<Peer> m_peers;
     SteadyTime m_startedAt{};
+    bool m_updateScheduled{false};
     bool m_stopped{false};
 };
 
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -62,7 +62,10 @@
             return result;
         };
         dependencies.codec.upstream = [](std::string_view, std::string_view) -> Result<UpstreamEntry> { return UpstreamEntry{}; };
-        dependencies.apply = [this](const std::shared_ptr<const Configuration> &it) { revision = it->revision; };
+        dependencies.apply = [this](const std::shared_ptr<const Configuration> &it) {
+            revision = it->revision;
+            ++configurations;
+        };
         dependencies.confirm = [](DirectoryTable, SteadyTime) {};
         dependencies.announce = [] {};
         dependencies.fetch = [this](PeerAddress address, DirectoryTable table, RowVersion after) -> asio::awaitable<Outcome<std::string>> {
@@ -75,6 +78,8 @@
     bool cut{false};
     int calls{0};
     Revision revision{0};
+    // How many were put in force.
+    int configurations{0};
     std::vector<std::unique_ptr<Host>> *peers{nullptr};
     std::shared_ptr<DirectoryService> service;
 };
@@ -93,6 +98,7 @@
     CPPUNIT_TEST(hostWithoutThePlatformIsNoReader);
     CPPUNIT_TEST(largeFleetReadsManyChangesItself);
     CPPUNIT_TEST(hostThatKeepsUpReadsNothing);
+    CPPUNIT_TEST(partsOfAPushAreAppliedTogether);
     CPPUNIT_TEST(firstPartOfAPushIsNoConfirmation);
     CPPUNIT_TEST(peersThatAreBehindDoNotHideALack);
     CPPUNIT_TEST(largeFleetTriesAFailedPlatformSeldom);
@@ -300,6 +306,44 @@
         follower.service->stop();
     }
 
+    // Guards against a host that is so busy with one configuration for each part of many changes that it learns of leaving upstreams too late.
+    void partsOfAPushAreAppliedTogether()
+    {
+        Host follower(*m_io, m_clock, m_store, "zz");
+        follower.service->setHosts(100);
+        follower.service->start();
+        CPPUNIT_ASSERT(runUntil([&] { return follower.service->known(DirectoryTable::Document) && follower.service->known(DirectoryTable::Upstreams); }));
+        const auto confirmed = follower.service->knowledge(DirectoryTable::Upstreams);
+        const auto before = follower.configurations;
+        auto version = confirmed.complete;
+        constexpr int parts = 300;
+        constexpr int partsAtOnce = 5;
+        constexpr Milliseconds length{600};
+        for (int n = 0; n < parts; ++n) {
+            HostReport part;
+            part.changesOnly = true;
+            part.changesAfter = version;
+            part.changes.push_back({"u" + std::to_string(n), ++version, "x"});
+            part.upstreams = TableKnowledge{version, version, Milliseconds{5}};
+            follower.service->onReport(Member{}, part);
+            // Reports of other hosts come between the parts.
+            HostReport other;
+            other.document = knowledgeOf(follower, DirectoryTable::Document);
+            other.upstreams = TableKnowledge{confirmed.content, confirmed.complete, Milliseconds{5}};
+            follower.service->onReport(Member{}, other);
+            if (n % partsAtOnce == 0) {
+                runFor(length / (parts / partsAtOnce));
+            }
+        }
+        runFor(Milliseconds{60});
+        const auto configurations = follower.configurations - before;
+        follower.service->stop();
+        CPPUNIT_ASSERT_EQUAL(version, follower.service->knowledge(DirectoryTable::Upstreams).content);
+        CPPUNIT_ASSERT(configurations > 0);
+        // One in 50 ms.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(configurations) + " configurations", configurations <= (length + Milliseconds{60}) / Milliseconds{50} + 1);
+    }
+
     // Guards against a host that uses upstreams which left seconds ago, because it got only the first parts of the changes and seems up to date.
     void firstPartOfAPushIsNoConfirmation()
     {
