Play bytes that drip without end

The answers without end were played at full speed only. Now one byte in 20 ms as a header, a chunk extension, a trailer, a body, an event, comments and empty events, on three kinds of routes: the request fails at its deadline and the connection is closed.

--- a/test/transport/http/hazards_test.cpp
+++ b/test/transport/http/hazards_test.cpp
@@ -38,9 +38,10 @@
     return sent;
 }
 
-std::string request(std::string_view path, std::string_view id = "abc123")
+std::string request(std::string_view path, std::string_view id = "abc123", std::string_view headers = {})
 {
     std::string text = "POST " + std::string(path) + " HTTP/1.1\r\nHost: app.example\r\nX-Guavafield-Request-Id: " + std::string(id) + "\r\n";
+    text += headers;
     return text + "Authorization: Token " + std::string(testKey) + "\r\nContent-Length: 5\r\n\r\nhello";
 }
 
@@ -55,6 +56,7 @@
     CPPUNIT_TEST(requestThatCrashesUpstreamsAfterTheHeaderIsStopped);
     CPPUNIT_TEST(bytesWithoutEndAreBounded);
     CPPUNIT_TEST(bodiesWithoutEndShareOneBound);
+    CPPUNIT_TEST(bytesThatDripWithoutEndEndWithTheDeadline);
     CPPUNIT_TEST(acceptedRequestsAreAnsweredOnStop);
     CPPUNIT_TEST(lateRequestsAreRefusedBeforeTheListenerCloses);
     CPPUNIT_TEST_SUITE_END();
@@ -219,6 +221,52 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fixture->path().heldAnswerBytes());
     }
 
+    // An upstream that sends a byte now and then keeps the connection busy, whatever part of an answer the bytes seem to be.
+    void bytesThatDripWithoutEndEndWithTheDeadline()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nECHO";
+        const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        const std::string stream = head + "Content-Type: text/event-stream\r\n\r\n";
+        struct Case
+        {
+            std::string name;
+            std::string start;
+            std::string piece;
+        };
+        const std::vector<Case> cases{
+            {"header line", "HTTP/1.1 200 OK\r\nX-Long: ", "a"},
+            {"header lines", "HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+            {"chunk extension", chunked + "5;x=", "a"},
+            {"trailer", chunked + "0\r\nX-Trailer: ", "a"},
+            {"body", head + "Connection: close\r\n\r\n", "a"},
+            {"event", stream + "id: 1\ndata: ", "a"},
+            {"comments", stream, ": a\n\n"},
+            {"empty events", stream, "\n\n"},
+        };
+        for (const auto &it : cases) {
+            for (const auto *path : {"/once/x", "/stream/x", "/resume/x"}) {
+                Signal closed;
+                FakeUpstream upstream([&](FakeCall &call) {
+                    auto start = it.start;
+                    if (const auto at = start.find("ECHO"); at != std::string::npos) {
+                        start.replace(at, 4, echo(call));
+                    }
+                    for (bool open = call.send(start); open; open = call.send(it.piece)) {
+                        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+                    }
+                    closed.set();
+                });
+                auto fixture = makeForwardFixture({&upstream});
+                fixture->start();
+                const auto answer = fixture->call(request(path, "abc123", "X-Guavafield-Deadline-Ms: 300\r\n"));
+                const auto text = it.name + " " + path;
+                const bool failed = !answer.has_value() || answer->result_int() >= 500;
+                CPPUNIT_ASSERT_MESSAGE(text, failed);
+                CPPUNIT_ASSERT_MESSAGE(text, closed.wait());
+            }
+        }
+    }
+
     // Connections that the system has established before the listener closes, and requests that arrive at the very end, get an answer.
     void acceptedRequestsAreAnsweredOnStop()
     {
