--- a/src/guavafield/coordination/request/crash_evidence.cpp
+++ b/src/guavafield/coordination/request/crash_evidence.cpp
@@ -122,7 +122,7 @@
     std::erase_if(crashes, [now](const auto &it) { return now - it.second.at > internal::crashMemory; });
 }
 
-void CrashEvidence::onCrash(const CrashId &crash, CrashSuspect suspect, std::size_t upstreams, SteadyTime now)
+void CrashEvidence::onCrash(const CrashId &crash, const CrashSuspect &suspect, std::size_t upstreams, SteadyTime now)
 {
     if (now < m_widespreadUntil) {
         m_widespreadUntil = now + internal::widespreadTime;
--- a/src/guavafield/coordination/request/crash_evidence.hpp
+++ b/src/guavafield/coordination/request/crash_evidence.hpp
@@ -4,13 +4,13 @@
 #include <guavafield/coordination/request/request_info.hpp>
 #include <guavafield/state/types.hpp>
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <span>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -38,7 +38,11 @@
     // Of the process that ended.
     Incarnation incarnation{0};
 
-    friend auto operator<=>(const CrashId &, const CrashId &) = default;
+    friend bool operator<(const CrashId &left, const CrashId &right) noexcept
+    {
+        return std::tie(left.upstream, left.incarnation) < std::tie(right.upstream, right.incarnation);
+    }
+    friend bool operator==(const CrashId &, const CrashId &) = default;
 };
 
 /*! @brief Suspects of one crash on one host. */
@@ -97,7 +101,7 @@
      * @brief Records that an upstream's connection broke before it began to answer a request of this host.
      * @param upstreams Number of upstreams in the pool. If many of them break at once, the fault is this host's or its network's, and says nothing.
      */
-    void onCrash(const CrashId &crash, CrashSuspect suspect, std::size_t upstreams, SteadyTime now);
+    void onCrash(const CrashId &crash, const CrashSuspect &suspect, std::size_t upstreams, SteadyTime now);
     /*! @brief Records that an upstream began to answer a request of this host. */
     void onBegun(const CrashSuspect &suspect, SteadyTime now);
 
--- a/src/guavafield/coordination/request/upstream_notices.hpp
+++ b/src/guavafield/coordination/request/upstream_notices.hpp
@@ -18,8 +18,8 @@
 /*!
  * @brief Remembers notices by incarnation.
  *
- * They outlive what else is known of an upstream: one whose entry in the platform's table lapses and returns is still leaving or paused. Only a new
- * incarnation takes work again.
+ * They outlive what else is known of an upstream: one whose entry in the platform's table lapses and returns is still leaving or paused. A new
+ * incarnation has said nothing yet.
  */
 class UpstreamNotices
 {
--- a/test/transport/http/faulty_upstream_test.cpp
+++ b/test/transport/http/faulty_upstream_test.cpp
@@ -13,12 +13,6 @@
 
 constexpr std::string_view lastChunk = "0\r\n\r\n";
 
-std::string request(std::string_view path, std::string_view id = "abc123")
-{
-    std::string text = "POST " + std::string(path) + " HTTP/1.1\r\nHost: app.example\r\nX-Guavafield-Request-Id: " + std::string(id) + "\r\n";
-    return text + "Authorization: Token " + std::string(testKey) + "\r\nContent-Length: 5\r\n\r\nhello";
-}
-
 std::string refusal(unsigned status, const std::string &idHeader)
 {
     return "HTTP/1.1 " + std::to_string(status) + " x\r\n" + idHeader + "X-Guavafield-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
@@ -34,13 +28,6 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-std::string chunk(const std::string &bytes)
-{
-    std::ostringstream text;
-    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    return text.str();
-}
-
 // Header of a stream without a length that ends with the connection.
 std::string unframedStream(const FakeCall &call)
 {
@@ -83,7 +70,7 @@
                 auto fixture = makeForwardFixture({&faulty, &sound});
                 fixture->start();
                 for (int n = 0; n < 20; ++n) {
-                    const auto answer = fixture->call(request("/once/x", "request" + std::to_string(n)));
+                    const auto answer = fixture->call(forwardRequest("/once/x", "request" + std::to_string(n)));
                     CPPUNIT_ASSERT_MESSAGE(text, answer.has_value());
                     CPPUNIT_ASSERT_MESSAGE(text, !promisesNotRun(answer->result_int()));
                     CPPUNIT_ASSERT_MESSAGE(text, answer->body() != "full");
@@ -124,7 +111,7 @@
             auto fixture = makeForwardFixture({&first, &second});
             fixture->start();
             auto client = fixture->connect();
-            client.send(request("/resume/x"));
+            client.send(forwardRequest("/resume/x"));
             const auto all = client.readAll();
             const auto text = std::to_string(n) + ": " + all;
             CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 2, calls.load());
@@ -153,7 +140,7 @@
                              .size();
                 auto fixture = makeForwardFixture({&first, &second});
                 fixture->start();
-                const auto answer = fixture->call(request(path));
+                const auto answer = fixture->call(forwardRequest(path));
                 CPPUNIT_ASSERT_MESSAGE(path, answer.has_value());
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(path + std::string(" ") + std::to_string(cut), 502U, answer->result_int());
             }
@@ -169,7 +156,7 @@
             });
             auto fixture = makeForwardFixture({&upstream});
             fixture->start();
-            const auto answer = fixture->call(request(path));
+            const auto answer = fixture->call(forwardRequest(path));
             CPPUNIT_ASSERT_MESSAGE(path, answer.has_value());
             CPPUNIT_ASSERT_EQUAL(event(1) + event(2), answer->body());
         }
@@ -187,7 +174,7 @@
             auto fixture = makeForwardFixture({&upstream});
             fixture->start();
             auto client = fixture->connect();
-            client.send(request("/stream/x"));
+            client.send(forwardRequest("/stream/x"));
             const auto all = client.readAll();
             CPPUNIT_ASSERT_MESSAGE(all, !all.ends_with(lastChunk));
             CPPUNIT_ASSERT_MESSAGE(all, all.find("id: 2") == std::string::npos);
@@ -201,7 +188,7 @@
             FakeUpstream second(handler);
             auto fixture = makeForwardFixture({&first, &second});
             fixture->start();
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 502U, fixture->call(request(path))->result_int());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 502U, fixture->call(forwardRequest(path))->result_int());
         }
     }
 
@@ -217,7 +204,7 @@
             FakeUpstream second(handler);
             auto fixture = makeForwardFixture({&first, &second});
             fixture->start();
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 502U, fixture->call(request(path))->result_int());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 502U, fixture->call(forwardRequest(path))->result_int());
         }
     }
 };
--- a/test/transport/http/forward_fixture.cpp
+++ b/test/transport/http/forward_fixture.cpp
@@ -3,6 +3,8 @@
 
 #include "platform/request_dialect.hpp"
 
+#include <sstream>
+
 namespace guavafield::test {
 
 namespace {
@@ -41,6 +43,20 @@
     return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
 }
 
+std::string forwardRequest(std::string_view path, std::string_view id, std::string_view headers)
+{
+    std::string text = "POST " + std::string(path) + " HTTP/1.1\r\nHost: app.example\r\nX-Guavafield-Request-Id: " + std::string(id) + "\r\n";
+    text += headers;
+    return text + "Authorization: Token " + std::string(testKey) + "\r\nContent-Length: 5\r\n\r\nhello";
+}
+
+std::string chunk(std::string_view bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
 void beginEvents(FakeCall &call)
 {
     call.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + echo(call) + "\r\n");
--- a/test/transport/http/forward_test.cpp
+++ b/test/transport/http/forward_test.cpp
@@ -9,13 +9,6 @@
 
 namespace {
 
-void sendEvent(FakeCall &call, const std::string &bytes)
-{
-    std::ostringstream chunk;
-    chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    call.send(chunk.str());
-}
-
 std::string request(std::string_view path, std::string_view headers = {}, std::string_view body = "hello", std::string_view key = testKey)
 {
     std::string text = "POST " + std::string(path) + " HTTP/1.1\r\nHost: app.example\r\nX-Guavafield-Request-Id: abc123\r\n";
@@ -205,13 +198,13 @@
             beginEvents(call);
             if (calls++ == 0) {
                 CPPUNIT_ASSERT(call.request()["Last-Event-Id"].empty());
-                sendEvent(call, event(1) + event(2) + "id: 3\nda");
+                call.send(chunk(event(1) + event(2) + "id: 3\nda"));
                 call.drop();
                 return;
             }
             CPPUNIT_ASSERT_EQUAL(std::string("2"), std::string(call.request()["Last-Event-Id"]));
-            sendEvent(call, event(2) + event(3));
-            sendEvent(call, event(4));
+            call.send(chunk(event(2) + event(3)));
+            call.send(chunk(event(4)));
             call.send("0\r\n\r\n");
         };
         FakeUpstream first(handler);
@@ -227,7 +220,7 @@
     {
         FakeUpstream upstream([&](FakeCall &call) {
             beginEvents(call);
-            sendEvent(call, event(1));
+            call.send(chunk(event(1)));
             call.drop();
         });
         auto fixture = makeForwardFixture({&upstream});
@@ -241,7 +234,7 @@
     {
         FakeUpstream upstream([&](FakeCall &call) {
             beginEvents(call);
-            sendEvent(call, event(1) + "id: 2\ndata: ha");
+            call.send(chunk(event(1) + "id: 2\ndata: ha"));
             call.send("0\r\n\r\n");
         });
         auto fixture = makeForwardFixture({&upstream});
@@ -258,8 +251,8 @@
     {
         FakeUpstream upstream([&](FakeCall &call) {
             beginEvents(call);
-            sendEvent(call, event(1));
-            sendEvent(call, event(3));
+            call.send(chunk(event(1)));
+            call.send(chunk(event(3)));
             call.send("0\r\n\r\n");
         });
         auto fixture = makeForwardFixture({&upstream});
@@ -288,7 +281,7 @@
         Signal closed;
         FakeUpstream upstream([&](FakeCall &call) {
             beginEvents(call);
-            sendEvent(call, event(1));
+            call.send(chunk(event(1)));
             began.set();
             if (call.waitForClose()) {
                 closed.set();
--- a/test/transport/http/hazards_test.cpp
+++ b/test/transport/http/hazards_test.cpp
@@ -19,13 +19,6 @@
 constexpr std::size_t socketBufferBytes = std::size_t{24} << 20U;
 constexpr std::size_t endlessBytes = std::size_t{200} << 20U;
 
-bool sendChunk(FakeCall &call, const std::string &bytes)
-{
-    std::ostringstream chunk;
-    chunk << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    return call.send(chunk.str());
-}
-
 // Sends bytes at full speed until the other side closes, and returns how many it took.
 std::size_t sendWithoutEnd(FakeCall &call, std::string_view start, const std::string &piece)
 {
@@ -38,13 +31,6 @@
     return sent;
 }
 
-std::string request(std::string_view path, std::string_view id = "abc123", std::string_view headers = {})
-{
-    std::string text = "POST " + std::string(path) + " HTTP/1.1\r\nHost: app.example\r\nX-Guavafield-Request-Id: " + std::string(id) + "\r\n";
-    text += headers;
-    return text + "Authorization: Token " + std::string(testKey) + "\r\nContent-Length: 5\r\n\r\nhello";
-}
-
 } // namespace
 
 class HazardsTest : public CppUnit::TestFixture
@@ -81,7 +67,7 @@
         auto fixture = makeForwardFixture({&upstream});
         fixture->start();
         for (const auto *id : {"first1", "second", "third3", "fourth"}) {
-            const auto answer = fixture->call(request("/once/x", id));
+            const auto answer = fixture->call(forwardRequest("/once/x", id));
             CPPUNIT_ASSERT(answer.has_value());
             CPPUNIT_ASSERT_EQUAL(std::string(id), answer->body());
         }
@@ -94,13 +80,13 @@
         const auto handler = [&](FakeCall &call) {
             beginEvents(call);
             if (calls++ == 0) {
-                sendChunk(call, event(1));
-                while (sendChunk(call, ": still here\n\n")) {
+                call.send(chunk(event(1)));
+                while (call.send(chunk(": still here\n\n"))) {
                     std::this_thread::sleep_for(std::chrono::milliseconds(20));
                 }
                 return;
             }
-            sendChunk(call, event(2) + event(3));
+            call.send(chunk(event(2) + event(3)));
             call.send("0\r\n\r\n");
         };
         FakeUpstream first(handler);
@@ -108,7 +94,7 @@
         auto fixture = makeForwardFixture({&first, &second});
         fixture->start();
         const auto begin = std::chrono::steady_clock::now();
-        const auto answer = fixture->call(request("/resume/x"));
+        const auto answer = fixture->call(forwardRequest("/resume/x"));
         CPPUNIT_ASSERT(answer.has_value());
         CPPUNIT_ASSERT(answer->body().find("e1") != std::string::npos && answer->body().ends_with(event(2) + event(3)));
         // Well before the route's time of 20 s.
@@ -120,14 +106,14 @@
     {
         FakeUpstream upstream([&](FakeCall &call) {
             beginEvents(call);
-            sendChunk(call, event(1));
+            call.send(chunk(event(1)));
             std::this_thread::sleep_for(std::chrono::milliseconds(3'500));
-            sendChunk(call, event(2));
+            call.send(chunk(event(2)));
             call.send("0\r\n\r\n");
         });
         auto fixture = makeForwardFixture({&upstream});
         fixture->start();
-        const auto answer = fixture->call(request("/resume/x"));
+        const auto answer = fixture->call(forwardRequest("/resume/x"));
         CPPUNIT_ASSERT(answer.has_value());
         CPPUNIT_ASSERT_EQUAL(event(1) + event(2), answer->body());
     }
@@ -148,7 +134,7 @@
         fixture->start();
         std::size_t calls = 0;
         for (int n = 0; n < 6; ++n) {
-            std::ignore = fixture->call(request("/resume/x", "again" + std::to_string(n)));
+            std::ignore = fixture->call(forwardRequest("/resume/x", "again" + std::to_string(n)));
         }
         for (const auto &it : upstreams) {
             calls += it->calls();
@@ -187,7 +173,7 @@
             });
             auto fixture = makeForwardFixture({&upstream});
             fixture->start();
-            const auto answer = fixture->call(request("/once/x"));
+            const auto answer = fixture->call(forwardRequest("/once/x"));
             CPPUNIT_ASSERT_MESSAGE(it.name, answer.has_value());
             CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, 502U, answer->result_int());
             upstream.crash();
@@ -209,7 +195,7 @@
         std::deque<Client> clients;
         for (std::size_t n = 0; n < callers; ++n) {
             clients.emplace_back(fixture->path().endpoint());
-            clients.back().send(request("/once/x", "caller" + std::to_string(n)));
+            clients.back().send(forwardRequest("/once/x", "caller" + std::to_string(n)));
         }
         for (auto &it : clients) {
             const auto answer = it.read();
@@ -258,7 +244,7 @@
                 });
                 auto fixture = makeForwardFixture({&upstream});
                 fixture->start();
-                const auto answer = fixture->call(request(path, "abc123", "X-Guavafield-Deadline-Ms: 300\r\n"));
+                const auto answer = fixture->call(forwardRequest(path, "abc123", "X-Guavafield-Deadline-Ms: 300\r\n"));
                 const auto text = it.name + " " + path;
                 const bool failed = !answer.has_value() || answer->result_int() >= 500;
                 CPPUNIT_ASSERT_MESSAGE(text, failed);
@@ -288,7 +274,7 @@
         std::deque<Client> clients;
         for (std::size_t n = 0; n < callers; ++n) {
             clients.emplace_back(fixture->path().endpoint());
-            clients.back().send(request("/call/x", "caller" + std::to_string(n)));
+            clients.back().send(forwardRequest("/call/x", "caller" + std::to_string(n)));
         }
         Signal stopped;
         boost::asio::co_spawn(fixture->io(), fixture->path().stop(), [&](const std::exception_ptr &, bool) { stopped.set(); });
@@ -314,7 +300,7 @@
         auto lastRefusal = std::chrono::steady_clock::now();
         try {
             while (true) {
-                const auto answer = fixture->call(request("/call/x"));
+                const auto answer = fixture->call(forwardRequest("/call/x"));
                 if (!answer) {
                     // The request crossed the end of the stop.
                     break;
--- a/test/transport/http/upstream_notices_test.cpp
+++ b/test/transport/http/upstream_notices_test.cpp
@@ -7,16 +7,6 @@
 
 namespace guavafield::test {
 
-namespace {
-
-std::string request(std::string_view path, int number)
-{
-    std::string text = "POST " + std::string(path) + " HTTP/1.1\r\nHost: app.example\r\nX-Guavafield-Request-Id: n" + std::to_string(number) + "\r\n";
-    return text + "Authorization: Token " + std::string(testKey) + "\r\nContent-Length: 5\r\n\r\nhello";
-}
-
-} // namespace
-
 class UpstreamNoticesTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(UpstreamNoticesTest);
@@ -39,7 +29,7 @@
             int number = 0;
             const auto send = [&](int count) {
                 for (int n = 0; n < count; ++n) {
-                    const auto reply = fixture->call(request(path, ++number));
+                    const auto reply = fixture->call(forwardRequest(path, "n" + std::to_string(++number)));
                     CPPUNIT_ASSERT(reply.has_value());
                     CPPUNIT_ASSERT_EQUAL(200U, reply->result_int());
                 }
@@ -77,8 +67,8 @@
         });
         auto fixture = makeForwardFixture({&upstream});
         fixture->start();
-        CPPUNIT_ASSERT_EQUAL(503U, fixture->call(request("/once/x", 1))->result_int());
-        CPPUNIT_ASSERT_EQUAL(200U, fixture->call(request("/once/x", 2))->result_int());
+        CPPUNIT_ASSERT_EQUAL(503U, fixture->call(forwardRequest("/once/x", "n1"))->result_int());
+        CPPUNIT_ASSERT_EQUAL(200U, fixture->call(forwardRequest("/once/x", "n2"))->result_int());
     }
 
     // A request that is sent before the pause is over finds the upstream as busy as before and costs its caller another attempt.
@@ -104,7 +94,7 @@
             fixture->start();
             int number = 0;
             while (refusedAt.load() == Clock::time_point() || Clock::now() < refusedAt.load() + pause / 2) {
-                const auto reply = fixture->call(request(path, ++number));
+                const auto reply = fixture->call(forwardRequest(path, "n" + std::to_string(++number)));
                 CPPUNIT_ASSERT(reply.has_value());
                 CPPUNIT_ASSERT_EQUAL(200U, reply->result_int());
             }
@@ -113,7 +103,7 @@
             fixture->configuration.upstreams.erase("u2");
             fixture->applyConfiguration();
             CPPUNIT_ASSERT_MESSAGE(path, waitUntil([&] {
-                                       const auto reply = fixture->call(request(path, ++number));
+                                       const auto reply = fixture->call(forwardRequest(path, "n" + std::to_string(++number)));
                                        return reply.has_value() && reply->result_int() == 200;
                                    }));
             CPPUNIT_ASSERT_EQUAL_MESSAGE(path, std::size_t{2}, first.calls());
@@ -136,8 +126,8 @@
             });
             auto fixture = makeForwardFixture({&upstream});
             fixture->start();
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 503U, fixture->call(request("/once/x", 1))->result_int());
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 200U, fixture->call(request("/once/x", 2))->result_int());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 503U, fixture->call(forwardRequest("/once/x", "n1"))->result_int());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(value, 200U, fixture->call(forwardRequest("/once/x", "n2"))->result_int());
         }
     }
 
