Log the rates that upstreams name

Cause: no log line and no field told whether a host knew of a rate, so that "nothing reads it" and "each host obeys for itself" looked the same.

Change: the dialect reads the rate of each answer, UpstreamNotices keeps it by incarnation (an answer without a rate ends it only if its request was sent after the rate was last named), changes are logged, and `dispatched` has the rate that was known. No decision uses it yet.

--- /dev/null
+++ b/src/guavafield/coordination/request/rate_limit.cpp
@@ -0,0 +1,18 @@
+// Text of rate limits.
+#include <guavafield/coordination/request/rate_limit.hpp>
+
+#include <sstream>
+
+namespace guavafield {
+
+std::string formatRate(double perSecond)
+{
+    if (perSecond == unlimitedRate) {
+        return "-";
+    }
+    std::ostringstream text;
+    text << perSecond;
+    return text.str();
+}
+
+} // namespace guavafield
--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -1,6 +1,7 @@
 // Input and output values of the scheduler: requests, actions, attempt results and reports of upstreams and peers.
 #pragma once
 
+#include <guavafield/coordination/request/rate_limit.hpp>
 #include <guavafield/state/counters.hpp>
 #include <guavafield/state/result.hpp>
 #include <guavafield/state/types.hpp>
@@ -76,6 +77,8 @@
     UpstreamId fetchFrom{};
     // Expected time to the first token.
     Milliseconds expected{0};
+    // What the upstream takes from all hosts together, in requests per second, as far as known at the dispatch.
+    double rateLimit{unlimitedRate};
 };
 
 /*! @brief Refuse a queued request. */
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -89,6 +89,11 @@
     m_impl->onPauseRequested(upstream, pause, now);
 }
 
+bool RequestScheduler::onRateLimit(std::string_view upstream, double perSecond, SteadyTime statedAt, SteadyTime now)
+{
+    return m_impl->onRateLimit(upstream, perSecond, statedAt, now);
+}
+
 void RequestScheduler::onPeerDemand(std::string_view host, std::span<const TeamDemand> demand, Milliseconds age, SteadyTime now)
 {
     m_impl->onPeerDemand(host, demand, age, now);
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -83,6 +83,13 @@
     /*! @brief Handles a refusal by which an upstream asks for a pause: this incarnation gets no request from this host meanwhile. */
     void onPauseRequested(std::string_view upstream, Milliseconds pause, SteadyTime now);
 
+    /*!
+     * @brief Handles what an answer says of the upstream's rate limit, which holds for all hosts together; returns whether the limit changed.
+     * @param perSecond unlimitedRate if the answer named no limit.
+     * @param statedAt When the answer arrived; when its request was sent if it named no limit.
+     */
+    [[nodiscard]] bool onRateLimit(std::string_view upstream, double perSecond, SteadyTime statedAt, SteadyTime now);
+
     /*! @brief Applies the service rates reported by a peer; age is the time since their measurement. */
     void onPeerDemand(std::string_view host, std::span<const TeamDemand> demand, Milliseconds age, SteadyTime now);
     /*! @brief Returns the teams with the highest service rates on this host in descending order. */
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler_core.cpp
@@ -272,6 +272,12 @@
     }
 }
 
+bool RequestScheduler::Impl::onRateLimit(std::string_view upstream, double perSecond, SteadyTime statedAt, SteadyTime now)
+{
+    auto *state = findUpstream(upstream);
+    return state != nullptr && m_notices.limitRate(state->upstream.id, state->upstream.incarnation, perSecond, statedAt, now);
+}
+
 void RequestScheduler::Impl::onPeerDemand(std::string_view host, std::span<const TeamDemand> demand, Milliseconds age, SteadyTime now)
 {
     for (const auto &[team, cost] : m_demand.convertPeerRates(host, demand, age, now)) {
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -42,6 +42,7 @@
     void onUpstreamLeaving(std::string_view upstream, Milliseconds notice, SteadyTime now);
     [[nodiscard]] bool onDrainAnnounced(std::string_view upstream, SteadyTime now);
     void onPauseRequested(std::string_view upstream, Milliseconds pause, SteadyTime now);
+    [[nodiscard]] bool onRateLimit(std::string_view upstream, double perSecond, SteadyTime statedAt, SteadyTime now);
     void onPeerWork(std::string_view host, std::span<const PeerWork> work, std::span<const EngineDemand> demand, SteadyTime now);
     [[nodiscard]] std::vector<EngineDemand> engineDemand(SteadyTime now) const;
     [[nodiscard]] std::vector<PeerWork> localWork() const;
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -121,6 +121,7 @@
     DispatchAction action{entry.info.id, upstream.upstream.id, entry.info.enginePriority, entry.attemptsMade};
     action.fetchFrom = decision.fetchFrom != nullptr ? decision.fetchFrom->upstream.id : UpstreamId();
     action.expected = std::chrono::duration_cast<Milliseconds>(Seconds(decision.seconds));
+    action.rateLimit = m_notices.find(upstream.upstream.id, upstream.upstream.incarnation).rateLimit;
     m_actions.emplace_back(std::move(action));
 }
 
--- a/src/guavafield/coordination/request/upstream_notices.cpp
+++ b/src/guavafield/coordination/request/upstream_notices.cpp
@@ -16,6 +16,21 @@
     notice.pausedUntil = std::max<SteadyTime>(notice.pausedUntil, now + std::min(pause, maxPause));
 }
 
+bool UpstreamNotices::limitRate(const UpstreamId &upstream, Incarnation incarnation, double perSecond, SteadyTime statedAt, SteadyTime now)
+{
+    const double before = find(upstream, incarnation).rateLimit;
+    if (perSecond == unlimitedRate && before == unlimitedRate) {
+        return false;
+    }
+    auto &record = recordOf(upstream, incarnation, now);
+    if (statedAt <= record.rateStatedAt) {
+        return false;
+    }
+    record.rateStatedAt = statedAt;
+    record.notice.rateLimit = perSecond;
+    return perSecond != before;
+}
+
 UpstreamNotice UpstreamNotices::find(const UpstreamId &upstream, Incarnation incarnation) const
 {
     const auto it = m_records.find(upstream);
@@ -27,7 +42,7 @@
     std::erase_if(m_records, [now](const auto &it) { return now - it.second.at > retention; });
     auto &record = m_records[upstream];
     if (record.incarnation != incarnation) {
-        record = Record{incarnation, now, {}};
+        record = Record{incarnation, now, {}, {}};
     }
     record.at = now;
     return record;
--- a/src/guavafield/coordination/request/upstream_notices.hpp
+++ b/src/guavafield/coordination/request/upstream_notices.hpp
@@ -1,6 +1,7 @@
-// What upstreams said about themselves in their answers: that they leave, or that they want no requests for a time.
+// What upstreams said about themselves in their answers: that they leave, want no requests for a time, or limit their rate.
 #pragma once
 
+#include <guavafield/coordination/request/rate_limit.hpp>
 #include <guavafield/state/types.hpp>
 
 #include <cstddef>
@@ -13,6 +14,8 @@
     bool leaving{false};
     // No request is wanted before.
     SteadyTime pausedUntil{};
+    // Requests a second that it takes from all hosts together.
+    double rateLimit{unlimitedRate};
 };
 
 /*!
@@ -33,6 +36,12 @@
     void announceDrain(const UpstreamId &upstream, Incarnation incarnation, SteadyTime now);
     /*! @brief Records that the upstream wants no requests for a time; a shorter pause does not end a longer one. */
     void requestPause(const UpstreamId &upstream, Incarnation incarnation, Milliseconds pause, SteadyTime now);
+    /*!
+     * @brief Records a rate limit, or that an answer named none; returns whether the limit changed.
+     * @param perSecond unlimitedRate if the answer named no limit.
+     * @param statedAt When the answer arrived. For an answer without a limit, when its request was sent: it may have been overtaken.
+     */
+    bool limitRate(const UpstreamId &upstream, Incarnation incarnation, double perSecond, SteadyTime statedAt, SteadyTime now);
     /*! @brief Returns what this incarnation of the upstream said. */
     [[nodiscard]] UpstreamNotice find(const UpstreamId &upstream, Incarnation incarnation) const;
     [[nodiscard]] std::size_t size() const noexcept
@@ -47,6 +56,8 @@
         // Time of the last notice.
         SteadyTime at{};
         UpstreamNotice notice;
+        // Time of the last statement about the rate.
+        SteadyTime rateStatedAt{};
     };
 
     // Returns the record of the incarnation, empty if there was none or one of another incarnation.
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -56,6 +56,7 @@
 
 void ForwardAttempt::start()
 {
+    m_startedAt = m_context->clock->now();
     asio::co_spawn(
         m_strand, [self = shared_from_this()] { return self->run(); }, asio::detached);
 }
@@ -126,6 +127,25 @@
         const auto text = "upstream asks for a pause, upstream=" + m_plan.upstream + " pause_ms=" + std::to_string(facts.pause->count());
         logEvent(LogLevel::Info, "http:", m_plan.id, text);
     }
+    noteRateLimit(facts);
+}
+
+void ForwardAttempt::noteRateLimit(const AnswerFacts &facts)
+{
+    if (!facts.ours || !facts.rateLimit) {
+        return;
+    }
+    const bool limited = *facts.rateLimit != unlimitedRate;
+    // Only a whole answer to a request that was sent under the limit shows that the limit has ended.
+    const bool ended = !limited && m_plan.rateLimit != unlimitedRate && (facts.genuine || facts.notExecuted);
+    if (!limited && !ended) {
+        return;
+    }
+    if (m_context->driver->onRateLimit(m_plan.upstream, *facts.rateLimit, limited ? m_context->clock->now() : m_startedAt)) {
+        auto text = limited ? "upstream limits its rate, upstream=" + m_plan.upstream + " per_second=" + formatRate(*facts.rateLimit)
+                            : "upstream limits its rate no more, upstream=" + m_plan.upstream;
+        logEvent(LogLevel::Info, "http:", m_plan.id, text);
+    }
 }
 
 asio::awaitable<ExchangeResult> ForwardAttempt::skipAnswer()
--- a/src/guavafield/transport/http/forward_attempt.hpp
+++ b/src/guavafield/transport/http/forward_attempt.hpp
@@ -1,6 +1,7 @@
 // One attempt to run a forwarded request at an upstream.
 #pragma once
 
+#include <guavafield/coordination/request/rate_limit.hpp>
 #include <guavafield/state/configuration.hpp>
 #include <guavafield/transport/http/attempt_outlet.hpp>
 #include <guavafield/transport/http/upstream_exchange.hpp>
@@ -28,6 +29,8 @@
     // Longest wait for the first byte of the answer, and then for each further one.
     Milliseconds firstByteTime{0};
     Milliseconds silenceTime{0};
+    // Of the upstream when the attempt was dispatched, in requests per second.
+    double rateLimit{unlimitedRate};
 };
 
 /*!
@@ -72,6 +75,7 @@
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> skipAnswer();
     // Takes up what the upstream says about itself, in whichever answer.
     void noteUpstream(const AnswerFacts &facts);
+    void noteRateLimit(const AnswerFacts &facts);
     [[nodiscard]] Awaitable readAnswer(const AnswerFacts &facts);
     [[nodiscard]] Awaitable readStream();
     [[nodiscard]] Awaitable readWhole();
@@ -83,6 +87,7 @@
     ForwardAttemptPlan m_plan;
     UpstreamExchange m_exchange;
     AttemptOutlet m_outlet;
+    SteadyTime m_startedAt{};
     // The header of the answer has been passed on.
     bool m_headDelivered{false};
     // So has an event with data, or the header of an answer that is no stream.
--- a/src/guavafield/transport/http/forward_dialect.hpp
+++ b/src/guavafield/transport/http/forward_dialect.hpp
@@ -1,6 +1,7 @@
 // How requests that are passed on unchanged are read from callers' headers and written for upstreams; each platform brings its own.
 #pragma once
 
+#include <guavafield/coordination/request/rate_limit.hpp>
 #include <guavafield/coordination/request/request_info.hpp>
 #include <guavafield/state/result.hpp>
 
@@ -68,6 +69,8 @@
     bool leaving{false};
     // The upstream refuses and wants no requests from this host for so long.
     std::optional<Milliseconds> pause;
+    // Requests a second that the upstream takes from all hosts together, unlimitedRate if it names no limit; empty if it cannot be read.
+    std::optional<double> rateLimit{unlimitedRate};
     // Is the upstream's own whole answer, as far as the header shows.
     bool genuine{false};
     std::optional<LoadReport> load;
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -148,6 +148,7 @@
         instructions.fetchFrom = endpointText(configuration, dispatch.fetchFrom);
     }
     instructions.resumeAfter = m_lastEvent;
+    plan.rateLimit = dispatch.rateLimit;
     plan.request.method_string(m_plan.method);
     plan.request.target(m_plan.target);
     m_context->hooks.forward->writeRequest(m_plan.headers, instructions, plan.request);
@@ -175,6 +176,7 @@
     text += " attempt=" + std::to_string(plan.number) + " priority=" + std::to_string(dispatch.enginePriority);
     text += " expected_ms=" + std::to_string(dispatch.expected.count()) + " left_ms=" + std::to_string(timeLeft().count());
     text += " fetch_from=" + (dispatch.fetchFrom.empty() ? std::string("-") : dispatch.fetchFrom);
+    text += " rate_limit=" + formatRate(dispatch.rateLimit);
     text += " configuration=" + std::to_string(m_plan.grant.configuration->revision);
     const auto age = m_context->upstreamsAge.since(std::chrono::steady_clock::now());
     text += " upstreams_version=" + std::to_string(configuration->upstreamsVersion);
--- a/src/guavafield/transport/http/request_driver.cpp
+++ b/src/guavafield/transport/http/request_driver.cpp
@@ -114,6 +114,11 @@
     withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onPauseRequested(upstream, pause, now); });
 }
 
+bool RequestDriver::onRateLimit(std::string_view upstream, double perSecond, SteadyTime statedAt)
+{
+    return withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { return scheduler.onRateLimit(upstream, perSecond, statedAt, now); });
+}
+
 void RequestDriver::applyConfiguration(const Configuration &configuration)
 {
     withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.applyConfiguration(configuration, now); });
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -46,6 +46,8 @@
     [[nodiscard]] bool onDrainAnnounced(std::string_view upstream);
     /*! @brief Takes an upstream's wish to get no requests from this host for a time. */
     void onPauseRequested(std::string_view upstream, Milliseconds pause);
+    /*! @brief Takes what an answer says of the upstream's rate limit, see RequestScheduler::onRateLimit(). */
+    [[nodiscard]] bool onRateLimit(std::string_view upstream, double perSecond, SteadyTime statedAt);
     void applyConfiguration(const Configuration &configuration);
 
     /*!
--- a/test/coordination/request/upstream_notices_test.cpp
+++ b/test/coordination/request/upstream_notices_test.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST(announcementHoldsForItsIncarnation);
     CPPUNIT_TEST(pauseHoldsForItsIncarnation);
     CPPUNIT_TEST(longestPauseCounts);
+    CPPUNIT_TEST(rateLimitHoldsForItsIncarnation);
+    CPPUNIT_TEST(overtakenAnswerDoesNotChangeTheRateLimit);
     CPPUNIT_TEST(oldNoticesAreDropped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -46,6 +48,33 @@
         CPPUNIT_ASSERT(notices.find("u1", 7).pausedUntil == now + UpstreamNotices::maxPause);
     }
 
+    void rateLimitHoldsForItsIncarnation()
+    {
+        const SteadyTime now{std::chrono::seconds{50}};
+        UpstreamNotices notices;
+        CPPUNIT_ASSERT(notices.limitRate("u1", 7, 1.5, now, now));
+        CPPUNIT_ASSERT(!notices.limitRate("u1", 7, 1.5, now + Milliseconds{1}, now + Milliseconds{1}));
+        CPPUNIT_ASSERT_EQUAL(1.5, notices.find("u1", 7).rateLimit);
+        CPPUNIT_ASSERT_EQUAL(unlimitedRate, notices.find("u1", 8).rateLimit);
+        CPPUNIT_ASSERT(!notices.find("u1", 7).leaving);
+    }
+
+    // Answers on different connections overtake each other.
+    void overtakenAnswerDoesNotChangeTheRateLimit()
+    {
+        const SteadyTime now{std::chrono::seconds{50}};
+        UpstreamNotices notices;
+        CPPUNIT_ASSERT(notices.limitRate("u1", 7, 1.5, now, now));
+        CPPUNIT_ASSERT(!notices.limitRate("u1", 7, unlimitedRate, now - Milliseconds{10}, now + Milliseconds{10}));
+        CPPUNIT_ASSERT(!notices.limitRate("u1", 7, 9, now - Milliseconds{1}, now + Milliseconds{10}));
+        CPPUNIT_ASSERT_EQUAL(1.5, notices.find("u1", 7).rateLimit);
+        CPPUNIT_ASSERT(notices.limitRate("u1", 7, unlimitedRate, now + Milliseconds{10}, now + Milliseconds{20}));
+        CPPUNIT_ASSERT_EQUAL(unlimitedRate, notices.find("u1", 7).rateLimit);
+        // An upstream that never named a limit is not remembered for that.
+        CPPUNIT_ASSERT(!notices.limitRate("u2", 7, unlimitedRate, now, now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, notices.size());
+    }
+
     // Guards against memory that grows with every upstream that ever left.
     void oldNoticesAreDropped()
     {
