Log readings of the platform's tables that are ignored

Cause: after a restoration of the store hosts wrote nothing, so that "readings are ignored" and "older rows are taken" looked the same.

Change: a reading of a whole table that is older than what the host knows is logged once, with both versions, until a reading is taken again.

--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -194,6 +194,7 @@
     auto &page = std::get<TablePage>(reply);
     auto &target = mirror(table);
     const auto before = target.content();
+    noteReading(table, whole && target.hasBeenRead() && page.complete < target.complete(), page.complete);
     const bool changed = whole ? target.replace(page.rows, page.complete, confirmed) : target.apply(page.rows, page.complete, confirmed);
     update();
     if (changed) {
@@ -201,6 +202,17 @@
     }
 }
 
+void DirectoryService::noteReading(DirectoryTable table, bool older, RowVersion version)
+{
+    // Logged once until a reading is taken again.
+    if (std::exchange(m_readsOlder[static_cast<std::size_t>(table)], older) || !older) {
+        return;
+    }
+    auto text = "reading ignored, table=" + m_dependencies.tables[static_cast<std::size_t>(table)];
+    text += " version=" + std::to_string(version) + " known_version=" + std::to_string(mirror(table).complete());
+    logEvent(LogLevel::Warning, "fleet:", {}, text);
+}
+
 void DirectoryService::announceChange(DirectoryTable table, RowVersion before)
 {
     if (table == DirectoryTable::Upstreams) {
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -135,6 +135,8 @@
     // Updates after a short time in which further pushes may arrive.
     void updateSoon();
     void logChanges(const Configuration &configuration) const;
+    // Logs a reading of a whole table that is older than what this host knows.
+    void noteReading(DirectoryTable table, bool older, RowVersion version);
     void noteSource(DirectoryTable table, bool available, const std::string &cause);
 
     DirectoryDependencies m_dependencies;
@@ -151,6 +153,8 @@
     std::deque<std::pair<SteadyTime, RowVersion>> m_recent;
     std::size_t m_hosts{1};
     std::array<bool, 2> m_available{true, true};
+    // The last reading was ignored.
+    std::array<bool, 2> m_readsOlder{};
     // When a table could not be read last.
     std::array<SteadyTime, 2> m_failedAt{};
     StringMap<Peer> m_peers;
