Order versions of the platform's tables by the store's epoch

What callers saw: after a restoration of the store a confirmed change was never in force, and requests went on to upstreams that had announced that they leave.

Cause: versions go back when the store comes back from a copy. Hosts compared them as they were, so that they ignored every reading from then on and asked for changes after a version that the store does not have.

Evidence: each of nine hosts logs `reading ignored` for both tables right after the restoration, and none writes another line of its configuration.

Change: the adapter puts the store's epoch (Store-Era) above the number of each version, so that what is written after a restoration is newer than all that was lost, on every path that compares versions: mirrors, documents, entries, what hosts tell each other. Changes that follow a version of another epoch count as a gap, a table that is restored while it is read as unavailable.

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -34,11 +34,20 @@
 // Hosts with slower links neither read tables for other hosts nor relay to them while hosts with faster links are available.
 constexpr double minFastLinkMbit = 50;
 
-PlatformClientSettings makeClientSettings(Milliseconds connectTimeout, bool resetOnClose)
+PlatformClientSettings makeStoreSettings(Milliseconds connectTimeout)
 {
     PlatformClientSettings settings;
     settings.connectTimeout = connectTimeout;
-    settings.resetOnClose = resetOnClose;
+    settings.epochHeader = std::string(platform::names::storeEra);
+    return settings;
+}
+
+PlatformClientSettings makeDutySettings(Milliseconds connectTimeout)
+{
+    PlatformClientSettings settings;
+    settings.connectTimeout = connectTimeout;
+    // A call that was given up must not arrive later.
+    settings.resetOnClose = true;
     return settings;
 }
 
@@ -54,12 +63,12 @@
                     m_dependencies.settings.platform.address,
                     m_dependencies.settings.platform.port,
                     m_dependencies.counters,
-                    internal::makeClientSettings(internal::storeConnectTimeout, false))
+                    internal::makeStoreSettings(internal::storeConnectTimeout))
     , m_dutyClient(m_dependencies.executor,
                    m_dependencies.settings.platform.dutyEndpoint.address,
                    m_dependencies.settings.platform.dutyEndpoint.port,
                    m_dependencies.counters,
-                   internal::makeClientSettings(internal::dutyConnectTimeout, true))
+                   internal::makeDutySettings(internal::dutyConnectTimeout))
     , m_peers(makePeers())
     , m_directory(makeDirectory())
     , m_duties(m_dependencies.settings.platform.dutyEndpoint.address.empty() ? nullptr : makeDuties())
--- a/src/guavafield/coordination/table/table.hpp
+++ b/src/guavafield/coordination/table/table.hpp
@@ -12,9 +12,33 @@
 
 namespace guavafield {
 
-/*! @brief Version of a row; increases with each write. 0 denotes an absent row. */
+/*!
+ * @brief Version of a row; increases with each write. 0 denotes an absent row.
+ *
+ * The upper bits count the epochs of the table service: it begins a new one each time that it loses acknowledged writes, and then counts from an
+ * earlier version again. So a version of a later epoch is always the larger one.
+ */
 using RowVersion = std::uint64_t;
 
+/*! @brief Bits of a version within its epoch. */
+inline constexpr unsigned versionBits = 40;
+
+/*! @brief Returns the smallest version of the epoch that a version belongs to. */
+[[nodiscard]] constexpr RowVersion epochStart(RowVersion version) noexcept
+{
+    return version >> versionBits << versionBits;
+}
+/*! @brief Returns a version without its epoch, as the table service numbers it. */
+[[nodiscard]] constexpr RowVersion withoutEpoch(RowVersion version) noexcept
+{
+    return version - epochStart(version);
+}
+/*! @brief Returns a version of an epoch from the number that the table service gives it. */
+[[nodiscard]] constexpr RowVersion versionInEpoch(std::uint64_t epoch, RowVersion number) noexcept
+{
+    return (epoch << versionBits) + withoutEpoch(number);
+}
+
 /*! @brief Table and key that identify a row. */
 struct RowKey
 {
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -194,6 +194,11 @@
     auto &page = std::get<TablePage>(reply);
     auto &target = mirror(table);
     const auto before = target.content();
+    if (target.hasBeenRead() && epochStart(page.complete) > epochStart(target.complete())) {
+        const auto text = "platform's table restored, table=" + m_dependencies.tables[static_cast<std::size_t>(table)]
+            + " version=" + std::to_string(page.complete) + " known_version=" + std::to_string(target.complete());
+        logEvent(LogLevel::Warning, "fleet:", {}, text);
+    }
     noteReading(table, whole && target.hasBeenRead() && page.complete < target.complete(), page.complete);
     const bool changed = whole ? target.replace(page.rows, page.complete, confirmed) : target.apply(page.rows, page.complete, confirmed);
     update();
--- a/src/guavafield/transport/platform/platform_client.cpp
+++ b/src/guavafield/transport/platform/platform_client.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <charconv>
 #include <ctime>
 #include <functional>
 #include <map>
@@ -57,6 +58,7 @@
     ExchangeEnd end{ExchangeEnd::NotSent};
     unsigned status{0};
     std::string body;
+    std::uint64_t epoch{0};
 
     // The platform answered and did not refuse for its limits or an outage.
     [[nodiscard]] bool served() const noexcept
@@ -125,6 +127,14 @@
     return name.starts_with("config-") ? CallUrgency::Configuration : CallUrgency::Rest;
 }
 
+// Returns 0 for a value that is no number.
+std::uint64_t parseEpoch(std::string_view text) noexcept
+{
+    std::uint64_t epoch = 0;
+    std::from_chars(text.data(), text.data() + text.size(), epoch);
+    return epoch;
+}
+
 TransactionReply toTransactionReply(const PlatformAnswer &answer, const Transaction &transaction)
 {
     if (answer.end == ExchangeEnd::Lost) {
@@ -328,7 +338,7 @@
     if (request.stillAllowed && !request.stillAllowed()) {
         co_return internal::PlatformAnswer{};
     }
-    internal::PlatformAnswer answer{internal::ExchangeEnd::Lost, 0, {}};
+    internal::PlatformAnswer answer{internal::ExchangeEnd::Lost, 0, {}, 0};
     beast::error_code ec;
     auto token = asio::redirect_error(asio::use_awaitable, ec);
     connection->stream.expires_at(deadline);
@@ -347,7 +357,8 @@
         co_return answer;
     }
     auto response = parser.release();
-    answer = {internal::ExchangeEnd::Answered, response.result_int(), std::move(response.body())};
+    const auto epoch = m_settings.epochHeader.empty() ? 0 : internal::parseEpoch(response[m_settings.epochHeader]);
+    answer = {internal::ExchangeEnd::Answered, response.result_int(), std::move(response.body()), epoch};
     noteDate(response[http::field::date]);
     if (response.keep_alive() && buffer.size() == 0) {
         connection->stream.expires_never();
@@ -486,7 +497,7 @@
     request.timeout = call.timeout;
     request.stillAllowed = std::move(call.stillAllowed);
     auto answer = co_await exchange(std::move(request));
-    co_return PlatformReply{answer.status, std::move(answer.body), answer.end == internal::ExchangeEnd::Lost};
+    co_return PlatformReply{answer.status, std::move(answer.body), answer.epoch, answer.end == internal::ExchangeEnd::Lost};
 }
 
 std::optional<WallTime> PlatformClient::platformTime() const
--- a/src/guavafield/transport/platform/platform_client.hpp
+++ b/src/guavafield/transport/platform/platform_client.hpp
@@ -38,6 +38,8 @@
     Milliseconds idleTimeout{15'000};
     // A connection that is given up sends nothing more, not even what the network held up.
     bool resetOnClose{false};
+    // Header of the platform's answers that counts the epochs of its data; empty if it has none.
+    std::string epochHeader{};
     // Largest answer; a snapshot of 5,000 teams is a few MB.
     std::uint64_t maxAnswerBytes{64ULL << 20U};
 };
@@ -64,6 +66,8 @@
     // 0 if there was no answer.
     unsigned status{0};
     std::string body;
+    // Epoch of the data; 0 if the platform counts none.
+    std::uint64_t epoch{0};
     // There was no answer, but the call may have been executed or may still be.
     bool unknown{false};
 };
--- a/test/platform/store_test.cpp
+++ b/test/platform/store_test.cpp
@@ -1,4 +1,5 @@
 // Tests of the store's answers: malformed ones name no rows and harm no call.
+#include "platform/names.hpp"
 #include "platform/store.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -39,6 +40,11 @@
     {
         return m_sent;
     }
+    // Complete once the answer has arrived.
+    [[nodiscard]] const std::string &request() const noexcept
+    {
+        return m_request;
+    }
 
 private:
     void serve(const std::string &answer, const std::string &piece)
@@ -46,8 +52,7 @@
         constexpr std::size_t most = std::size_t{200} << 20U;
         boost::system::error_code ec;
         auto socket = m_acceptor.accept(ec);
-        std::string request;
-        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", ec);
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(m_request), "\r\n\r\n", ec);
         boost::asio::write(socket, boost::asio::buffer(answer), ec);
         while (!ec && !piece.empty() && m_sent < most) {
             m_sent += boost::asio::write(socket, boost::asio::buffer(piece), ec);
@@ -57,23 +62,33 @@
     boost::asio::io_context m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::size_t m_sent{0};
+    std::string m_request;
     std::thread m_thread;
 };
 
-TableReply readFrom(const OneAnswerServer &server)
+template <typename Function>
+TableReply call(const OneAnswerServer &server, Function &&function)
 {
     boost::asio::io_context io;
     Counters counters;
-    PlatformClient client(io.get_executor(), "127.0.0.1", server.port(), counters);
+    PlatformClientSettings settings;
+    settings.epochHeader = std::string(names::storeEra);
+    PlatformClient client(io.get_executor(), "127.0.0.1", server.port(), counters, settings);
     const auto feed = storeFeed(client);
-    auto reply = boost::asio::co_spawn(io, feed.readAll("servers"), boost::asio::use_future);
+    auto reply = boost::asio::co_spawn(io, function(feed), boost::asio::use_future);
     io.run();
     return reply.get();
 }
 
-std::string whole(const std::string &body)
+TableReply readFrom(const OneAnswerServer &server)
+{
+    return call(server, [](const TableFeed &feed) { return feed.readAll("servers"); });
+}
+
+std::string whole(const std::string &body, const std::string &headers = {})
 {
-    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const auto length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + headers + length + "\r\n" + body;
 }
 
 } // namespace
@@ -84,6 +99,8 @@
     CPPUNIT_TEST(malformedNumbersAreNoVersions);
     CPPUNIT_TEST(malformedRowIsPassedOver);
     CPPUNIT_TEST(answerWithoutEndIsCut);
+    CPPUNIT_TEST(versionsOfARestoredStoreAreNewerThanThoseItLost);
+    CPPUNIT_TEST(changesOfARestoredStoreAreAGap);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,6 +124,32 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b"), page->rows.front().key);
     }
 
+    // A host that compares bare numbers ignores all that is written after a restoration.
+    void versionsOfARestoredStoreAreNewerThanThoseItLost()
+    {
+        const std::string body = R"({"ver":100,"rows":[{"key":"a","ver":99,"value":"eA=="}]})";
+        const std::string restoredBody = R"({"ver":40,"rows":[{"key":"a","ver":30,"value":"eA=="}]})";
+        OneAnswerServer server(whole(body, "Store-Era: 1\r\n"), {});
+        OneAnswerServer restored(whole(restoredBody, "Store-Era: 2\r\n"), {});
+        const auto before = std::get<TablePage>(readFrom(server));
+        const auto after = std::get<TablePage>(readFrom(restored));
+        CPPUNIT_ASSERT(after.complete > before.complete);
+        CPPUNIT_ASSERT(after.rows.front().version > before.rows.front().version);
+        CPPUNIT_ASSERT(after.rows.front().version <= after.complete);
+        CPPUNIT_ASSERT_EQUAL(RowVersion{40}, withoutEpoch(after.complete));
+    }
+
+    // The number of a version that was lost is given out again.
+    void changesOfARestoredStoreAreAGap()
+    {
+        for (const std::string era : {"1", "2"}) {
+            OneAnswerServer server(whole(R"({"ver":110,"rows":[]})", "Store-Era: " + era + "\r\n"), {});
+            const auto reply = call(server, [](const TableFeed &feed) { return feed.follow("servers", versionInEpoch(1, 100), Milliseconds{0}); });
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(era, era == "2", std::holds_alternative<TableGap>(reply));
+            CPPUNIT_ASSERT(server.request().find("after=100&") != std::string::npos);
+        }
+    }
+
     // A chunk's extension without end must not fill the memory until the call times out.
     void answerWithoutEndIsCut()
     {
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -40,6 +40,9 @@
                 if (cut) {
                     co_return TableUnavailable{"cut"};
                 }
+                if (after > store.version || epochStart(after) != epochStart(store.version)) {
+                    co_return TableGap{};
+                }
                 auto changes = store.tables[indexOf(table)].changesAfter(after);
                 if (!changes->empty() || clock.now() >= end) {
                     co_return TablePage{*changes, store.version};
@@ -104,6 +107,7 @@
     CPPUNIT_TEST(largeFleetTriesAFailedPlatformSeldom);
     CPPUNIT_TEST(largeFleetFetchesTheDocumentFromThePeer);
     CPPUNIT_TEST(documentThatIsTooLargeForOneHostIsRead);
+    CPPUNIT_TEST(changesAfterARestorationAreInForce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -451,6 +455,22 @@
         CPPUNIT_ASSERT(reader.service->format(DirectoryTable::Document, 0).empty());
     }
 
+    // A confirmed change was not in force after a restoration, as its version was lower than those that were lost.
+    void changesAfterARestorationAreInForce()
+    {
+        for (int n = 2; n <= 20; ++n) {
+            m_store.write(DirectoryTable::Document, "config", std::to_string(n), m_clock.now());
+        }
+        CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(20); }));
+        m_store = Store();
+        m_store.version = versionInEpoch(1, 0);
+        m_store.write(DirectoryTable::Document, "config", "3", m_clock.now());
+        runFor(Milliseconds{500});
+        CPPUNIT_ASSERT(everyoneHas(20));
+        m_store.write(DirectoryTable::Document, "config", "21", m_clock.now());
+        CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(21); }));
+    }
+
 private:
     // Returns the host that reads for the others.
     [[nodiscard]] Host &readingHost() const
