Take no upstream back from an older copy of the table

What callers would see: requests to an upstream that is leaving or gone, because the copy has its entry from before; or none to one that the copy does not have yet.

Cause: FleetDirectory believed each newer row, and a restored row counts as newer.

Change: an upstream that has announced that it leaves stays leaving in its incarnation; one that was gone is used again only once it has written after the restoration, or after the time in which the entry of a dead one expires; entries that the copy lacks are kept as after an outage.

--- a/src/guavafield/coordination/fleet/fleet_directory.cpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.cpp
@@ -12,6 +12,10 @@
 constexpr Milliseconds outageThreshold{1'200};
 // Time after an outage in which a running upstream has rewritten its entry.
 constexpr Milliseconds expiryGrace{2'500};
+// An entry that a restored table brings back has expired by then if its upstream is gone.
+constexpr Milliseconds resurrectionGrace{5'000};
+// Restored tables are younger than this.
+constexpr Milliseconds goneRetention{300'000};
 
 } // namespace internal
 
@@ -64,8 +68,40 @@
     m_lastConfirmed = mirror.confirmed();
 }
 
+void FleetDirectory::detectRestoration(const TableMirror &mirror, SteadyTime now)
+{
+    const auto epoch = epochStart(mirror.complete());
+    if (epoch == m_epoch) {
+        return;
+    }
+    if (m_lastConfirmed) {
+        m_restoredAt = now;
+        // Upstreams that the copy lacks write their entries again.
+        m_outageEnd = now;
+    }
+    m_epoch = epoch;
+}
+
+void FleetDirectory::remember(const UpstreamId &id, const Upstream &upstream, RowVersion removedAt, SteadyTime now)
+{
+    std::erase_if(m_gone, [now](const auto &it) { return now - it.second.at > internal::goneRetention; });
+    m_gone[id] = GoneUpstream{upstream.incarnation, removedAt, now, 0};
+}
+
+bool FleetDirectory::isResurrected(const MirroredRow &row, const Upstream &upstream, SteadyTime now)
+{
+    const auto it = m_gone.find(row.key);
+    if (it == m_gone.end() || it->second.incarnation != upstream.incarnation || !m_restoredAt) {
+        return false;
+    }
+    auto &gone = it->second;
+    gone.returnedAt = gone.returnedAt == 0 ? row.version : gone.returnedAt;
+    return epochStart(row.version) > epochStart(gone.removedAt) && row.version == gone.returnedAt && now - *m_restoredAt < internal::resurrectionGrace;
+}
+
 bool FleetDirectory::updateUpstreams(const TableMirror &mirror, SteadyTime now)
 {
+    detectRestoration(mirror, now);
     detectOutage(mirror, now);
     const bool rowsChanged = std::exchange(m_upstreamChanges, mirror.changes()) != mirror.changes();
     if (!rowsChanged && (!m_wakeup || now < *m_wakeup)) {
@@ -94,6 +130,9 @@
         }
         if (now >= *known.removeAt) {
             changed |= known.upstream.has_value();
+            if (known.upstream) {
+                remember(it->first, *known.upstream, mirror.complete(), now);
+            }
             it = m_upstreams.erase(it);
         } else {
             m_wakeup = std::min(m_wakeup.value_or(*known.removeAt), *known.removeAt);
@@ -109,8 +148,14 @@
     if (known.version >= row.version) {
         return false;
     }
-    known.version = row.version;
+    const bool fromEarlierEpoch = epochStart(known.version) < epochStart(row.version);
     auto decoded = capture([&] { return m_codec.upstream(row.key, *row.value); });
+    if (decoded && !known.upstream && isResurrected(row, decoded.value->upstream, now)) {
+        const auto due = *m_restoredAt + internal::resurrectionGrace;
+        m_wakeup = std::min(m_wakeup.value_or(due), due);
+        return false;
+    }
+    known.version = row.version;
     if (!decoded) {
         m_faults.push_back({row.key, row.version, std::move(decoded.error)});
         const bool used = known.upstream.has_value();
@@ -121,6 +166,10 @@
     if (decoded.value->leavesIn) {
         upstream.leavesAt = now + *decoded.value->leavesIn;
     }
+    if (fromEarlierEpoch && known.upstream && known.upstream->leaving && known.upstream->incarnation == upstream.incarnation) {
+        // The copy may be from before the upstream announced that it leaves.
+        upstream.leaving = true;
+    }
     if (known.upstream && known.upstream->leavesAt && upstream.leavesAt) {
         upstream.leavesAt = std::min(*known.upstream->leavesAt, *upstream.leavesAt);
     }
--- a/src/guavafield/coordination/fleet/fleet_directory.hpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.hpp
@@ -93,12 +93,31 @@
     bool updateUpstreams(const TableMirror &mirror, SteadyTime now);
     bool applyEntry(const MirroredRow &row, SteadyTime now);
     void detectOutage(const TableMirror &mirror, SteadyTime now);
+    void detectRestoration(const TableMirror &mirror, SteadyTime now);
+    // Whether a row brings back an upstream that was gone before the table was restored and has not written since.
+    [[nodiscard]] bool isResurrected(const MirroredRow &row, const Upstream &upstream, SteadyTime now);
+    void remember(const UpstreamId &id, const Upstream &upstream, RowVersion removedAt, SteadyTime now);
+
+    // An upstream whose entry was removed.
+    struct GoneUpstream
+    {
+        Incarnation incarnation{0};
+        RowVersion removedAt{0};
+        SteadyTime at{};
+        // Version of the entry with which it came back in a later epoch; 0 before that.
+        RowVersion returnedAt{0};
+    };
 
     DirectoryCodec m_codec;
     // Configuration without upstreams; revision 0 before the first document.
     Configuration m_document;
     RowVersion m_documentVersion{0};
     StringMap<KnownUpstream> m_upstreams;
+    // Bounded by age.
+    StringMap<GoneUpstream> m_gone;
+    // Of the table of upstreams: its epoch, and when that was first read.
+    RowVersion m_epoch{0};
+    std::optional<SteadyTime> m_restoredAt;
     // changes() of the tables at the last update.
     std::uint64_t m_documentChanges{0};
     std::uint64_t m_upstreamChanges{0};
--- a/test/coordination/fleet/fleet_directory_test.cpp
+++ b/test/coordination/fleet/fleet_directory_test.cpp
@@ -46,6 +46,11 @@
     CPPUNIT_TEST(removalWithoutOutageIsImmediate);
     CPPUNIT_TEST(removalWhileNobodyReadIsImmediate);
     CPPUNIT_TEST(leavingEntryIsNotKept);
+    CPPUNIT_TEST(restoredTableBringsNoOlderDocument);
+    CPPUNIT_TEST(upstreamThatARestoredTableLacksIsKeptUntilItWritesAgain);
+    CPPUNIT_TEST(leavingUpstreamIsNotTakenBackFromARestoredTable);
+    CPPUNIT_TEST(goneUpstreamOfARestoredTableIsNotUsed);
+    CPPUNIT_TEST(upstreamThatWritesAfterARestorationIsUsed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -140,7 +145,81 @@
         CPPUNIT_ASSERT(configuration != nullptr && configuration->upstreams.empty());
     }
 
+    // The copy holds an older document; the operators write the newer one again, or the next.
+    void restoredTableBringsNoOlderDocument()
+    {
+        document("9");
+        CPPUNIT_ASSERT_EQUAL(Revision{9}, update()->revision);
+        restoreDocument("8");
+        CPPUNIT_ASSERT(update() == nullptr);
+        // Its number is lower than that of the document before the restoration.
+        document("11");
+        CPPUNIT_ASSERT_EQUAL(Revision{11}, update()->revision);
+    }
+
+    void upstreamThatARestoredTableLacksIsKeptUntilItWritesAgain()
+    {
+        entry("u2", "p");
+        CPPUNIT_ASSERT(update() != nullptr);
+        restoreUpstreams({{"u1", "p"}});
+        CPPUNIT_ASSERT(update() == nullptr);
+        m_now += Milliseconds{1'000};
+        entry("u2", "p");
+        CPPUNIT_ASSERT(update() == nullptr);
+        CPPUNIT_ASSERT(!m_directory->nextWakeup().has_value());
+    }
+
+    void leavingUpstreamIsNotTakenBackFromARestoredTable()
+    {
+        entry("u1", "leaving");
+        CPPUNIT_ASSERT(update()->upstreams.at("u1").leaving);
+        restoreUpstreams({{"u1", "p"}});
+        CPPUNIT_ASSERT(update() == nullptr);
+    }
+
+    void goneUpstreamOfARestoredTableIsNotUsed()
+    {
+        remove("u1");
+        CPPUNIT_ASSERT(update()->upstreams.empty());
+        restoreUpstreams({{"u1", "p"}});
+        CPPUNIT_ASSERT(update() == nullptr);
+        m_now += Milliseconds{4'000};
+        remove("u1");
+        CPPUNIT_ASSERT(update() == nullptr);
+    }
+
+    void upstreamThatWritesAfterARestorationIsUsed()
+    {
+        remove("u1");
+        CPPUNIT_ASSERT(update()->upstreams.empty());
+        restoreUpstreams({{"u1", "p"}});
+        CPPUNIT_ASSERT(update() == nullptr);
+        m_now += Milliseconds{1'000};
+        entry("u1", "p");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, update()->upstreams.size());
+    }
+
 private:
+    // The table comes back from a copy and counts from a lower number.
+    void beginEpoch()
+    {
+        m_version = versionInEpoch(1, 1);
+        m_now += Milliseconds{500};
+    }
+    void restoreDocument(const std::string &text)
+    {
+        beginEpoch();
+        m_document.replace(std::vector<MirroredRow>{{"document", m_version, text}}, m_version, m_now);
+    }
+    void restoreUpstreams(const std::vector<std::pair<std::string, std::string>> &entries)
+    {
+        beginEpoch();
+        std::vector<MirroredRow> rows;
+        for (const auto &[id, text] : entries) {
+            rows.push_back({id, m_version, text});
+        }
+        m_upstreams.replace(rows, m_version, m_now);
+    }
     // Longer than entries last without being renewed.
     void outage()
     {
