Give leases of a restored table a higher fence

What the platform would see: a fencing number that another holder has used, or two holders at once, since the record of the last take-over is lost.

Cause: the next fence was one above that of the row, which may be from a copy.

Change: a record whose fence belongs to an earlier epoch has no holder. The host that held the lease when it finds that out takes it again at once, any other waits for a whole term; the new fence is above all of the earlier epochs.

Measured: without the two conditions fenceRisesThoughTheTableCameBackOlder and holderOfALostRecordGoesOnUnderANewFence fail.

--- a/src/guavafield/coordination/lease/lease_client.cpp
+++ b/src/guavafield/coordination/lease/lease_client.cpp
@@ -156,7 +156,7 @@
 
 bool LeaseClient::isRecordedHolder() const noexcept
 {
-    return m_record.holder == m_settings.self;
+    return !m_recordLapsed && m_record.holder == m_settings.self;
 }
 
 void LeaseClient::onHolderAnnounced(std::string_view holder, Fence fence, SteadyTime now)
@@ -185,9 +185,11 @@
 
 SteadyTime LeaseClient::takeOverDueAt() const noexcept
 {
-    // A holder whose own view of its lease has ended sends nothing more under that fence.
-    const bool ended = !m_record.holder || (!m_settings.recordsUnreleased && m_endedFence == m_record.fence);
-    const auto term = ended ? Milliseconds{0} : m_record.term * (100 + internal::maxDriftPercent) / 100;
+    // A holder whose own view of its lease has ended sends nothing more under that fence. The record of an earlier epoch may lack a later holder.
+    const bool released = !m_record.holder || (!m_settings.recordsUnreleased && m_endedFence == m_record.fence);
+    const bool ended = m_recordLapsed ? m_heldWhenLapsed : released;
+    const auto longest = m_recordLapsed ? std::max(m_record.term, m_settings.term) : m_record.term;
+    const auto term = ended ? Milliseconds{0} : longest * (100 + internal::maxDriftPercent) / 100;
     auto due = m_unchangedSince + term;
     if (m_holderAnnouncedAt) {
         due = std::max(due, *m_holderAnnouncedAt + m_settings.term);
@@ -287,7 +289,8 @@
         record.unreleased.push_back(*record.holder);
     }
     record.holder = m_settings.self;
-    ++record.fence;
+    // Fences of all earlier epochs are lower.
+    record.fence = std::max(record.fence, epochStart(m_version)) + 1;
     return writeAsHolder(std::move(record), now);
 }
 
@@ -319,12 +322,12 @@
 
 void LeaseClient::applyRow(const Row &row, SteadyTime now)
 {
-    if (row.version == 0) {
+    if (withoutEpoch(row.version) == 0) {
         // The fencing token never decreases, even if the row is deleted.
         LeaseRecord absent;
         absent.fence = m_record.fence;
         absent.unreleased = m_record.unreleased;
-        applyRecord(std::move(absent), 0, now);
+        applyRecord(std::move(absent), row.version, now);
     } else if (auto record = m_codec.decode(row.value)) {
         applyRecord(std::move(*record), row.version, now);
     } else {
@@ -335,9 +338,12 @@
 
 void LeaseClient::applyRecord(LeaseRecord record, RowVersion version, SteadyTime now)
 {
-    if (!m_rowKnown || record.holder != m_record.holder || record.renewal != m_record.renewal) {
+    const bool lapsed = record.fence < epochStart(version);
+    if (!m_rowKnown || record.holder != m_record.holder || record.renewal != m_record.renewal || (lapsed && epochStart(version) > epochStart(m_version))) {
         m_unchangedSince = now;
+        m_heldWhenLapsed = lapsed && holds(now);
     }
+    m_recordLapsed = lapsed;
     const bool versionChanged = !m_rowKnown || version != m_version;
     m_rowKnown = true;
     m_record = std::move(record);
--- a/src/guavafield/coordination/lease/lease_client.hpp
+++ b/src/guavafield/coordination/lease/lease_client.hpp
@@ -136,6 +136,10 @@
     LeaseRecord m_record;
     RowVersion m_version{0};
     bool m_rowKnown{false};
+    // The record was written in an earlier epoch of the table. Later writes are lost, so that other hosts may have held the lease since.
+    bool m_recordLapsed{false};
+    // This host held the lease when it found that out, so that no other host held it.
+    bool m_heldWhenLapsed{false};
     // When this host first saw the current holder and renewal of the row.
     SteadyTime m_unchangedSince{};
 
--- a/test/coordination/lease/lease_client_test.cpp
+++ b/test/coordination/lease/lease_client_test.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(candidateFarDownWaitsForTheHolderToBeHeard);
     CPPUNIT_TEST(candidateBacksOffFromAFailedService);
     CPPUNIT_TEST(holderThatLostItsLeaseIsReplacedAtOnce);
+    CPPUNIT_TEST(fenceRisesThoughTheTableCameBackOlder);
+    CPPUNIT_TEST(holderOfALostRecordGoesOnUnderANewFence);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -267,7 +269,80 @@
         }
     }
 
+    // Guards against a fencing token that a holder has used whose record was lost, and against two holders at once.
+    void fenceRisesThoughTheTableCameBackOlder()
+    {
+        for (const bool copyNamesSelf : {false, true}) {
+            LeaseClient client(settings(), leaseCodec());
+            const SteadyTime begin{std::chrono::seconds{1'000}};
+            LeaseRecord record = recordOf(copyNamesSelf ? "self" : "earlier", 3);
+            const auto restoredVersion = versionInEpoch(1, 9);
+            std::optional<Row> written;
+            SteadyTime writtenAt{};
+            for (auto now = begin; !written && now < begin + std::chrono::seconds{30}; now += Milliseconds{100}) {
+                auto actions = client.step(now);
+                while (!actions.empty() && std::holds_alternative<ReadAction>(actions.front())) {
+                    actions = client.onRead(ReadRows{{{{"lease", "duties"}, restoredVersion, leaseCodec().encode(record)}}}, now);
+                }
+                CPPUNIT_ASSERT(!client.fence(now).has_value());
+                if (!actions.empty() && std::holds_alternative<TransactAction>(actions.front())) {
+                    const auto &transaction = std::get<TransactAction>(actions.front()).transaction;
+                    CPPUNIT_ASSERT_EQUAL(restoredVersion, transaction.conditions.front().version);
+                    written = Row{transaction.writes.front().key, restoredVersion, *transaction.writes.front().value};
+                    writtenAt = now;
+                }
+            }
+            CPPUNIT_ASSERT(written.has_value());
+            // A holder that this host does not know of may still act in its term.
+            CPPUNIT_ASSERT(writtenAt - begin >= settings().term);
+            CPPUNIT_ASSERT(leaseCodec().decode(written->value)->fence > epochStart(restoredVersion));
+        }
+    }
+
+    // Guards against duties that wait for a term although their holder knows that it was the last one.
+    void holderOfALostRecordGoesOnUnderANewFence()
+    {
+        LeaseClient client(settings(), leaseCodec());
+        const RowKey key{"lease", "duties"};
+        auto now = SteadyTime{std::chrono::seconds{1'000}};
+        Row row{key, 0, {}};
+        RowVersion version = 1;
+        std::vector<Fence> fences;
+        // The table comes back from a copy that has the record of the first take-over.
+        for (int n = 0; n < 80; ++n, now += Milliseconds{100}) {
+            version = n < 40 ? version : std::max(version, versionInEpoch(1, 1));
+            auto actions = client.step(now);
+            while (!actions.empty()) {
+                const auto action = actions.back();
+                actions.pop_back();
+                if (std::holds_alternative<ReadAction>(action)) {
+                    actions = client.onRead(ReadRows{{row}}, now);
+                } else if (const auto *transact = std::get_if<TransactAction>(&action)) {
+                    row = Row{key, ++version, *transact->transaction.writes.front().value};
+                    actions = client.onTransaction(TransactionCommitted{{version}}, now);
+                }
+            }
+            if (const auto fence = client.fence(now); fence && (fences.empty() || fences.back() != *fence)) {
+                fences.push_back(*fence);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fences.size());
+        CPPUNIT_ASSERT_EQUAL(Fence{1}, fences.front());
+        CPPUNIT_ASSERT(fences.back() > versionInEpoch(1, 0));
+        CPPUNIT_ASSERT(client.fence(now) == fences.back());
+    }
+
 private:
+    static LeaseRecord recordOf(const std::string &host, Fence fence)
+    {
+        LeaseRecord record;
+        record.holder = LeaseHolder{host, 1};
+        record.fence = fence;
+        record.term = settings().term;
+        record.renewal = "r";
+        return record;
+    }
+
     static LeaseSettings settings()
     {
         LeaseSettings result;
