Pause after readings of a table that are older than what is known

Cause: an ignored reading counted as a success, so that the host asked for the changes after its own version, was told of a gap, and read the whole table again at once, without end.

Change: it counts like a failed reading for the pause.

Measured: without the condition olderReadingsAreNotRepeatedWithoutPause did not end within 200 s.

--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -167,7 +167,7 @@
                 m_directory.onReadFailed(m_failedAt[index]);
             }
         }
-        if (failed || (!reader && !gap)) {
+        if (failed || m_readsOlder[index] || (!reader && !gap)) {
             co_await sleepFor(internal::retryPause);
         } else if (mirror(table).content() != known.content) {
             co_await sleepFor(internal::changePause);
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -108,6 +108,7 @@
     CPPUNIT_TEST(largeFleetFetchesTheDocumentFromThePeer);
     CPPUNIT_TEST(documentThatIsTooLargeForOneHostIsRead);
     CPPUNIT_TEST(changesAfterARestorationAreInForce);
+    CPPUNIT_TEST(olderReadingsAreNotRepeatedWithoutPause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -471,6 +472,25 @@
         CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(21); }));
     }
 
+    // Hosts that were told of a lower version than they know read whole tables without pause.
+    void olderReadingsAreNotRepeatedWithoutPause()
+    {
+        // Two calls of each host for each table in each pause of 250 ms.
+        constexpr int mostCallsInThreeSeconds = 4 * 2 * 2 * 12;
+        m_store.version = 0;
+        runFor(Milliseconds{1'000});
+        const auto calls = [&] {
+            int sum = 0;
+            for (const auto &it : m_hosts) {
+                sum += it->calls;
+            }
+            return sum;
+        };
+        const int before = calls();
+        runFor(Milliseconds{3'000});
+        CPPUNIT_ASSERT(calls() - before <= mostCallsInThreeSeconds);
+    }
+
 private:
     // Returns the host that reads for the others.
     [[nodiscard]] Host &readingHost() const
