Write a host's address again after a restoration of the store

Cause: the address is written once. A host that started shortly before a restoration was then missing in the table, for hosts that start later and hear of it from nobody.

Change: it is written again in another epoch of the store.

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -346,8 +346,12 @@
     // host learns the sender's address from them.
     bool addressWritten = false;
     bool addressesRead = false;
+    RowVersion epoch = 0;
     while (!m_stopped) {
-        addressWritten = addressWritten || co_await writeAddress();
+        // A restored table may lack the address.
+        const auto current = epochStart(m_directory->knowledge(DirectoryTable::Upstreams).complete);
+        addressWritten = (addressWritten && epoch == current) || co_await writeAddress();
+        epoch = current;
         co_await sleepFor(addressesRead ? internal::addressRefreshInterval : internal::addressRetryInterval);
         addressesRead = co_await readAddresses() && addressWritten;
     }
