Let entries with numbers or addresses out of range name no upstream

What callers would see: requests lost at an upstream that does not exist, or all of them sent to one entry with billions of slots.

Cause: numbers of an entry were converted without a look at their range, which is undefined, and any text before the port counted as an address. A time too far in the future overflows when it is added to a clock.

--- a/test/platform/directory_codec_test.cpp
+++ b/test/platform/directory_codec_test.cpp
@@ -99,16 +99,27 @@
     // Guards against an entry of another format that is accepted as a server.
     void rejectsInvalidServerEntries()
     {
-        for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{{"\"ready\"", "\"asleep\""},
-                                                                                       {"\"ready\"", "7"},
-                                                                                       {"\"10.1.2.3:8080\"", "\"10.1.2.3\""},
-                                                                                       {"\"10.1.2.3:8080\"", "\"10.1.2.3:0\""},
-                                                                                       {"\"10.1.2.3:8080\"", "\"10.1.2.3:99999\""},
-                                                                                       {"\"slots\":64", "\"slots\":\"many\""},
-                                                                                       {"\"slots\":64", "\"slots\":-1"},
-                                                                                       {"\"service\":\"s1\",", ""},
-                                                                                       {"\"spot\":true", "\"spot\":\"yes\""},
-                                                                                       {"{", "["}}) {
+        for (const auto &[from, to] :
+             std::vector<std::pair<std::string, std::string>>{{"\"ready\"", "\"asleep\""},
+                                                              {"\"ready\"", "7"},
+                                                              {"\"10.1.2.3:8080\"", "\"10.1.2.3\""},
+                                                              {"\"10.1.2.3:8080\"", "\"10.1.2.3:0\""},
+                                                              {"\"10.1.2.3:8080\"", "\"10.1.2.3:99999\""},
+                                                              {"\"10.1.2.3:8080\"", "\"10.1.2.3:18446744073709559696\""},
+                                                              {"\"10.1.2.3:8080\"", "\"10.1.2.300:8080\""},
+                                                              {"\"10.1.2.3:8080\"", "\"somewhere:8080\""},
+                                                              {"\"slots\":64", "\"slots\":1e20"},
+                                                              {"\"slots\":64", "\"slots\":4294967296"},
+                                                              {"\"slots\":64", "\"slots\":1e400"},
+                                                              {"\"slots\":64", "\"slots\":" + std::string(400, '9')},
+                                                              {"1700000000000", "1e30"},
+                                                              {"\"seqNo\":4", "\"leaves_ms\":1e18"},
+                                                              {"\"seqNo\":4", "\"x\":" + std::string(20'000, '[') + std::string(20'000, ']')},
+                                                              {"\"slots\":64", "\"slots\":\"many\""},
+                                                              {"\"slots\":64", "\"slots\":-1"},
+                                                              {"\"service\":\"s1\",", ""},
+                                                              {"\"spot\":true", "\"spot\":\"yes\""},
+                                                              {"{", "["}}) {
             auto text = serverEntry;
             text.replace(text.find(from), from.size(), to);
             CPPUNIT_ASSERT_MESSAGE(text, !capture([&] { return m_codec.upstream("i-1", text); }));
