Refuse requests whose body ends late in a stop

What callers saw: requests that came late in the grace were passed on and cut at its end without an answer, also ones that may run only once.

Cause: whether the host still takes requests was asked when the header had been read. A request whose body came slowly passed that question early and was sent on at any time later in the stop.

Change: it is asked again when the body is whole.

Measured: without the second question requestsWhoseBodyEndsLateInAStopAreRefused gets 200 from the upstream.

--- a/src/guavafield/transport/http/caller_connection.cpp
+++ b/src/guavafield/transport/http/caller_connection.cpp
@@ -195,6 +195,11 @@
     if (!read) {
         co_return;
     }
+    if (m_context->refusing.load(std::memory_order_acquire)) {
+        // The body may have taken so long that the answer would be cut at the end of the stop.
+        grant = {};
+        grant.error = Error{ResultCode::HostStopping, {}, {}};
+    }
     if (!grant) {
         auto reply = internal::replyOf(std::move(grant.error));
         std::ignore = co_await answer.sendError(std::move(reply));
--- a/src/guavafield/transport/http/request_path.hpp
+++ b/src/guavafield/transport/http/request_path.hpp
@@ -61,6 +61,11 @@
     {
         return *m_context->driver;
     }
+    /*! @brief Returns whether new requests are refused, since the host stops. */
+    [[nodiscard]] bool refusing() const noexcept
+    {
+        return m_context->refusing.load(std::memory_order_acquire);
+    }
     /*! @brief Returns the gauges of the request path in the metrics' text format. */
     [[nodiscard]] std::string formatGauges();
     [[nodiscard]] std::size_t requestsInFlight() const noexcept
--- a/test/transport/http/hazards_test.cpp
+++ b/test/transport/http/hazards_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(bytesThatDripWithoutEndEndWithTheDeadline);
     CPPUNIT_TEST(acceptedRequestsAreAnsweredOnStop);
     CPPUNIT_TEST(lateRequestsAreRefusedBeforeTheListenerCloses);
+    CPPUNIT_TEST(requestsWhoseBodyEndsLateInAStopAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -289,6 +290,32 @@
         CPPUNIT_ASSERT(stopped.wait());
     }
 
+    // A request that began before the stop but was complete only late in it was passed on, and cut when the process ended.
+    void requestsWhoseBodyEndsLateInAStopAreRefused()
+    {
+        for (const auto *path : {"/once/x", "/call/x", "/stream/x"}) {
+            FakeUpstream upstream([&](FakeCall &call) { call.reply(200, "x", echo(call)); });
+            auto fixture = makeForwardFixture({&upstream});
+            fixture->settings.shutdown.listenerCloseDelay = Milliseconds{0};
+            fixture->start();
+            Client caller(fixture->path().endpoint());
+            const auto request = forwardRequest(path);
+            caller.send(request.substr(0, request.size() - 1));
+            // Only a connection that waits for its body counts as a request in flight.
+            CPPUNIT_ASSERT(waitUntil([&] { return fixture->path().requestsInFlight() == 1; }));
+            Signal stopped;
+            boost::asio::co_spawn(fixture->io(), fixture->path().stop(), [&](const std::exception_ptr &, bool) { stopped.set(); });
+            CPPUNIT_ASSERT(waitUntil([&] { return fixture->path().refusing(); }));
+            caller.send(request.substr(request.size() - 1));
+            const auto answer = caller.read();
+            CPPUNIT_ASSERT(answer.has_value());
+            CPPUNIT_ASSERT_EQUAL(503U, answer->result_int());
+            CPPUNIT_ASSERT(notRun(answer->body()));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, std::size_t{0}, upstream.calls());
+            CPPUNIT_ASSERT(stopped.wait());
+        }
+    }
+
     // A request that is taken late in a stop may still run when the process has to end, and would be cut. Its caller is told to go elsewhere instead.
     void lateRequestsAreRefusedBeforeTheListenerCloses()
     {
