Move the settings of the platform client and reserve rows of a test

Cause: findings of the linter, since the settings hold a text now.

Change: the settings are moved, and the rows of a test reserved.

--- a/src/guavafield/transport/platform/platform_client.cpp
+++ b/src/guavafield/transport/platform/platform_client.cpp
@@ -163,8 +163,8 @@
         , m_address(std::move(address))
         , m_port(port)
         , m_counters(counters)
-        , m_settings(settings)
-        , m_limiter(settings.limits)
+        , m_settings(std::move(settings))
+        , m_limiter(m_settings.limits)
         , m_pumpTimer(strand)
     {
     }
@@ -404,7 +404,7 @@
 
 PlatformClient::PlatformClient(
     const asio::any_io_executor &executor, std::string address, std::uint16_t port, Counters &counters, PlatformClientSettings settings)
-    : m_impl(std::make_shared<Impl>(executor, std::move(address), port, counters, settings)), m_counters(counters)
+    : m_impl(std::make_shared<Impl>(executor, std::move(address), port, counters, std::move(settings))), m_counters(counters)
 {
 }
 
--- a/test/coordination/fleet/fleet_directory_test.cpp
+++ b/test/coordination/fleet/fleet_directory_test.cpp
@@ -215,6 +215,7 @@
     {
         beginEpoch();
         std::vector<MirroredRow> rows;
+        rows.reserve(entries.size());
         for (const auto &[id, text] : entries) {
             rows.push_back({id, m_version, text});
         }
