--- a/test/transport/platform/platform_client_test.cpp
+++ b/test/transport/platform/platform_client_test.cpp
@@ -183,7 +183,7 @@
     }
 
 private:
-    std::unique_ptr<PlatformClient> makeClient(std::uint16_t port, PlatformClientSettings settings = {})
+    std::unique_ptr<PlatformClient> makeClient(std::uint16_t port, const PlatformClientSettings &settings = {})
     {
         return std::make_unique<PlatformClient>(m_io->get_executor(), "127.0.0.1", port, m_counters, settings);
     }
