Keep removed upstreams in a type of their own

Cause: FleetDirectory::isResurrected noted a version under a question's name, its struct stood between functions, and its words were figures of speech. Change: RemovedUpstreams notes removals and entries and answers whether an entry is from the copy of a restored table; FleetDirectory keeps only the time of the restoration. Behaviour stays.

--- a/src/guavafield/coordination/fleet/fleet_directory.cpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.cpp
@@ -13,9 +13,7 @@
 // Time after an outage in which a running upstream has rewritten its entry.
 constexpr Milliseconds expiryGrace{2'500};
 // An entry that a restored table brings back has expired by then if its upstream is gone.
-constexpr Milliseconds resurrectionGrace{5'000};
-// Restored tables are younger than this.
-constexpr Milliseconds goneRetention{300'000};
+constexpr Milliseconds oldEntryGrace{5'000};
 
 } // namespace internal
 
@@ -82,21 +80,9 @@
     m_epoch = epoch;
 }
 
-void FleetDirectory::remember(const UpstreamId &id, const Upstream &upstream, RowVersion removedAt, SteadyTime now)
+bool FleetDirectory::mayHoldOldEntries(SteadyTime now) const noexcept
 {
-    std::erase_if(m_gone, [now](const auto &it) { return now - it.second.at > internal::goneRetention; });
-    m_gone[id] = GoneUpstream{upstream.incarnation, removedAt, now, 0};
-}
-
-bool FleetDirectory::isResurrected(const MirroredRow &row, const Upstream &upstream, SteadyTime now)
-{
-    const auto it = m_gone.find(row.key);
-    if (it == m_gone.end() || it->second.incarnation != upstream.incarnation || !m_restoredAt) {
-        return false;
-    }
-    auto &gone = it->second;
-    gone.returnedAt = gone.returnedAt == 0 ? row.version : gone.returnedAt;
-    return epochStart(row.version) > epochStart(gone.removedAt) && row.version == gone.returnedAt && now - *m_restoredAt < internal::resurrectionGrace;
+    return m_restoredAt && now - *m_restoredAt < internal::oldEntryGrace;
 }
 
 bool FleetDirectory::updateUpstreams(const TableMirror &mirror, SteadyTime now)
@@ -131,7 +117,7 @@
         if (now >= *known.removeAt) {
             changed |= known.upstream.has_value();
             if (known.upstream) {
-                remember(it->first, *known.upstream, mirror.complete(), now);
+                m_removed.add(*known.upstream, mirror.complete(), now);
             }
             it = m_upstreams.erase(it);
         } else {
@@ -150,10 +136,13 @@
     }
     const bool fromEarlierEpoch = epochStart(known.version) < epochStart(row.version);
     auto decoded = capture([&] { return m_codec.upstream(row.key, *row.value); });
-    if (decoded && !known.upstream && isResurrected(row, decoded.value->upstream, now)) {
-        const auto due = *m_restoredAt + internal::resurrectionGrace;
-        m_wakeup = std::min(m_wakeup.value_or(due), due);
-        return false;
+    if (decoded && !known.upstream && mayHoldOldEntries(now)) {
+        m_removed.onEntry(row.key, row.version);
+        if (m_removed.isFromCopy(decoded.value->upstream, row.version)) {
+            const auto due = *m_restoredAt + internal::oldEntryGrace;
+            m_wakeup = std::min(m_wakeup.value_or(due), due);
+            return false;
+        }
     }
     known.version = row.version;
     if (!decoded) {
--- a/src/guavafield/coordination/fleet/fleet_directory.hpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.hpp
@@ -1,6 +1,7 @@
 // Builds the configuration in force from the operators' document and the entries of upstreams.
 #pragma once
 
+#include <guavafield/coordination/fleet/removed_upstreams.hpp>
 #include <guavafield/coordination/fleet/table_mirror.hpp>
 #include <guavafield/state/configuration.hpp>
 #include <guavafield/state/result.hpp>
@@ -94,27 +95,15 @@
     bool applyEntry(const MirroredRow &row, SteadyTime now);
     void detectOutage(const TableMirror &mirror, SteadyTime now);
     void detectRestoration(const TableMirror &mirror, SteadyTime now);
-    // Whether a row brings back an upstream that was gone before the table was restored and has not written since.
-    [[nodiscard]] bool isResurrected(const MirroredRow &row, const Upstream &upstream, SteadyTime now);
-    void remember(const UpstreamId &id, const Upstream &upstream, RowVersion removedAt, SteadyTime now);
-
-    // An upstream whose entry was removed.
-    struct GoneUpstream
-    {
-        Incarnation incarnation{0};
-        RowVersion removedAt{0};
-        SteadyTime at{};
-        // Version of the entry with which it came back in a later epoch; 0 before that.
-        RowVersion returnedAt{0};
-    };
+    // Whether the table was restored so recently that entries of its copy may still be there for upstreams that are gone.
+    [[nodiscard]] bool mayHoldOldEntries(SteadyTime now) const noexcept;
 
     DirectoryCodec m_codec;
     // Configuration without upstreams; revision 0 before the first document.
     Configuration m_document;
     RowVersion m_documentVersion{0};
     StringMap<KnownUpstream> m_upstreams;
-    // Bounded by age.
-    StringMap<GoneUpstream> m_gone;
+    RemovedUpstreams m_removed;
     // Of the table of upstreams: its epoch, and when that was first read.
     RowVersion m_epoch{0};
     std::optional<SteadyTime> m_restoredAt;
--- a/src/guavafield/coordination/fleet/fwd.hpp
+++ b/src/guavafield/coordination/fleet/fwd.hpp
@@ -6,6 +6,7 @@
 class AddressBook;
 class FleetClock;
 class FleetDirectory;
+class RemovedUpstreams;
 class TableMirror;
 struct HostReport;
 struct MirroredRow;
