Test permits of hosts that disagree on the fleet

Cause: the postmortem of the rate limit left open what happens while hosts differ on who is in the fleet; only turns that all change at once were tested. Change: one host, that the others take out of their lists and back at different times within 2 s, goes on sending.

--- a/test/coordination/request/shared_rate_limit_test.cpp
+++ b/test/coordination/request/shared_rate_limit_test.cpp
@@ -53,6 +53,15 @@
         }
     }
 
+    // Takes the first host out of another host's list, or puts it back.
+    void changeList(std::size_t host, bool withFirst, double perSecond)
+    {
+        auto &turn = m_turns[host];
+        turn.hosts = static_cast<std::uint32_t>(withFirst ? m_turns.size() : m_turns.size() - 1);
+        turn.index = static_cast<std::uint32_t>(withFirst ? host : host - 1);
+        m_limits[host] = SharedRateLimit(perSecond, upstreamHash, turn, steadyTime(host));
+    }
+
     [[nodiscard]] std::size_t sent() const noexcept
     {
         return m_sent.size();
@@ -95,6 +104,7 @@
     CPPUNIT_TEST(hostsTogetherKeepTheRateAndUseIt);
     CPPUNIT_TEST(unusedPermitsCauseNoBurst);
     CPPUNIT_TEST(changedTurnsCauseNoBurst);
+    CPPUNIT_TEST(hostsThatDisagreeOnTheFleetKeepTheRate);
     CPPUNIT_TEST(extremeRatesAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -135,6 +145,28 @@
         CPPUNIT_ASSERT(fleet.sent() > 0);
     }
 
+    // The others learn at different times that a host is gone, while it still sends.
+    void hostsThatDisagreeOnTheFleetKeepTheRate()
+    {
+        constexpr std::chrono::seconds spread{2};
+        for (const std::size_t hosts : {3U, 9U, 84U}) {
+            for (const double perSecond : {0.5, 2.0, 20.0}) {
+                GreedyHosts fleet(static_cast<std::uint32_t>(hosts), perSecond);
+                fleet.run(std::chrono::seconds{5});
+                for (const bool withFirst : {false, true, false, true}) {
+                    for (std::size_t n = 1; n < hosts; ++n) {
+                        fleet.changeList(n, withFirst, perSecond);
+                        fleet.run(Milliseconds(spread) / hosts);
+                    }
+                    fleet.run(std::chrono::seconds{1});
+                }
+                const auto message = std::to_string(hosts) + " hosts, " + std::to_string(perSecond) + " a second";
+                CPPUNIT_ASSERT_MESSAGE(message, static_cast<double>(fleet.mostSentInWindow()) <= mostInWindow(perSecond));
+                CPPUNIT_ASSERT_MESSAGE(message, fleet.sent() > 0);
+            }
+        }
+    }
+
     // An upstream that takes nothing is still asked now and then, since only its answer can end that.
     void extremeRatesAreBounded()
     {
