Restore the store of the system tests from a copy

Cause: the stand-in of the machines' platform never went back, so that no test with real processes showed a restored store; the postmortem left this open. Change: the stand-in counts its epochs in each answer, and comes back from a copy; a host then has to keep the newer route, and to follow what the operators write afterwards within the 18 s of the target.

--- a/test/system/machines.py
+++ b/test/system/machines.py
@@ -75,6 +75,7 @@
         self.changed = threading.Condition()
         self.rows = {}
         self.version = 0
+        self.era = 1
         # Hosts share the loopback address and can't be told apart, so faults apply to all of them.
         self.down = False
         self.lose_answers = 0
@@ -91,6 +92,17 @@
     def remove(self, table, key):
         self.write(table, key, None)
 
+    def copy(self):
+        with self.changed:
+            return dict(self.rows), self.version
+
+    def restore(self, copy):
+        """Takes back all that was written after the copy; versions are given out again."""
+        with self.changed:
+            self.rows, self.version = dict(copy[0]), copy[1]
+            self.era += 1
+            self.changed.notify_all()
+
     @staticmethod
     def encode_row(table, key, entry):
         version, value = entry
@@ -103,18 +115,19 @@
         query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query).items()}
         body = handler.body()
         if self.down:
-            handler.respond(503)
+            handler.respond(503, headers=self.headers())
         elif url.path == "/rows-feed":
-            handler.respond(200, self.wait_for_changes(query["table"], int(query["after"]), int(query["waitMs"]) / 1000))
+            status, reply = self.wait_for_changes(query["table"], int(query["after"]), int(query["waitMs"]) / 1000)
+            handler.respond(status, reply, self.headers())
         elif url.path == "/rows-get":
-            handler.respond(200, self.read_rows(query))
+            handler.respond(200, self.read_rows(query), self.headers())
         elif url.path == "/rows-tx":
             status, reply = self.transact(json.loads(body))
             if self.lose_answers > 0:
                 self.lose_answers -= 1
                 handler.connection.close()
                 return
-            handler.respond(status, reply)
+            handler.respond(status, reply, self.headers())
         elif url.path == "/usage":
             self.usage.append((handler.headers["X-Guavafield-Duty-Holder"], int(handler.headers["X-Guavafield-Fencing-Token"]), json.loads(body)))
             handler.respond(200, {})
@@ -124,14 +137,19 @@
         else:
             handler.respond(404)
 
+    def headers(self):
+        return [("Store-Era", str(self.era))]
+
     def wait_for_changes(self, table, after, wait):
         def changes():
             found = [self.encode_row(*name, entry) for name, entry in self.rows.items() if name[0] == table and entry[0] > after]
             return sorted(found, key=lambda it: it["ver"])
 
         with self.changed:
-            self.changed.wait_for(changes, timeout=wait)
-            return {"rows": changes(), "ver": self.version, "nowMs": 0}
+            self.changed.wait_for(lambda: changes() or after > self.version, timeout=wait)
+            if after > self.version:
+                return 410, {}
+            return 200, {"rows": changes(), "ver": self.version, "nowMs": 0}
 
     def read_rows(self, query):
         with self.changed:
--- a/test/system/machines_test.py
+++ b/test/system/machines_test.py
@@ -7,6 +7,8 @@
 from fleet import http_request, run_tests, wait_until
 from machines import HOST_NAME, WINDOW_S, MachinesFixture, operators_document
 
+# Longest time until a change of the configuration is in force.
+IN_FORCE_S = 18.0
 REQUEST_IDS = itertools.count(1)
 
 
@@ -76,6 +78,29 @@
         wait_until(lambda: all_hosts_return(hosts, "/nowhere/x", 404), "404 after the store is back")
 
 
+def test_restored_store_neither_reverts_nor_stops_the_configuration():
+    with MachinesFixture() as machines:
+        server = machines.start_server("s1")
+        hosts = start_hosts(machines)
+        copy = machines.store.copy()
+        extra = {"name": "new", "host": HOST_NAME, "prefix": "/new/", "kind": "idempotent", "timeoutMs": 1000, "service": "s"}
+        lost = operators_document(5, routes=[extra])
+        for n in range(2, 6):
+            machines.store.write("op", "config", operators_document(n, routes=[extra]))
+        wait_until(lambda: all_hosts_return(hosts, "/new/x", 200), "all hosts serve the new route")
+        machines.store.down = True
+        wait_until(lambda: all("platform's table lost" in host["child"].log() for host in hosts), "the log reports the lost table")
+        machines.store.restore(copy)
+        machines.store.down = False
+        wait_until(lambda: all_hosts_return(hosts, "/nowhere/x", 404), "404 after the store is back")
+        assert all_hosts_return(hosts, "/new/x", 200)
+        machines.store.write("op", "config", lost)
+        machines.store.write("servers", "s1", server.entry("s", "a"))
+        machines.store.write("op", "config", operators_document(6, keys=["key-b"], routes=[extra]))
+        wait_until(lambda: all_hosts_return(hosts, "/new/x", 401), "all hosts refuse the withdrawn key", IN_FORCE_S)
+        assert all_hosts_return(hosts, "/new/x", 200, key="key-b")
+
+
 def test_leaving_server_gets_nothing_new():
     with MachinesFixture() as machines:
         first, second = machines.start_server("s1"), machines.start_server("s2")
