Split the platform client by job

Change: PlatformChannel runs the exchanges, PlatformClient maps calls to replies; the request and the answer have a header of their own. Code is moved, none is changed.

--- a/src/guavafield/transport/platform/platform_client.hpp
+++ b/src/guavafield/transport/platform/platform_client.hpp
@@ -21,6 +21,7 @@
 
 namespace internal {
 
+class PlatformChannel;
 struct PlatformAnswer;
 struct PlatformRequest;
 
@@ -121,12 +122,10 @@
     [[nodiscard]] std::optional<WallTime> platformTime() const;
 
 private:
-    class Impl;
-
     [[nodiscard]] Awaitable<internal::PlatformAnswer> exchange(internal::PlatformRequest request);
 
     // Shared with the calls in flight.
-    std::shared_ptr<Impl> m_impl;
+    std::shared_ptr<internal::PlatformChannel> m_channel;
     Counters &m_counters;
 };
 
