Keep a billing window whose report failed while later ones are reported

What operators see: after an outage several windows are due, and the platform takes few calls a second; when the report of one failed and a later one was accepted before the repeat, the first was never reported by any host. Cause: an accepted window counted as 'all up to it are reported', though windows that wait for a repeat are passed over. Found by reading while the seals of a restored store were looked through. Change: the window up to which all are reported advances only over windows that are.

--- a/src/guavafield/coordination/usage/window_reporter.cpp
+++ b/src/guavafield/coordination/usage/window_reporter.cpp
@@ -5,12 +5,14 @@
 
 namespace guavafield {
 
-std::optional<DueWindow> WindowReporter::due(const WindowAggregator &aggregator, WallTime now) const
+std::optional<DueWindow> WindowReporter::due(const WindowAggregator &aggregator, WallTime now)
 {
     if (aggregator.firstWindow() == 0) {
         return std::nullopt;
     }
-    const auto first = std::max({aggregator.firstWindow(), aggregator.windowAt(now - m_settings.maxReportAge), m_reportedUpTo + 1});
+    const auto oldest = aggregator.windowAt(now - m_settings.maxReportAge);
+    m_windows.erase(m_windows.begin(), m_windows.lower_bound(oldest));
+    const auto first = std::max({aggregator.firstWindow(), oldest, m_reportedUpTo + 1});
     for (auto window = first; aggregator.endOf(window) + m_settings.settleTime <= now; ++window) {
         const auto it = m_windows.find(window);
         if (it == m_windows.end()) {
@@ -39,8 +41,10 @@
 void WindowReporter::onReported(BillingWindow window)
 {
     m_windows[window].reported = true;
-    // Windows are reported oldest first, so every earlier window has been reported or has become too old to report.
-    m_reportedUpTo = std::max(m_reportedUpTo, window);
+    // A window whose report failed waits while later ones are reported.
+    for (auto it = m_windows.upper_bound(m_reportedUpTo); it != m_windows.end() && it->second.reported; ++it) {
+        m_reportedUpTo = it->first;
+    }
 }
 
 void WindowReporter::onFailed(BillingWindow window, WallTime now)
--- a/src/guavafield/coordination/usage/window_reporter.hpp
+++ b/src/guavafield/coordination/usage/window_reporter.hpp
@@ -40,15 +40,16 @@
     explicit WindowReporter(WindowReporterSettings settings) : m_settings(settings) { }
 
     /*! @brief Returns the oldest window that is due; empty if there is none. */
-    [[nodiscard]] std::optional<DueWindow> due(const WindowAggregator &aggregator, WallTime now) const;
+    [[nodiscard]] std::optional<DueWindow> due(const WindowAggregator &aggregator, WallTime now);
     /*! @brief Records the sealed figures of a window; the first ones are kept. */
     void onSealed(BillingWindow window, TeamCounts figures);
     void onReported(BillingWindow window);
-    /*! @brief Records that another host has reported all windows up to this one. */
+    /*! @brief Records that other hosts have reported all windows up to this one. */
     void onReportedUpTo(BillingWindow window) noexcept
     {
         m_reportedUpTo = std::max(m_reportedUpTo, window);
     }
+    /*! @brief Returns the window up to which all are reported or too old to be. */
     [[nodiscard]] BillingWindow reportedUpTo() const noexcept
     {
         return m_reportedUpTo;
@@ -65,6 +66,7 @@
     };
 
     WindowReporterSettings m_settings;
+    // Without those that are too old to be reported.
     std::map<BillingWindow, State> m_windows;
     BillingWindow m_reportedUpTo{0};
 };
--- a/test/coordination/usage/window_test.cpp
+++ b/test/coordination/usage/window_test.cpp
@@ -3,9 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <set>
-
 #include <algorithm>
+#include <set>
 
 namespace guavafield {
 
@@ -21,6 +20,8 @@
     CPPUNIT_TEST(firstSealHolds);
     CPPUNIT_TEST(windowsOfAnEarlierHolderAreNotRepeated);
     CPPUNIT_TEST(failedReportWaitsAndIsNotForgotten);
+    CPPUNIT_TEST(failedReportIsNotForgottenOnceALaterOneIsAccepted);
+    CPPUNIT_TEST(windowThatIsTooOldHoldsNothingUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -135,7 +136,46 @@
         CPPUNIT_ASSERT_EQUAL(BillingWindow{200}, m_reporter.due(m_aggregator, now + std::chrono::seconds{1})->window);
     }
 
+    // After an outage several windows are due, and the platform takes few calls a second.
+    void failedReportIsNotForgottenOnceALaterOneIsAccepted()
+    {
+        const auto now = sealThree();
+        m_reporter.onReported(199);
+        m_reporter.onFailed(200, now);
+        CPPUNIT_ASSERT_EQUAL(BillingWindow{201}, m_reporter.due(m_aggregator, now)->window);
+        m_reporter.onReported(201);
+        CPPUNIT_ASSERT_EQUAL(BillingWindow{199}, m_reporter.reportedUpTo());
+        CPPUNIT_ASSERT_EQUAL(BillingWindow{200}, m_reporter.due(m_aggregator, now + std::chrono::seconds{1})->window);
+        m_reporter.onReported(200);
+        CPPUNIT_ASSERT_EQUAL(BillingWindow{201}, m_reporter.reportedUpTo());
+    }
+
+    void windowThatIsTooOldHoldsNothingUp()
+    {
+        const auto now = sealThree();
+        m_reporter.onFailed(199, now);
+        m_reporter.onReported(200);
+        m_reporter.onReported(201);
+        const auto later = m_aggregator.endOf(199) + WindowReporterSettings{}.maxReportAge + std::chrono::seconds{6};
+        m_reporter.onSealed(202, {});
+        m_reporter.onReported(202);
+        CPPUNIT_ASSERT_EQUAL(BillingWindow{203}, m_reporter.due(m_aggregator, later)->window);
+        m_reporter.onSealed(203, {});
+        m_reporter.onReported(203);
+        CPPUNIT_ASSERT_EQUAL(BillingWindow{203}, m_reporter.reportedUpTo());
+    }
+
 private:
+    // Seals windows 199 to 201 and returns a time at which all of them are due.
+    WallTime sealThree()
+    {
+        m_aggregator.count("a", m_aggregator.endOf(199) - Milliseconds{1});
+        for (const BillingWindow window : {199U, 200U, 201U}) {
+            m_reporter.onSealed(window, {{"a", 1}});
+        }
+        return m_aggregator.endOf(201) + std::chrono::seconds{3};
+    }
+
     std::vector<TeamId> m_teams{"a", "b"};
     WindowAggregator m_aggregator{std::chrono::seconds{5}};
     WindowReporter m_reporter{WindowReporterSettings{}};
