Hold the configuration while a window's teams are listed

What operators see: a host that holds the duties can end by itself when a new configuration comes into force while it seals a window. Cause: the loop ran over the teams of a temporary pointer, which ended before the first step; only the copy in force elsewhere kept the teams alive. Change: the pointer is held for the length of the loop. Measured: DutyServiceTest::successorReportsTheSealedFigures, whose configuration is held by nobody else, ended the program with a segmentation fault in DutyService::seal before; it passes, with the other 17 tests of the program.

--- a/src/guavafield/transport/fleet/duty_service.cpp
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -174,7 +174,8 @@
 asio::awaitable<void> DutyService::seal(BillingWindow window)
 {
     std::vector<TeamId> teams;
-    for (const auto &[id, team] : m_dependencies.configuration()->teams) {
+    const auto configuration = m_dependencies.configuration();
+    for (const auto &[id, team] : configuration->teams) {
         teams.push_back(id);
     }
     auto figures = m_ledger.totals(window, teams);
