Do not seal a reported window again after the store came back without its seal

What operators see: two usage reports of one window with different counts, when the answer to the first was lost, the store was restored from a copy without the seal, and another host took over the duties. Cause: the seal's row alone kept a successor from other figures; a restored store may lack it. The class of the incident: what the store has acknowledged was taken to hold for ever. Change: hosts tell each other up to which window reports were sent, whatever the outcome. A successor reads the seal of such a window; if it is gone, the window is passed over, logged and counted. A missing report is the smaller harm. Measured: DutyServiceTest::reportedWindowIsNotSealedAgainWithOtherFigures fails without the reading (two sets of figures) and passes; 19, 17 and 3 tests of transport_fleet, coordination_usage and the peer codec pass.

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -273,6 +273,7 @@
         m_duties->onOwnTime(report.wall);
         report.windows = m_duties->ownCounts();
         report.reportedUpTo = m_duties->reportedUpTo();
+        report.reportSentUpTo = m_duties->reportSentUpTo();
         report.dutyFence = m_duties->fence();
     }
     return report;
--- a/src/guavafield/coordination/fleet/host_report.hpp
+++ b/src/guavafield/coordination/fleet/host_report.hpp
@@ -55,6 +55,8 @@
     Fence dutyFence{0};
     // Last billing window up to which all are reported to the platform, as far as the sender knows.
     std::uint64_t reportedUpTo{0};
+    // Last billing window whose report was sent to the platform, whatever the outcome, as far as the sender knows.
+    std::uint64_t reportSentUpTo{0};
     // The report contains nothing but crashes and what began after them, or rate limits. Other reports contain the verdicts only, as a datagram
     // is small.
     bool evidenceOnly{false};
--- a/src/guavafield/coordination/usage/window_reporter.cpp
+++ b/src/guavafield/coordination/usage/window_reporter.cpp
@@ -16,10 +16,10 @@
     for (auto window = first; aggregator.endOf(window) + m_settings.settleTime <= now; ++window) {
         const auto it = m_windows.find(window);
         if (it == m_windows.end()) {
-            return DueWindow{window, std::nullopt};
+            return DueWindow{window, std::nullopt, window <= m_reportSentUpTo};
         }
         if (!it->second.reported && now >= it->second.notBefore) {
-            return DueWindow{window, it->second.sealed};
+            return DueWindow{window, it->second.sealed, window <= m_reportSentUpTo};
         }
     }
     return std::nullopt;
--- a/src/guavafield/coordination/usage/window_reporter.hpp
+++ b/src/guavafield/coordination/usage/window_reporter.hpp
@@ -27,6 +27,8 @@
     BillingWindow window{0};
     // The sealed figures; empty if the window has to be sealed first.
     std::optional<TeamCounts> sealed;
+    // A report of it was sent, so that it must not be sealed again.
+    bool reportSent{false};
 };
 
 /*!
@@ -43,6 +45,16 @@
     [[nodiscard]] std::optional<DueWindow> due(const WindowAggregator &aggregator, WallTime now);
     /*! @brief Records the sealed figures of a window; the first ones are kept. */
     void onSealed(BillingWindow window, TeamCounts figures);
+    /*! @brief Records that a report of a window is sent, by this host or, of this one and all before, by another. */
+    void onReportSent(BillingWindow window) noexcept
+    {
+        m_reportSentUpTo = std::max(m_reportSentUpTo, window);
+    }
+    [[nodiscard]] BillingWindow reportSentUpTo() const noexcept
+    {
+        return m_reportSentUpTo;
+    }
+    /*! @brief Records that a window is reported, or that it never will be. */
     void onReported(BillingWindow window);
     /*! @brief Records that other hosts have reported all windows up to this one. */
     void onReportedUpTo(BillingWindow window) noexcept
@@ -69,6 +81,7 @@
     // Without those that are too old to be reported.
     std::map<BillingWindow, State> m_windows;
     BillingWindow m_reportedUpTo{0};
+    BillingWindow m_reportSentUpTo{0};
 };
 
 } // namespace guavafield
--- a/src/guavafield/protocol/peer/peer.capnp
+++ b/src/guavafield/protocol/peer/peer.capnp
@@ -120,6 +120,7 @@
   # The report contains crashes or rate limits only.
   crashesOnly @18 :Bool;
   rateLimits @19 :List(RateLimit);
+  reportSentUpTo @20 :UInt64;
 }
 
 # What an answer said of its upstream's rate limit, for all hosts together; infinite if the limit has ended.
--- a/src/guavafield/protocol/peer/peer.capnp.h
+++ b/src/guavafield/protocol/peer/peer.capnp.h
@@ -244,7 +244,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 5, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 6, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1806,6 +1806,8 @@
   inline bool hasRateLimits() const;
   inline  ::capnp::List< ::guavafield::wire::RateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
 
+  inline  ::uint64_t getReportSentUpTo() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1942,6 +1944,9 @@
   inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::guavafield::wire::RateLimit,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::RateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
 
+  inline  ::uint64_t getReportSentUpTo();
+  inline void setReportSentUpTo( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4996,6 +5001,20 @@
       ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t HostReport::Reader::getReportSentUpTo() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostReport::Builder::getReportSentUpTo() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void HostReport::Builder::setReportSentUpTo( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RateLimit::Reader::getUpstream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/guavafield/protocol/peer/peer_codec.cpp
+++ b/src/guavafield/protocol/peer/peer_codec.cpp
@@ -130,6 +130,7 @@
 {
     builder.setWallMicroseconds(std::chrono::duration_cast<std::chrono::microseconds>(report.wall.time_since_epoch()).count());
     builder.setReportedUpTo(report.reportedUpTo);
+    builder.setReportSentUpTo(report.reportSentUpTo);
     write(report.document, builder.initDocument());
     write(report.upstreams, builder.initUpstreams());
     builder.setChangesOnly(report.changesOnly);
@@ -311,6 +312,7 @@
     HostReport report;
     report.wall = WallTime{std::chrono::microseconds{reader.getWallMicroseconds()}};
     report.reportedUpTo = reader.getReportedUpTo();
+    report.reportSentUpTo = reader.getReportSentUpTo();
     report.document = readKnowledge(reader.getDocument());
     report.upstreams = readKnowledge(reader.getUpstreams());
     report.changesOnly = reader.getChangesOnly();
--- a/src/guavafield/state/counters.hpp
+++ b/src/guavafield/state/counters.hpp
@@ -47,6 +47,7 @@
     OrdersFenced,
     UsageFlushes,
     UsageWindowsSealed,
+    UsageSealsLost,
     UsageReportsSent,
     OnceRecordsInserted,
     OnceDuplicatesAnswered,
--- a/src/guavafield/transport/fleet/duty_service.cpp
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -77,6 +77,7 @@
     m_time.addReading(host, report.wall, m_dependencies.clock.now());
     m_ledger.onReport(std::string(host) + "/" + std::to_string(incarnation), report.windows);
     m_reporter.onReportedUpTo(report.reportedUpTo);
+    m_reporter.onReportSent(report.reportSentUpTo);
     if (report.dutyFence != 0) {
         m_lease->keeper().onHolderAnnounced(host, report.dutyFence, m_dependencies.clock.now());
     } else {
@@ -151,6 +152,10 @@
 
 asio::awaitable<void> DutyService::handleWindow(DueWindow due)
 {
+    if (!due.sealed && due.reportSent) {
+        co_await readSeal(due.window);
+        co_return;
+    }
     if (!due.sealed) {
         co_await seal(due.window);
         co_return;
@@ -159,6 +164,7 @@
     if (!sender) {
         co_return;
     }
+    m_reporter.onReportSent(due.window);
     m_dependencies.counters.add(CounterId::UsageReportsSent);
     const bool accepted = co_await m_dependencies.calls.reportUsage(*sender, due.window, *due.sealed, internal::dutyCallTimeout);
     const auto text = "usage report, window=" + std::to_string(due.window) + " teams=" + std::to_string(due.sealed->size())
@@ -167,8 +173,33 @@
     if (accepted) {
         m_reporter.onReported(due.window);
     } else {
-        m_reporter.onFailed(due.window, m_time.now(m_dependencies.clock.now()).value_or(WallTime{}));
+        onWindowFailed(due.window);
+    }
+}
+
+void DutyService::onWindowFailed(BillingWindow window)
+{
+    m_reporter.onFailed(window, m_time.now(m_dependencies.clock.now()).value_or(WallTime{}));
+}
+
+asio::awaitable<void> DutyService::readSeal(BillingWindow window)
+{
+    std::vector<RowKey> keys(1, internal::sealKey(window));
+    const auto reply = co_await m_dependencies.table.read(std::move(keys));
+    const auto *rows = std::get_if<ReadRows>(&reply);
+    if (rows == nullptr || rows->rows.empty()) {
+        onWindowFailed(window);
+        co_return;
+    }
+    if (auto sealed = decodeFigures(rows->rows.front().value)) {
+        m_reporter.onSealed(window, std::move(*sealed));
+        co_return;
     }
+    // The table came back without it. The platform may hold figures that this host does not know, and other ones must not follow.
+    m_dependencies.counters.add(CounterId::UsageSealsLost);
+    const auto text = "seal lost, window=" + std::to_string(window) + " sent_up_to=" + std::to_string(m_reporter.reportSentUpTo());
+    logEvent(LogLevel::Warning, "usage:", {}, text);
+    m_reporter.onReported(window);
 }
 
 asio::awaitable<void> DutyService::seal(BillingWindow window)
@@ -194,7 +225,7 @@
     if (auto sealed = conflict != nullptr ? decodeFigures(conflict->current.value) : std::nullopt) {
         m_reporter.onSealed(window, std::move(*sealed));
     } else {
-        m_reporter.onFailed(window, m_time.now(m_dependencies.clock.now()).value_or(WallTime{}));
+        onWindowFailed(window);
     }
 }
 
--- a/src/guavafield/transport/fleet/duty_service.hpp
+++ b/src/guavafield/transport/fleet/duty_service.hpp
@@ -90,6 +90,11 @@
     {
         return m_reporter.reportedUpTo();
     }
+    /*! @brief Returns the window up to which reports were sent, as far as known. */
+    [[nodiscard]] BillingWindow reportSentUpTo() const noexcept
+    {
+        return m_reporter.reportSentUpTo();
+    }
     void setCandidates(std::span<const HostId> candidates);
 
 private:
@@ -98,6 +103,9 @@
     [[nodiscard]] std::optional<DutyHolder> holder();
     [[nodiscard]] boost::asio::awaitable<void> handleWindow(DueWindow due);
     [[nodiscard]] boost::asio::awaitable<void> seal(BillingWindow window);
+    // Reads the seal of a window that another holder reported.
+    [[nodiscard]] boost::asio::awaitable<void> readSeal(BillingWindow window);
+    void onWindowFailed(BillingWindow window);
     [[nodiscard]] boost::asio::awaitable<void> order(FleetSize size);
 
     DutyDependencies m_dependencies;
--- a/test/protocol/peer/peer_codec_test.cpp
+++ b/test/protocol/peer/peer_codec_test.cpp
@@ -73,6 +73,7 @@
         HostReport made;
         made.wall = WallTime{std::chrono::microseconds{below(1ULL << 50U)}};
         made.reportedUpTo = word();
+        made.reportSentUpTo = word();
         made.slowLink = below(2) == 0;
         made.dutyFence = word();
         for (auto n = below(9); n > 0; --n) {
--- a/test/transport/fleet/duty_service_test.cpp
+++ b/test/transport/fleet/duty_service_test.cpp
@@ -77,6 +77,7 @@
 {
     CPPUNIT_TEST_SUITE(DutyServiceTest);
     CPPUNIT_TEST(successorReportsTheSealedFigures);
+    CPPUNIT_TEST(reportedWindowIsNotSealedAgainWithOtherFigures);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -90,12 +91,13 @@
         m_second = makeService("h1");
         m_first->setCandidates(std::vector<HostId>{"h0"});
         m_first->start();
+        m_copy = m_store;
         // Both count in the same window.
         CPPUNIT_ASSERT(runUntil([&] { return m_first->fence() != 0 && isEarlyInWindow(); }));
         m_first->onStarted("a");
         m_second->onStarted("a");
         m_second->start();
-        CPPUNIT_ASSERT(runUntil([&] { return !m_reports.empty(); }));
+        CPPUNIT_ASSERT(runUntil([&] { return !m_reports.empty() && m_second->reportSentUpTo() != 0; }));
         // The first holder counted both requests.
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_reports.front().counts.at("a"));
     }
@@ -122,6 +124,19 @@
         CPPUNIT_ASSERT(reported("h1", window));
     }
 
+    // The answer to the report was lost, and then the store came back without the seal.
+    void reportedWindowIsNotSealedAgainWithOtherFigures()
+    {
+        const auto window = m_reports.front().window;
+        endFirst();
+        m_store.rows = m_copy.rows;
+        m_accepts = true;
+        CPPUNIT_ASSERT(runUntil([&] { return m_second->reportedUpTo() > window; }));
+        expectOneSetOfFigures();
+        CPPUNIT_ASSERT(!reported("h1", window));
+        CPPUNIT_ASSERT(m_counters.value(CounterId::UsageSealsLost) > 0);
+    }
+
 private:
     std::shared_ptr<DutyService> makeService(const HostId &host)
     {
@@ -154,6 +169,7 @@
         report.wall = m_clock.wallNow();
         report.windows = service.ownCounts();
         report.reportedUpTo = service.reportedUpTo();
+        report.reportSentUpTo = service.reportSentUpTo();
         report.dutyFence = service.fence();
         return report;
     }
@@ -217,6 +233,7 @@
     Counters m_counters;
     std::unique_ptr<asio::io_context> m_io;
     Store m_store;
+    Store m_copy;
     std::vector<Report> m_reports;
     bool m_accepts{false};
     std::shared_ptr<DutyService> m_first;
