--- a/src/guavafield/coordination/fleet/removed_upstreams.hpp
+++ b/src/guavafield/coordination/fleet/removed_upstreams.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <guavafield/coordination/fleet/table_mirror.hpp>
-#include <guavafield/state/clock.hpp>
 #include <guavafield/state/configuration.hpp>
 
 namespace guavafield {
--- a/test/transport/fleet/directory_fixture.hpp
+++ b/test/transport/fleet/directory_fixture.hpp
@@ -101,17 +101,17 @@
 public:
     void setUp() override
     {
-        m_io = std::make_unique<asio::io_context>();
-        m_clock.advance(std::chrono::seconds{1'000});
-        m_store = Store();
-        m_hosts.clear();
-        m_silent.clear();
-        m_store.write(DirectoryTable::Document, "config", "1", m_clock.now());
+        io = std::make_unique<asio::io_context>();
+        clock.advance(std::chrono::seconds{1'000});
+        store = Store();
+        hosts.clear();
+        silent.clear();
+        store.write(DirectoryTable::Document, "config", "1", clock.now());
         for (int n = 0; n < 4; ++n) {
-            m_hosts.push_back(std::make_unique<Host>(*m_io, m_clock, m_store, "h" + std::to_string(n)));
-            m_hosts.back()->peers = &m_hosts;
+            hosts.push_back(std::make_unique<Host>(*io, clock, store, "h" + std::to_string(n)));
+            hosts.back()->peers = &hosts;
         }
-        for (const auto &it : m_hosts) {
+        for (const auto &it : hosts) {
             it->service->start();
         }
         CPPUNIT_ASSERT(runUntil([&] { return readers() == 1 && everyoneHas(1); }));
@@ -119,25 +119,25 @@
 
     void tearDown() override
     {
-        for (const auto &it : m_hosts) {
+        for (const auto &it : hosts) {
             it->service->stop();
         }
-        m_io->stop();
+        io->stop();
     }
 
 protected:
     // Returns the host that reads for the others.
     [[nodiscard]] Host &readingHost() const
     {
-        const auto it = std::ranges::find_if(m_hosts, [](const auto &host) { return host->service->reads(); });
-        CPPUNIT_ASSERT(it != m_hosts.end());
+        const auto it = std::ranges::find_if(hosts, [](const auto &host) { return host->service->reads(); });
+        CPPUNIT_ASSERT(it != hosts.end());
         return **it;
     }
     // Writes 20 upstreams and returns the reports in which the reader tells of them.
     std::vector<HostReport> pushInParts(const Host &reader)
     {
         for (int n = 0; n < 20; ++n) {
-            m_store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), std::string(200, 'x'), m_clock.now());
+            store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), std::string(200, 'x'), clock.now());
         }
         std::vector<HostReport> parts;
         CPPUNIT_ASSERT(runUntil([&] {
@@ -148,11 +148,11 @@
     }
     [[nodiscard]] std::size_t readers() const
     {
-        return static_cast<std::size_t>(std::ranges::count_if(m_hosts, [&](const auto &it) { return it->name != m_silent && it->service->reads(); }));
+        return static_cast<std::size_t>(std::ranges::count_if(hosts, [&](const auto &it) { return it->name != silent && it->service->reads(); }));
     }
     [[nodiscard]] bool everyoneHas(Revision revision) const
     {
-        return std::ranges::all_of(m_hosts, [&](const auto &it) { return it->revision == revision || it->name == m_silent; });
+        return std::ranges::all_of(hosts, [&](const auto &it) { return it->revision == revision || it->name == silent; });
     }
 
     // Runs the hosts, which report to each other, until a condition holds or a limit that only a failing test reaches.
@@ -174,27 +174,27 @@
     {
         constexpr Milliseconds step{10};
         for (Milliseconds spent{0}; spent < time; spent += step) {
-            m_io->run_for(step);
-            m_clock.advance(step);
+            io->run_for(step);
+            clock.advance(step);
         }
     }
 
     void exchangeReports()
     {
-        for (std::size_t from = 0; from < m_hosts.size(); ++from) {
-            if (m_hosts[from]->name == m_silent) {
+        for (std::size_t from = 0; from < hosts.size(); ++from) {
+            if (hosts[from]->name == silent) {
                 continue;
             }
             HostReport report;
-            report.withoutPlatform = !m_hosts[from]->service->reachesPlatform();
-            report.document = knowledgeOf(*m_hosts[from], DirectoryTable::Document);
-            report.upstreams = knowledgeOf(*m_hosts[from], DirectoryTable::Upstreams);
-            for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+            report.withoutPlatform = !hosts[from]->service->reachesPlatform();
+            report.document = knowledgeOf(*hosts[from], DirectoryTable::Document);
+            report.upstreams = knowledgeOf(*hosts[from], DirectoryTable::Upstreams);
+            for (std::size_t to = 0; to < hosts.size(); ++to) {
                 if (to != from) {
                     Member member;
-                    member.id = m_hosts[from]->name;
+                    member.id = hosts[from]->name;
                     member.address.port = static_cast<std::uint16_t>(from);
-                    m_hosts[to]->service->onReport(member, report);
+                    hosts[to]->service->onReport(member, report);
                 }
             }
         }
@@ -205,11 +205,11 @@
         return host.service->known(table) ? std::optional(host.service->knowledge(table)) : std::nullopt;
     }
 
-    ManualClock m_clock;
-    std::unique_ptr<asio::io_context> m_io;
-    Store m_store;
-    std::vector<std::unique_ptr<Host>> m_hosts;
-    std::string m_silent;
+    ManualClock clock;
+    std::unique_ptr<asio::io_context> io;
+    Store store;
+    std::vector<std::unique_ptr<Host>> hosts;
+    std::string silent;
 };
 
 } // namespace guavafield::test
--- a/test/transport/fleet/directory_push_test.cpp
+++ b/test/transport/fleet/directory_push_test.cpp
@@ -22,15 +22,15 @@
     {
         const auto &reader = readingHost();
         const auto parts = pushInParts(reader);
-        Host follower(*m_io, m_clock, m_store, "follower");
+        Host follower(*io, clock, store, "follower");
         follower.service->onReport(Member{}, parts[1]);
         CPPUNIT_ASSERT(!follower.service->known(DirectoryTable::Upstreams));
         const auto all = reader.service->format(DirectoryTable::Upstreams, 0);
         auto late = std::make_shared<TableMirror>();
-        late->replace({}, parts.front().changesAfter, m_clock.now());
+        late->replace({}, parts.front().changesAfter, clock.now());
         for (const auto &part : parts) {
             CPPUNIT_ASSERT_EQUAL(late->content() == 0 ? parts.front().changesAfter : late->content(), part.changesAfter);
-            late->apply(part.changes, part.upstreams->complete, m_clock.now());
+            late->apply(part.changes, part.upstreams->complete, clock.now());
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{20}, late->rows().size());
         CPPUNIT_ASSERT(!all.empty());
@@ -44,7 +44,7 @@
         constexpr std::size_t bytesThroughRelays = 150'000;
         constexpr std::size_t rows = 100;
         for (std::size_t n = 0; n < rows; ++n) {
-            m_store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), std::string(bytesThroughRelays / rows, 'x'), m_clock.now());
+            store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), std::string(bytesThroughRelays / rows, 'x'), clock.now());
         }
         const auto pushedRows = [&] {
             std::size_t count = 0;
@@ -53,9 +53,9 @@
             }
             return count;
         };
-        CPPUNIT_ASSERT(runUntil([&] { return pushedRows() == 0 && reader.service->knowledge(DirectoryTable::Upstreams).content == m_store.version; }));
+        CPPUNIT_ASSERT(runUntil([&] { return pushedRows() == 0 && reader.service->knowledge(DirectoryTable::Upstreams).content == store.version; }));
         CPPUNIT_ASSERT(runUntil([&] {
-            m_store.write(DirectoryTable::Upstreams, "u1", "y", m_clock.now());
+            store.write(DirectoryTable::Upstreams, "u1", "y", clock.now());
             return pushedRows() == 1;
         }));
     }
@@ -63,7 +63,7 @@
     // Guards against hosts of a large fleet that take each pushed change and still read, because the next one is already there.
     void hostThatKeepsUpReadsNothing()
     {
-        Host follower(*m_io, m_clock, m_store, "zz");
+        Host follower(*io, clock, store, "zz");
         follower.service->setHosts(100);
         follower.service->start();
         CPPUNIT_ASSERT(runUntil([&] { return follower.service->known(DirectoryTable::Document) && follower.service->known(DirectoryTable::Upstreams); }));
@@ -98,7 +98,7 @@
     // Guards against a host that is so busy with one configuration for each part of many changes that it learns of leaving upstreams too late.
     void partsOfAPushAreAppliedTogether()
     {
-        Host follower(*m_io, m_clock, m_store, "zz");
+        Host follower(*io, clock, store, "zz");
         follower.service->setHosts(100);
         follower.service->start();
         CPPUNIT_ASSERT(runUntil([&] { return follower.service->known(DirectoryTable::Document) && follower.service->known(DirectoryTable::Upstreams); }));
@@ -138,8 +138,8 @@
     {
         const auto &reader = readingHost();
         const auto parts = pushInParts(reader);
-        auto follower = m_hosts.back()->service->reads() ? m_hosts.front()->service : m_hosts.back()->service;
-        m_silent = reader.name;
+        auto follower = hosts.back()->service->reads() ? hosts.front()->service : hosts.back()->service;
+        silent = reader.name;
         runFor(Milliseconds{100});
         const auto before = follower->knowledge(DirectoryTable::Upstreams);
         HostReport part;
@@ -157,7 +157,7 @@
     // Guards against a host that lost pushed changes and does not read them, since other hosts lost them too and report what it has.
     void peersThatAreBehindDoNotHideALack()
     {
-        Host follower(*m_io, m_clock, m_store, "zz");
+        Host follower(*io, clock, store, "zz");
         follower.service->setHosts(100);
         follower.service->start();
         CPPUNIT_ASSERT(runUntil([&] { return follower.service->known(DirectoryTable::Document) && follower.service->known(DirectoryTable::Upstreams); }));
@@ -166,17 +166,17 @@
         Member peer;
         peer.id = "peer";
         const auto had = follower.service->knowledge(DirectoryTable::Upstreams).content;
-        m_store.write(DirectoryTable::Upstreams, "u", "x", m_clock.now());
+        store.write(DirectoryTable::Upstreams, "u", "x", clock.now());
         for (int n = 0; n < 40 && follower.service->knowledge(DirectoryTable::Upstreams).content == had; ++n) {
             HostReport report;
-            report.document = TableKnowledge{1, m_store.version, Milliseconds{5}};
-            report.upstreams = TableKnowledge{m_store.version, m_store.version, Milliseconds{5}};
+            report.document = TableKnowledge{1, store.version, Milliseconds{5}};
+            report.upstreams = TableKnowledge{store.version, store.version, Milliseconds{5}};
             follower.service->onReport(reader, report);
             report.upstreams = TableKnowledge{had, had, Milliseconds{5}};
             follower.service->onReport(peer, report);
             runFor(Milliseconds{50});
         }
-        CPPUNIT_ASSERT_EQUAL(m_store.version, follower.service->knowledge(DirectoryTable::Upstreams).content);
+        CPPUNIT_ASSERT_EQUAL(store.version, follower.service->knowledge(DirectoryTable::Upstreams).content);
         follower.service->stop();
     }
 };
--- a/test/transport/fleet/directory_service_test.cpp
+++ b/test/transport/fleet/directory_service_test.cpp
@@ -26,16 +26,16 @@
     // Guards against calls that grow with the number of hosts.
     void oneHostReadsForAll()
     {
-        CPPUNIT_ASSERT(runUntil([&] { return std::ranges::count_if(m_hosts, [](const auto &it) { return it->service->reads(); }) == 1; }));
+        CPPUNIT_ASSERT(runUntil([&] { return std::ranges::count_if(hosts, [](const auto &it) { return it->service->reads(); }) == 1; }));
         std::vector<int> before;
-        for (const auto &it : m_hosts) {
+        for (const auto &it : hosts) {
             before.push_back(it->calls);
         }
-        m_store.write(DirectoryTable::Document, "config", "2", m_clock.now());
+        store.write(DirectoryTable::Document, "config", "2", clock.now());
         CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(2); }));
         int others = 0;
-        for (std::size_t n = 0; n < m_hosts.size(); ++n) {
-            others += m_hosts[n]->service->reads() ? 0 : m_hosts[n]->calls - before[n];
+        for (std::size_t n = 0; n < hosts.size(); ++n) {
+            others += hosts[n]->service->reads() ? 0 : hosts[n]->calls - before[n];
         }
         CPPUNIT_ASSERT_EQUAL(0, others);
     }
@@ -43,23 +43,23 @@
     // Guards against a withdrawn key that works on at a host which the store turns away.
     void cutOffHostFollowsItsPeers()
     {
-        for (const auto &it : m_hosts) {
+        for (const auto &it : hosts) {
             it->cut = it->service->reads();
         }
-        m_store.write(DirectoryTable::Document, "config", "2", m_clock.now());
+        store.write(DirectoryTable::Document, "config", "2", clock.now());
         CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(2); }));
     }
 
     // Guards against hosts that wait for a reader that has died.
     void silentReaderIsReplaced()
     {
-        for (const auto &it : m_hosts) {
+        for (const auto &it : hosts) {
             if (it->service->reads()) {
-                m_silent = it->name;
+                silent = it->name;
                 it->cut = true;
             }
         }
-        m_store.write(DirectoryTable::Document, "config", "2", m_clock.now());
+        store.write(DirectoryTable::Document, "config", "2", clock.now());
         CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(2); }));
         CPPUNIT_ASSERT(runUntil([&] { return readers() == 1; }));
     }
@@ -68,9 +68,9 @@
     void historyThatIsGoneIsReadAgain()
     {
         for (RowVersion n = 0; n < 1'500; ++n) {
-            m_store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), "x", m_clock.now());
+            store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), "x", clock.now());
         }
-        m_store.write(DirectoryTable::Document, "config", "3", m_clock.now());
+        store.write(DirectoryTable::Document, "config", "3", clock.now());
         CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(3); }));
     }
 
@@ -78,13 +78,13 @@
     void hostsThatAgreeAskForNothing()
     {
         for (int n = 0; n < 5; ++n) {
-            m_store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), "x", m_clock.now());
+            store.write(DirectoryTable::Upstreams, "u" + std::to_string(n), "x", clock.now());
         }
-        Host late(*m_io, m_clock, m_store, "late");
+        Host late(*io, clock, store, "late");
         late.service->setHosts(100);
         late.service->start();
         CPPUNIT_ASSERT(runUntil([&] { return late.service->known(DirectoryTable::Document) && late.service->known(DirectoryTable::Upstreams); }));
-        for (const auto &it : m_hosts) {
+        for (const auto &it : hosts) {
             it->service->setHosts(100);
         }
         CPPUNIT_ASSERT(runUntil([&] { return readers() == 1; }));
@@ -93,7 +93,7 @@
             HostReport report;
             report.document = knowledgeOf(late, DirectoryTable::Document);
             report.upstreams = knowledgeOf(late, DirectoryTable::Upstreams);
-            for (const auto &it : m_hosts) {
+            for (const auto &it : hosts) {
                 Member member;
                 member.id = late.name;
                 calls -= it->service->reads() ? 0 : it->calls;
@@ -121,44 +121,44 @@
     // Guards against 195 hosts that each ask a failed platform several times a second.
     void largeFleetTriesAFailedPlatformSeldom()
     {
-        for (const auto &it : m_hosts) {
+        for (const auto &it : hosts) {
             it->service->setHosts(195);
             it->cut = true;
         }
         CPPUNIT_ASSERT(runUntil([&] { return readers() == 0; }));
         int calls = 0;
-        for (const auto &it : m_hosts) {
+        for (const auto &it : hosts) {
             calls -= it->calls;
         }
-        const auto begin = m_clock.now();
-        CPPUNIT_ASSERT(runUntil([&] { return m_clock.now() - begin > std::chrono::seconds{4}; }));
-        for (const auto &it : m_hosts) {
+        const auto begin = clock.now();
+        CPPUNIT_ASSERT(runUntil([&] { return clock.now() - begin > std::chrono::seconds{4}; }));
+        for (const auto &it : hosts) {
             calls += it->calls;
         }
         // One call a table and host in 3 s, and those that were due at the beginning.
         CPPUNIT_ASSERT_MESSAGE(std::to_string(calls) + " calls", calls <= 3 * 2 * 4);
-        for (const auto &it : m_hosts) {
+        for (const auto &it : hosts) {
             it->cut = false;
         }
-        m_store.write(DirectoryTable::Document, "config", "2", m_clock.now());
+        store.write(DirectoryTable::Document, "config", "2", clock.now());
         CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(2) && readers() == 1; }));
     }
 
     // Guards against one call to the platform a host for each change of the document.
     void largeFleetFetchesTheDocumentFromThePeer()
     {
-        for (const auto &it : m_hosts) {
+        for (const auto &it : hosts) {
             it->service->setHosts(100);
         }
         int calls = 0;
         const auto countFollowers = [&](int sign) {
-            for (const auto &it : m_hosts) {
+            for (const auto &it : hosts) {
                 calls += it->service->reads() ? 0 : sign * it->calls;
             }
         };
         countFollowers(-1);
         for (Revision revision = 2; revision < 8; ++revision) {
-            m_store.write(DirectoryTable::Document, "config", std::to_string(revision), m_clock.now());
+            store.write(DirectoryTable::Document, "config", std::to_string(revision), clock.now());
             CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(revision); }));
         }
         countFollowers(1);
@@ -169,11 +169,11 @@
     void documentThatIsTooLargeForOneHostIsRead()
     {
         auto &reader = readingHost();
-        for (const auto &it : m_hosts) {
+        for (const auto &it : hosts) {
             it->service->setHosts(300);
         }
-        m_store.write(DirectoryTable::Document, "more", std::string(100'000, 'x'), m_clock.now());
-        m_store.write(DirectoryTable::Document, "config", "2", m_clock.now());
+        store.write(DirectoryTable::Document, "more", std::string(100'000, 'x'), clock.now());
+        store.write(DirectoryTable::Document, "config", "2", clock.now());
         CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(2); }));
         CPPUNIT_ASSERT(reader.service->format(DirectoryTable::Document, 0).empty());
     }
@@ -182,15 +182,15 @@
     void changesAfterARestorationAreInForce()
     {
         for (int n = 2; n <= 20; ++n) {
-            m_store.write(DirectoryTable::Document, "config", std::to_string(n), m_clock.now());
+            store.write(DirectoryTable::Document, "config", std::to_string(n), clock.now());
         }
         CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(20); }));
-        m_store = Store();
-        m_store.version = versionInEpoch(1, 0);
-        m_store.write(DirectoryTable::Document, "config", "3", m_clock.now());
+        store = Store();
+        store.version = versionInEpoch(1, 0);
+        store.write(DirectoryTable::Document, "config", "3", clock.now());
         runFor(Milliseconds{500});
         CPPUNIT_ASSERT(everyoneHas(20));
-        m_store.write(DirectoryTable::Document, "config", "21", m_clock.now());
+        store.write(DirectoryTable::Document, "config", "21", clock.now());
         CPPUNIT_ASSERT(runUntil([&] { return everyoneHas(21); }));
     }
 
@@ -199,11 +199,11 @@
     {
         // Two calls of each host for each table in each pause of 250 ms.
         constexpr int mostCallsInThreeSeconds = 4 * 2 * 2 * 12;
-        m_store.version = 0;
+        store.version = 0;
         runFor(Milliseconds{1'000});
         const auto calls = [&] {
             int sum = 0;
-            for (const auto &it : m_hosts) {
+            for (const auto &it : hosts) {
                 sum += it->calls;
             }
             return sum;
