--- a/review/harness.py
+++ b/review/harness.py
@@ -15,7 +15,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -55,6 +54,12 @@
     return re.sub(r"\{\{([\w.]+)\}\}", lambda it: written(value(it[1])), text)
 
 
+def deploy_value(name):
+    """Returns a text of the only role of the deploy file."""
+    with open(os.path.join(ROOT, "deploy", "system.toml")) as file:
+        return re.search(rf'^{name} = "([^"]*)"', file.read(), re.M)[1]
+
+
 class Record:
     """Lines of record.txt, with seconds since the start."""
 
@@ -340,13 +345,11 @@
                 "seeds": [f"{it.ip}:{ports['control']}" for it in self.world.machines[:3]]}
 
     def start(self):
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            role = tomllib.load(file)["roles"]["host"]
-        with open(os.path.join(ROOT, role["template"])) as file:
+        with open(os.path.join(ROOT, deploy_value("template"))) as file:
             text = fill_template(file.read(), self.fields())
         with open(self.settings, "w") as file:
             file.write(text)
-        command = [it.replace("/etc/guavafield/boot.json", self.settings) for it in role["run"].split(" ")]
+        command = [it.replace("/etc/guavafield/boot.json", self.settings) for it in deploy_value("run").split(" ")]
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         self.process = subprocess.Popen(command, cwd=ROOT, env={**environment, "GUAVAFIELD_BOOT": self.settings}, stdin=subprocess.DEVNULL,
                                         stdout=self.log, stderr=self.log)
@@ -514,6 +517,8 @@
     """Runs a case; case(world) returns a list of lines that say how the rule was broken, empty if it held."""
     async def run():
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        # Ends the daemons also if the script itself is ended.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         world = World(folder, zones)
         try:
             return await asyncio.wait_for(case(world), 110)
@@ -525,7 +530,7 @@
     except CannotRun as error:
         print("could not run:", error)
         sys.exit(2)
-    except (asyncio.TimeoutError, OSError) as error:
+    except (asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
         print("could not run:", repr(error))
         sys.exit(2)
     for line in broken:
