Seal no usage window that an earlier epoch of the store may have sealed

A host is killed in the window, the holder is killed as it reports the window, and a second later the store comes back from a copy that lacks the seal. The successor made up the window anew from what it had heard itself.

Cause: that a window is sealed stood in the store only, and that it was reported reached other hosts with the next report between hosts, which a holder that dies never sends. Ruled out by the log of the run: a successor that knew of the report (it would have read the seal and logged "seal lost"), and two holders at once (the first one was dead, and the fences tell the epochs apart).

Change: windows that ended before a host first knew the present epoch of the store may have been sealed before it, and are never sealed anew. The first holder of an epoch writes this floor into the store, later ones take it from there. Every tenure writes the row once and every seal is conditional on that version: a store that has lost a seal of an earlier tenure has lost this later write too, so that a holder that has not noticed the restoration cannot seal. Nothing depends on what other hosts have heard.

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -136,7 +136,11 @@
         platform::storeAccess(m_storeClient),
         platform::dutyCalls(m_dutyClient),
         [this] { return m_dependencies.configuration.load(); },
-        [this] { return m_requestPath->driver().withScheduler([](RequestScheduler &scheduler, SteadyTime /*now*/) { return scheduler.poolLoads(); }); }};
+        [this] { return m_requestPath->driver().withScheduler([](RequestScheduler &scheduler, SteadyTime /*now*/) { return scheduler.poolLoads(); }); },
+        [this] {
+            const auto known = m_directory->known(DirectoryTable::Upstreams);
+            return known ? std::optional(m_directory->knowledge(DirectoryTable::Upstreams).complete) : std::nullopt;
+        }};
     return std::make_shared<DutyService>(std::move(dependencies), std::move(result));
 }
 
--- a/src/guavafield/protocol/records/window_codec.hpp
+++ b/src/guavafield/protocol/records/window_codec.hpp
@@ -1,7 +1,7 @@
-// The sealed figures of a billing window as the value of a row.
+// The sealed figures of a billing window, and the floor of the windows to be sealed, as values of rows.
 #pragma once
 
-#include <guavafield/coordination/usage/window_aggregator.hpp>
+#include <guavafield/coordination/usage/seal_floor.hpp>
 
 #include <optional>
 #include <string>
@@ -13,4 +13,8 @@
 /*! @brief Empty if the text is malformed. */
 [[nodiscard]] std::optional<TeamCounts> decodeFigures(std::string_view text);
 
+[[nodiscard]] std::string encodeSealFloor(const SealFloorRecord &record);
+/*! @brief Empty if the text is malformed. */
+[[nodiscard]] std::optional<SealFloorRecord> decodeSealFloor(std::string_view text);
+
 } // namespace guavafield
--- a/src/guavafield/state/counters.cpp
+++ b/src/guavafield/state/counters.cpp
@@ -36,7 +36,7 @@
     {"guavafield_orders_fenced_total", "Orders refused because of an old fencing token"},
     {"guavafield_usage_flushes_total", "Usage rows written"},
     {"guavafield_usage_windows_sealed_total", "Usage windows sealed"},
-    {"guavafield_usage_seals_lost_total", "Usage windows passed over, as a report was sent and the platform's table came back without the seal"},
+    {"guavafield_usage_seals_lost_total", "Usage windows passed over, as a report was or may have been sent and the platform's table came back without the seal"},
     {"guavafield_usage_reports_sent_total", "Usage reports sent"},
     {"guavafield_once_records_inserted_total", "At-most-once records inserted"},
     {"guavafield_once_duplicates_answered_total", "Duplicates of at-most-once calls answered from the record"},
--- a/src/guavafield/transport/fleet/duty_service.cpp
+++ b/src/guavafield/transport/fleet/duty_service.cpp
@@ -34,6 +34,11 @@
     return {std::string(sealTable), std::move(text)};
 }
 
+RowKey sealFloorKey()
+{
+    return {std::string(sealTable), "floor"};
+}
+
 LeaseSettings leaseSettings(const LeaseHolder &self)
 {
     LeaseSettings settings;
@@ -56,6 +61,7 @@
           m_dependencies.strand, m_dependencies.table, m_dependencies.clock, m_dependencies.counters, internal::leaseSettings(m_settings.self)))
     , m_ledger(m_settings.windowLength)
     , m_reporter(WindowReporterSettings{})
+    , m_floor(internal::sealFloorKey(), {&encodeSealFloor, &decodeSealFloor})
 {
 }
 
@@ -92,7 +98,7 @@
 
 void DutyService::onStarted(const TeamId &team)
 {
-    m_ledger.count(team, m_time.now(m_dependencies.clock.now()).value_or(m_dependencies.clock.wallNow()));
+    m_ledger.count(team, timeOfDay());
 }
 
 std::vector<WindowCounts> DutyService::ownCounts()
@@ -118,6 +124,7 @@
         m_heldSince = now;
         // What was known of the load in an earlier tenure has passed.
         m_plan = FleetPlanner();
+        m_floor.beginTenure(*fence);
     }
     if (m_stopped || now - m_heldSince < m_settings.holderGap) {
         return std::nullopt;
@@ -132,6 +139,9 @@
     while (!m_stopped) {
         const auto configuration = m_dependencies.configuration();
         const auto time = m_time.now(m_dependencies.clock.now());
+        if (const auto version = m_dependencies.tableVersion(); version && time) {
+            m_floor.onVersionKnown(*version, m_ledger.windowAt(*time));
+        }
         if (holder() && time && configuration->revision > 0) {
             const auto due = m_settings.reportsUsage ? m_reporter.due(m_ledger, *time) : std::nullopt;
             if (due) {
@@ -152,7 +162,11 @@
 
 asio::awaitable<void> DutyService::handleWindow(DueWindow due)
 {
-    if (!due.sealed && due.reportSent) {
+    if (!due.sealed && !m_floor.known()) {
+        co_await claimSealFloor(due.window);
+        co_return;
+    }
+    if (!due.sealed && (due.reportSent || m_floor.covers(due.window))) {
         co_await readSeal(due.window);
         co_return;
     }
@@ -179,7 +193,31 @@
 
 void DutyService::onWindowFailed(BillingWindow window)
 {
-    m_reporter.onFailed(window, m_time.now(m_dependencies.clock.now()).value_or(WallTime{}));
+    m_reporter.onFailed(window, timeOfDay());
+}
+
+WallTime DutyService::timeOfDay() const
+{
+    return m_time.now(m_dependencies.clock.now()).value_or(m_dependencies.clock.wallNow());
+}
+
+asio::awaitable<void> DutyService::claimSealFloor(BillingWindow dueWindow)
+{
+    std::vector<RowKey> keys(1, m_floor.key());
+    const auto read = co_await m_dependencies.table.read(std::move(keys));
+    const auto *rows = std::get_if<ReadRows>(&read);
+    auto claim = rows != nullptr && !rows->rows.empty() ? m_floor.claim(rows->rows.front(), m_ledger.windowAt(timeOfDay())) : std::nullopt;
+    if (claim) {
+        const auto reply = co_await m_dependencies.table.transact(std::move(*claim));
+        const auto *committed = std::get_if<TransactionCommitted>(&reply);
+        m_floor.onClaimed(committed != nullptr ? committed->versions.at(0) : 0);
+    }
+    if (!m_floor.known()) {
+        onWindowFailed(dueWindow);
+        co_return;
+    }
+    const auto text = "seals begin, after_window=" + std::to_string(m_floor.window()) + " fence=" + std::to_string(m_fence);
+    logEvent(LogLevel::Info, "usage:", {}, text);
 }
 
 asio::awaitable<void> DutyService::readSeal(BillingWindow window)
@@ -197,7 +235,8 @@
     }
     // The table came back without it. The platform may hold figures that this host does not know, and other ones must not follow.
     m_dependencies.counters.add(CounterId::UsageSealsLost);
-    const auto text = "seal lost, window=" + std::to_string(window) + " sent_up_to=" + std::to_string(m_reporter.reportSentUpTo());
+    const auto text = "seal lost, window=" + std::to_string(window) + " sent_up_to=" + std::to_string(m_reporter.reportSentUpTo())
+        + " seals_begin_after=" + std::to_string(m_floor.window());
     logEvent(LogLevel::Warning, "usage:", {}, text);
     m_reporter.onReported(window);
 }
@@ -212,21 +251,28 @@
     auto figures = m_ledger.totals(window, teams);
     Transaction transaction;
     transaction.conditions.push_back({internal::sealKey(window), 0});
+    transaction.conditions.push_back(m_floor.condition());
     transaction.writes.push_back({internal::sealKey(window), encodeFigures(figures)});
     transaction.writes.push_back({internal::sealKey(window - internal::keptSeals), std::nullopt});
     const auto reply = co_await m_dependencies.table.transact(std::move(transaction));
-    if (std::holds_alternative<TransactionCommitted>(reply)) {
+    const auto *committed = std::get_if<TransactionCommitted>(&reply);
+    if (committed != nullptr && m_floor.inEpoch(committed->versions.at(0))) {
         m_dependencies.counters.add(CounterId::UsageWindowsSealed);
         m_reporter.onSealed(window, std::move(figures));
         co_return;
     }
     // Another holder sealed the window, or this one did in a call whose answer was lost.
     const auto *conflict = std::get_if<TransactionConflict>(&reply);
-    if (auto sealed = conflict != nullptr ? decodeFigures(conflict->current.value) : std::nullopt) {
+    const bool isSealed = conflict != nullptr && conflict->conditionIndex == 0;
+    if (auto sealed = isSealed ? decodeFigures(conflict->current.value) : std::nullopt) {
         m_reporter.onSealed(window, std::move(*sealed));
-    } else {
-        onWindowFailed(window);
+        co_return;
+    }
+    if (conflict != nullptr && !isSealed) {
+        // The floor was written once more, or the table came back without it.
+        m_floor.beginTenure(m_fence);
     }
+    onWindowFailed(window);
 }
 
 asio::awaitable<void> DutyService::order(FleetSize size)
--- a/src/guavafield/transport/fleet/duty_service.hpp
+++ b/src/guavafield/transport/fleet/duty_service.hpp
@@ -4,6 +4,7 @@
 #include <guavafield/coordination/fleet/fleet_clock.hpp>
 #include <guavafield/coordination/order/fleet_planner.hpp>
 #include <guavafield/coordination/request/placement.hpp>
+#include <guavafield/coordination/usage/seal_floor.hpp>
 #include <guavafield/coordination/usage/window_reporter.hpp>
 #include <guavafield/state/clock.hpp>
 #include <guavafield/state/counters.hpp>
@@ -57,6 +58,8 @@
     DutyCalls calls;
     std::function<std::shared_ptr<const Configuration>()> configuration;
     std::function<StringMap<PoolLoad>()> loads;
+    // Newest version of the platform's tables that this host knows; empty before the first.
+    std::function<std::optional<RowVersion>()> tableVersion;
 };
 
 /*! @brief Runs on its strand; all members are to be used there. Create it with std::make_shared. */
@@ -102,10 +105,13 @@
     // Returns the holder if a call that begins now ends while this host holds the lease.
     [[nodiscard]] std::optional<DutyHolder> holder();
     [[nodiscard]] boost::asio::awaitable<void> handleWindow(DueWindow due);
+    // Determines which windows this tenure may seal.
+    [[nodiscard]] boost::asio::awaitable<void> claimSealFloor(BillingWindow dueWindow);
     [[nodiscard]] boost::asio::awaitable<void> seal(BillingWindow window);
-    // Reads the seal of a window that another holder reported.
+    // Reads the seal of a window that another holder has reported or may have reported.
     [[nodiscard]] boost::asio::awaitable<void> readSeal(BillingWindow window);
     void onWindowFailed(BillingWindow window);
+    [[nodiscard]] WallTime timeOfDay() const;
     [[nodiscard]] boost::asio::awaitable<void> order(FleetSize size);
 
     DutyDependencies m_dependencies;
@@ -114,6 +120,7 @@
     FleetClock m_time;
     WindowAggregator m_ledger;
     WindowReporter m_reporter;
+    SealFloor m_floor;
     FleetPlanner m_plan;
     // Fence of the present tenure and when it was first seen.
     Fence m_fence{0};
--- a/test/transport/fleet/duty_service_test.cpp
+++ b/test/transport/fleet/duty_service_test.cpp
@@ -20,22 +20,32 @@
 
 constexpr Milliseconds windowLength{1'000};
 
-// Rows that can be put back to an earlier state.
+// Rows that can be put back to an earlier state, after which versions are given out again in a new epoch.
 struct Store
 {
     std::map<RowKey, Row> rows;
     RowVersion version{0};
+    std::uint64_t epoch{0};
 
     [[nodiscard]] Row find(const RowKey &key) const
     {
         const auto it = rows.find(key);
-        return it == rows.end() ? Row{key, 0, {}} : it->second;
+        if (it == rows.end()) {
+            return Row{key, versionInEpoch(epoch, 0), {}};
+        }
+        return Row{key, versionInEpoch(epoch, it->second.version), it->second.value};
+    }
+    void restore(const Store &copy)
+    {
+        rows = copy.rows;
+        version = copy.version;
+        ++epoch;
     }
     TransactionReply transact(const Transaction &transaction)
     {
         for (std::size_t n = 0; n < transaction.conditions.size(); ++n) {
             auto current = find(transaction.conditions[n].key);
-            if (current.version != transaction.conditions[n].version) {
+            if (withoutEpoch(current.version) != withoutEpoch(transaction.conditions[n].version)) {
                 return TransactionConflict{n, std::move(current)};
             }
         }
@@ -46,7 +56,7 @@
                 rows[it.key] = Row{it.key, version, *it.value};
             }
         }
-        return TransactionCommitted{std::vector<RowVersion>(transaction.writes.size(), version)};
+        return TransactionCommitted{std::vector<RowVersion>(transaction.writes.size(), versionInEpoch(epoch, version))};
     }
     [[nodiscard]] TableAccess access()
     {
@@ -78,6 +88,9 @@
     CPPUNIT_TEST_SUITE(DutyServiceTest);
     CPPUNIT_TEST(successorReportsTheSealedFigures);
     CPPUNIT_TEST(reportedWindowIsNotSealedAgainWithOtherFigures);
+    CPPUNIT_TEST(reportThatNobodyHeardOfIsNotRepeatedWithOtherFigures);
+    CPPUNIT_TEST(hostThatStartsAfterTheLossOfASealDoesNotReplaceIt);
+    CPPUNIT_TEST(successorSealsWhatItsPredecessorDidNot);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -87,6 +100,7 @@
         m_store = Store();
         m_reports.clear();
         m_accepts = false;
+        m_isHeard = true;
         m_first = makeService("h0");
         m_second = makeService("h1");
         m_first->setCandidates(std::vector<HostId>{"h0"});
@@ -97,26 +111,24 @@
         m_first->onStarted("a");
         m_second->onStarted("a");
         m_second->start();
-        CPPUNIT_ASSERT(runUntil([&] { return !m_reports.empty() && m_second->reportSentUpTo() != 0; }));
-        // The first holder counted both requests.
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_reports.front().counts.at("a"));
     }
 
     void tearDown() override
     {
-        endFirst();
-        asio::co_spawn(*m_io, m_second->stop(Milliseconds{100}), asio::detached);
+        end(m_first);
+        end(m_second);
+        end(m_third);
         runFor(Milliseconds{300});
         m_io->stop();
-        m_first.reset();
-        m_second.reset();
         m_io.reset();
     }
 
     void successorReportsTheSealedFigures()
     {
+        awaitReport();
+        CPPUNIT_ASSERT(runUntil([&] { return m_second->reportSentUpTo() != 0; }));
         const auto window = m_reports.front().window;
-        endFirst();
+        end(m_first);
         m_accepts = true;
         CPPUNIT_ASSERT(runUntil([&] { return m_second->reportedUpTo() >= window; }));
         CPPUNIT_ASSERT_EQUAL(HostId{"h1"}, m_reports.back().host);
@@ -127,8 +139,10 @@
     // The answer to the report was lost, and then the store came back without the seal.
     void reportedWindowIsNotSealedAgainWithOtherFigures()
     {
+        awaitReport();
+        CPPUNIT_ASSERT(runUntil([&] { return m_second->reportSentUpTo() != 0; }));
         const auto window = m_reports.front().window;
-        endFirst();
+        end(m_first);
         m_store.rows = m_copy.rows;
         m_accepts = true;
         CPPUNIT_ASSERT(runUntil([&] { return m_second->reportedUpTo() > window; }));
@@ -137,6 +151,56 @@
         CPPUNIT_ASSERT(m_counters.value(CounterId::UsageSealsLost) > 0);
     }
 
+    // The reporter is killed before it can tell anyone, and the store comes back without the seal: its successor must not make up other figures.
+    void reportThatNobodyHeardOfIsNotRepeatedWithOtherFigures()
+    {
+        m_isHeard = false;
+        awaitReport();
+        const auto window = m_reports.front().window;
+        end(m_first);
+        m_store.restore(m_copy);
+        m_accepts = true;
+        CPPUNIT_ASSERT(runUntil([&] { return m_second->reportedUpTo() > window; }));
+        expectOneSetOfFigures();
+        CPPUNIT_ASSERT(!reported("h1", window));
+        // Windows that end later are reported as usual.
+        const auto lost = m_second->reportedUpTo();
+        CPPUNIT_ASSERT(runUntil([&] { return reported("h1", lost + 2); }));
+    }
+
+    // The same where the successor is a process that has never seen the table before the loss.
+    void hostThatStartsAfterTheLossOfASealDoesNotReplaceIt()
+    {
+        m_isHeard = false;
+        awaitReport();
+        const auto window = m_reports.front().window;
+        end(m_first);
+        m_second->setCandidates(std::vector<HostId>{"h2"});
+        m_store.restore(m_copy);
+        m_accepts = true;
+        m_third = makeService("h2");
+        m_third->setCandidates(std::vector<HostId>{"h2"});
+        m_third->start();
+        const auto hear = [&] { m_third->onReport("h1", 1, reportOf(*m_second)); };
+        CPPUNIT_ASSERT(runUntil([&] {
+            hear();
+            return m_third->reportedUpTo() > window;
+        }));
+        expectOneSetOfFigures();
+        CPPUNIT_ASSERT(!reported("h2", window));
+    }
+
+    // A holder that ends before it has sealed leaves its windows to the next one, if the store has lost nothing.
+    void successorSealsWhatItsPredecessorDidNot()
+    {
+        const auto window = openWindow();
+        CPPUNIT_ASSERT(runUntil([&] { return openWindow() > window; }));
+        end(m_first);
+        m_accepts = true;
+        CPPUNIT_ASSERT(runUntil([&] { return reported("h1", window); }));
+        expectOneSetOfFigures();
+    }
+
 private:
     std::shared_ptr<DutyService> makeService(const HostId &host)
     {
@@ -145,7 +209,7 @@
             m_reports.push_back({holder.host, window, std::move(counts)});
             co_return m_accepts;
         };
-        DutyDependencies dependencies{m_io->get_executor(), m_clock, m_counters, m_store.access(), std::move(calls), {}, {}};
+        DutyDependencies dependencies{m_io->get_executor(), m_clock, m_counters, m_store.access(), std::move(calls), {}, {}, {}};
         dependencies.configuration = [] {
             auto result = std::make_shared<Configuration>();
             result->revision = 1;
@@ -153,6 +217,7 @@
             return result;
         };
         dependencies.loads = [] { return StringMap<PoolLoad>(); };
+        dependencies.tableVersion = [this] { return std::optional(versionInEpoch(m_store.epoch, m_store.version)); };
         DutySettings settings;
         settings.self = {host, 1};
         settings.holderGap = Milliseconds{0};
@@ -182,15 +247,25 @@
         }
         auto report = reportOf(*m_first);
         report.windows.clear();
+        if (!m_isHeard) {
+            report.reportSentUpTo = 0;
+        }
         m_second->onReport("h0", 1, report);
         m_first->onReport("h1", 1, reportOf(*m_second));
     }
 
-    void endFirst()
+    // Waits for the first report; the first holder has counted both requests.
+    void awaitReport()
     {
-        if (m_first) {
-            asio::co_spawn(*m_io, m_first->stop(Milliseconds{100}), asio::detached);
-            m_first.reset();
+        CPPUNIT_ASSERT(runUntil([&] { return !m_reports.empty(); }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_reports.front().counts.at("a"));
+    }
+
+    void end(std::shared_ptr<DutyService> &service)
+    {
+        if (service) {
+            asio::co_spawn(*m_io, service->stop(Milliseconds{100}), asio::detached);
+            service.reset();
         }
     }
 
@@ -212,6 +287,10 @@
         return true;
     }
 
+    [[nodiscard]] BillingWindow openWindow() const
+    {
+        return static_cast<BillingWindow>(m_clock.wallNow().time_since_epoch() / windowLength);
+    }
     [[nodiscard]] bool isEarlyInWindow() const
     {
         const auto sinceStart = m_clock.wallNow().time_since_epoch() % windowLength;
@@ -236,8 +315,11 @@
     Store m_copy;
     std::vector<Report> m_reports;
     bool m_accepts{false};
+    // Whether the second host hears of the first one's report.
+    bool m_isHeard{true};
     std::shared_ptr<DutyService> m_first;
     std::shared_ptr<DutyService> m_second;
+    std::shared_ptr<DutyService> m_third;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DutyServiceTest);
