--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -293,7 +293,7 @@
     });
     crashes.crashes.verdicts.clear();
     std::vector<HostReport> reports;
-    if (!crashes.crashes.crashes.empty() || !crashes.crashes.begins.empty()) {
+    if (!crashes.crashes.crashes.empty() || !crashes.crashes.survivals.empty()) {
         reports.push_back(std::move(crashes));
     }
     if (!limits.rateLimits.empty()) {
--- a/src/guavafield/coordination/request/crash_evidence.cpp
+++ b/src/guavafield/coordination/request/crash_evidence.cpp
@@ -15,28 +15,37 @@
 // Hosts of the largest fleets report to each other within this time.
 constexpr Milliseconds reportedFor{8'000};
 constexpr std::size_t momentsToConvict = 3;
-// Crashes closer together count as one moment. By the next one, a sound part that is in use has begun somewhere, and this host has been told.
+// A part that stands above different others is in wide use, and refusing it costs more.
+constexpr std::size_t momentsToConvictGeneral = 4;
+// Crashes closer together count as one moment. By the next one, an answer with a sound part that is in use has survived somewhere, and this host has
+// been told.
 constexpr Milliseconds momentDistance{500};
 // A part under one request only may be as innocent as the request's other parts.
 constexpr std::size_t requestsToConvictPart = 2;
+// Of the crashes that the most suspect part explains, so many are enough for a more special one to be the cause.
+constexpr double specialFraction = 0.6;
+// A cause has a part in at least one of so many crashes.
+constexpr std::size_t crashesPerExplained = 6;
 // If more upstreams than this break within a short time, the cause is not one request.
 constexpr Milliseconds widespreadTime{2'000};
 constexpr double widespreadFraction = 0.3;
 constexpr std::size_t minWidespread = 6;
+// An answer that survives so soon after the first of these breaks may have been received before it.
+constexpr Milliseconds receivedEarlier{250};
 // Verdicts that are as young as this rest on what a widespread failure left.
 constexpr Milliseconds rashVerdict{4'000};
 // Bounds of memory and of reports.
 constexpr std::size_t maxCrashes = 128;
 constexpr std::size_t maxSuspects = 32;
 constexpr std::size_t maxParts = 16;
-constexpr std::size_t maxBegins = 8'192;
+constexpr std::size_t maxSurvivals = 8'192;
 constexpr std::size_t maxVerdicts = 256;
 constexpr std::size_t maxReportedCrashes = 6;
 // All crashes of a report fit into one datagram.
 constexpr std::size_t maxReportedWords = 90;
 constexpr std::size_t wordsOfCrash = 4;
-constexpr std::size_t wordsOfSuspect = 3;
-constexpr std::size_t maxReportedBegins = 16;
+constexpr std::size_t wordsOfSuspect = 4;
+constexpr std::size_t maxReportedSurvivals = 16;
 constexpr std::size_t maxReportedVerdicts = 8;
 
 Milliseconds since(SteadyTime at, SteadyTime now) noexcept
@@ -137,9 +146,15 @@
 void CrashEvidence::dropWidespreadFailure(std::size_t upstreams, SteadyTime now)
 {
     const auto recent = [now](const auto &it) { return now - it.second.at <= internal::widespreadTime; };
-    const auto broken = static_cast<std::size_t>(std::ranges::count_if(m_ownCrashes, recent));
+    std::size_t broken = 0;
+    auto first = now;
+    for (const auto &it : m_ownCrashes) {
+        broken += recent(it) ? 1 : 0;
+        first = recent(it) ? std::min(first, it.second.at) : first;
+    }
     const auto limit = std::max(internal::minWidespread, static_cast<std::size_t>(internal::widespreadFraction * static_cast<double>(upstreams)));
-    if (broken <= limit) {
+    const bool reachesUpstreams = m_lastOwnSurvival > first + internal::receivedEarlier;
+    if (broken <= limit || reachesUpstreams) {
         return;
     }
     m_widespreadUntil = now + internal::widespreadTime;
@@ -152,26 +167,28 @@
     std::erase_if(m_verdicts, [now](const auto &it) { return now - it.second <= internal::rashVerdict; });
 }
 
-void CrashEvidence::onBegun(const CrashSuspect &suspect, SteadyTime now)
+void CrashEvidence::onSurvived(const CrashSuspect &suspect, SteadyTime now)
 {
+    m_lastOwnSurvival = now;
+    m_widespreadUntil = {};
     for (const auto it : suspect.parts) {
-        m_ownBegins[it] = now;
-        addBegin(it, now);
+        m_ownSurvivals[it] = now;
+        addSurvival(it, now);
     }
     // Most requests are never suspected, so that they need not be remembered.
     if (isSuspected(suspect.request)) {
-        m_ownBegins[suspect.request] = now;
-        addBegin(suspect.request, now);
+        m_ownSurvivals[suspect.request] = now;
+        addSurvival(suspect.request, now);
     }
-    if (m_ownBegins.size() > internal::maxBegins) {
-        std::erase_if(m_ownBegins, [now](const auto &it) { return now - it.second > internal::crashMemory / 2; });
-        std::erase_if(m_begins, [now](const auto &it) { return now - it.second > internal::crashMemory / 2; });
+    if (m_ownSurvivals.size() > internal::maxSurvivals) {
+        std::erase_if(m_ownSurvivals, [now](const auto &it) { return now - it.second > internal::crashMemory / 2; });
+        std::erase_if(m_survivals, [now](const auto &it) { return now - it.second > internal::crashMemory / 2; });
     }
 }
 
-void CrashEvidence::addBegin(std::uint64_t feature, SteadyTime at)
+void CrashEvidence::addSurvival(std::uint64_t feature, SteadyTime at)
 {
-    auto &last = m_begins[feature];
+    auto &last = m_survivals[feature];
     last = std::max(last, at);
     const auto verdict = m_verdicts.find(feature);
     if (verdict != m_verdicts.end() && verdict->second < at) {
@@ -214,10 +231,10 @@
     return convicted.empty() ? all : convicted;
 }
 
-bool CrashEvidence::begunSince(std::uint64_t feature, SteadyTime at) const
+bool CrashEvidence::survivedSince(std::uint64_t feature, SteadyTime at) const
 {
-    const auto it = m_begins.find(feature);
-    return it != m_begins.end() && it->second >= at;
+    const auto it = m_survivals.find(feature);
+    return it != m_survivals.end() && it->second >= at;
 }
 
 CrashEvidence::BlameMap CrashEvidence::blameOfParts() const
@@ -228,12 +245,13 @@
         for (const auto *suspect : openSuspects(crash)) {
             for (std::size_t n = 0; n < suspect->parts.size(); ++n) {
                 const auto part = suspect->parts[n];
-                if (begunSince(part, crash.at)) {
+                if (survivedSince(part, crash.at)) {
                     continue;
                 }
                 auto &blame = result[part];
                 blame.requests.insert(suspect->request);
                 blame.depth = std::max(blame.depth, n);
+                blame.isGeneral |= n + 1 < suspect->parts.size();
                 if (counted.insert(part).second) {
                     blame.times.push_back(crash.at);
                 }
@@ -248,14 +266,23 @@
     BlameMap result;
     for (const auto &[id, crash] : m_crashes) {
         for (const auto *suspect : openSuspects(crash)) {
-            if (!begunSince(suspect->request, crash.at)) {
-                result[suspect->request].times.push_back(crash.at);
+            if (!survivedSince(suspect->request, crash.at)) {
+                auto &blame = result[suspect->request];
+                blame.times.push_back(crash.at);
+                blame.beforeAnswer += suspect->answerBegan ? 0 : 1;
             }
         }
     }
     return result;
 }
 
+bool CrashEvidence::explainsEnough(const Blame &blame) const
+{
+    const auto first = *std::ranges::min_element(blame.times);
+    const auto all = static_cast<std::size_t>(std::ranges::count_if(m_crashes, [first](const auto &it) { return it.second.at >= first; }));
+    return blame.times.size() * internal::crashesPerExplained >= all;
+}
+
 void CrashEvidence::evaluate(SteadyTime now)
 {
     expire(m_crashes, now);
@@ -267,16 +294,21 @@
 
 bool CrashEvidence::convictPart(SteadyTime now)
 {
-    const auto blames = blameOfParts();
-    const auto weight = [](const Blame &it) { return std::tuple(it.times.size(), it.depth); };
-    auto worst = blames.end();
-    for (auto it = blames.begin(); it != blames.end(); ++it) {
-        const auto &blame = it->second;
-        const bool enough = blame.requests.size() >= internal::requestsToConvictPart && internal::countMoments(blame.times) >= internal::momentsToConvict;
-        if (enough && (worst == blames.end() || weight(blame) > weight(worst->second))) {
-            worst = it;
-        }
+    auto blames = blameOfParts();
+    std::erase_if(blames, [this](const auto &entry) {
+        const auto &blame = entry.second;
+        const auto moments = blame.isGeneral ? internal::momentsToConvictGeneral : internal::momentsToConvict;
+        const bool enough = blame.requests.size() >= internal::requestsToConvictPart && internal::countMoments(blame.times) >= moments;
+        return !enough || !explainsEnough(blame);
+    });
+    std::size_t most = 0;
+    for (const auto &[part, blame] : blames) {
+        most = std::max(most, blame.times.size());
     }
+    // This host may not have heard yet of all requests that ran at a crash, so a special part need not explain quite as many as a general one.
+    const auto isCandidate = [most](const Blame &it) { return static_cast<double>(it.times.size()) >= internal::specialFraction * static_cast<double>(most); };
+    const auto weight = [&](const Blame &it) { return std::tuple(isCandidate(it), it.depth, it.times.size()); };
+    const auto worst = std::ranges::max_element(blames, {}, [&](const auto &it) { return weight(it.second); });
     if (worst == blames.end()) {
         return false;
     }
@@ -287,7 +319,9 @@
 void CrashEvidence::convictRequests(SteadyTime now)
 {
     for (const auto &[request, blame] : blameOfRequests()) {
-        if (blame.times.size() >= internal::momentsToConvict && !m_verdicts.contains(request)) {
+        // Answers that end too soon may only have been cut short by their upstreams; at several moments nobody got a whole one.
+        const bool enough = blame.beforeAnswer >= internal::momentsToConvict || internal::countMoments(blame.times) >= internal::momentsToConvict;
+        if (enough && explainsEnough(blame) && !m_verdicts.contains(request)) {
             convict(request, blame.times.size(), now);
         }
     }
@@ -329,24 +363,24 @@
         result.verdicts.push_back({feature, internal::since(at, now)});
     }
     for (const auto feature : open) {
-        const auto it = m_ownBegins.find(feature);
-        if (it != m_ownBegins.end() && now - it->second <= internal::reportedFor) {
-            result.begins.push_back({feature, internal::since(it->second, now)});
+        const auto it = m_ownSurvivals.find(feature);
+        if (it != m_ownSurvivals.end() && now - it->second <= internal::reportedFor) {
+            result.survivals.push_back({feature, internal::since(it->second, now)});
         }
     }
-    internal::limitNewest(result.begins, internal::maxReportedBegins);
+    internal::limitNewest(result.survivals, internal::maxReportedSurvivals);
     internal::limitNewest(result.verdicts, internal::maxReportedVerdicts);
     return result;
 }
 
 void CrashEvidence::merge(const CrashKnowledge &peer, SteadyTime now)
 {
-    for (const auto &it : peer.begins) {
-        addBegin(it.feature, now - it.age);
+    for (const auto &it : peer.survivals) {
+        addSurvival(it.feature, now - it.age);
     }
     for (const auto &it : peer.verdicts) {
         const auto at = now - it.age;
-        if (it.age < retention && !m_verdicts.contains(it.feature) && !begunSince(it.feature, at)) {
+        if (it.age < retention && !m_verdicts.contains(it.feature) && !survivedSince(it.feature, at)) {
             convict(it.feature, 0, at);
         }
     }
--- a/src/guavafield/coordination/request/crash_evidence.hpp
+++ b/src/guavafield/coordination/request/crash_evidence.hpp
@@ -16,13 +16,15 @@
 
 namespace guavafield {
 
-/*! @brief A request that an upstream had not begun to answer when it crashed. */
+/*! @brief A request whose answer an upstream had not begun, or had just begun, when it crashed. */
 struct CrashSuspect
 {
     // Identifies the request, its retries and its repeats by the caller.
     std::uint64_t request{0};
     // Parts of its prompt that other requests may share, most general first.
     std::vector<std::uint64_t> parts;
+    // The answer had begun.
+    bool answerBegan{false};
 
     friend bool operator==(const CrashSuspect &, const CrashSuspect &) = default;
 };
@@ -54,8 +56,8 @@
     std::vector<CrashSuspect> suspects;
 };
 
-/*! @brief An upstream began to answer a request with this part, or this request, which has been suspected. */
-struct BeginObservation
+/*! @brief An answer to a request with this part, or to this request, got past its beginning; the part or the request has been suspected. */
+struct SurvivalObservation
 {
     std::uint64_t feature{0};
     Milliseconds age{0};
@@ -80,30 +82,36 @@
 struct CrashKnowledge
 {
     std::vector<CrashObservation> crashes;
-    std::vector<BeginObservation> begins;
+    std::vector<SurvivalObservation> survivals;
     std::vector<CrashVerdict> verdicts;
 };
 
 /*!
  * @brief Compares the suspects of several crashes.
  *
- * A part is convicted after crashes at several moments, under different requests, without a request beginning with it since the first of them. What
+ * An upstream may crash before it writes anything of the answer, or after its first events. So an answer is proof of soundness only once it has gone on
+ * for a while or is complete, and until then a broken one is suspect.
+ *
+ * A part is convicted after crashes at several moments, under different requests, without an answer surviving with it since the first of them. What
  * it explains is not held against the other suspects of the same crashes. A request is convicted by crashes that no part explains. A verdict ends when
- * a request with the part, or the request itself, begins after all. Not thread-safe.
+ * an answer to a request with the part, or to the request itself, survives after all. Not thread-safe.
  */
 class CrashEvidence
 {
 public:
     /*! @brief Duration of a verdict. */
     static constexpr Milliseconds retention{600'000};
+    /*! @brief An answer that has gone on for this long since its first byte has not crashed its upstream. */
+    static constexpr Milliseconds answerBeginning{2'000};
 
     /*!
-     * @brief Records that an upstream's connection broke before it began to answer a request of this host.
-     * @param upstreams Number of upstreams in the pool. If many of them break at once, the fault is this host's or its network's, and says nothing.
+     * @brief Records that an upstream's connection broke before or in the beginning of its answer to a request of this host.
+     * @param upstreams Number of upstreams in the pool. If many of them break at once and no other answer survives, the fault is this host's or its
+     * network's, and says nothing.
      */
     void onCrash(const CrashId &crash, const CrashSuspect &suspect, std::size_t upstreams, SteadyTime now);
-    /*! @brief Records that an upstream began to answer a request of this host. */
-    void onBegun(const CrashSuspect &suspect, SteadyTime now);
+    /*! @brief Records that an answer to a request of this host is complete, or got past its beginning. */
+    void onSurvived(const CrashSuspect &suspect, SteadyTime now);
 
     /*! @brief Returns for how long a request is refused; empty if it is not. */
     [[nodiscard]] std::optional<Milliseconds> refusedFor(const CrashSuspect &suspect, SteadyTime now) const;
@@ -124,11 +132,15 @@
     // What is held against a part or a request.
     struct Blame
     {
-        // Of crashes, ascending.
+        // Of crashes.
         std::vector<SteadyTime> times;
         std::set<std::uint64_t> requests;
+        // Crashes before the answer had begun.
+        std::size_t beforeAnswer{0};
         // Position in the prompt; larger is more specific.
         std::size_t depth{0};
+        // Another shared part follows it in some prompt.
+        bool isGeneral{false};
     };
     using Crashes = std::map<CrashId, Crash>;
     using BlameMap = std::map<std::uint64_t, Blame>;
@@ -137,13 +149,15 @@
     static bool add(Crashes &crashes, const CrashId &crash, SteadyTime at, const CrashSuspect &suspect);
     static void expire(Crashes &crashes, SteadyTime now);
     void dropWidespreadFailure(std::size_t upstreams, SteadyTime now);
-    void addBegin(std::uint64_t feature, SteadyTime at);
+    void addSurvival(std::uint64_t feature, SteadyTime at);
     [[nodiscard]] bool isSuspected(std::uint64_t feature) const;
     // Returns the suspects that the verdicts leave: none if a convicted part explains the crash, else the convicted requests, else all.
     [[nodiscard]] std::vector<const CrashSuspect *> openSuspects(const Crash &crash) const;
-    [[nodiscard]] bool begunSince(std::uint64_t feature, SteadyTime at) const;
+    [[nodiscard]] bool survivedSince(std::uint64_t feature, SteadyTime at) const;
     [[nodiscard]] BlameMap blameOfParts() const;
     [[nodiscard]] BlameMap blameOfRequests() const;
+    // Returns whether the blame rests on a good part of all crashes since the first of its own. What stands beside others' crashes by chance does not.
+    [[nodiscard]] bool explainsEnough(const Blame &blame) const;
     void evaluate(SteadyTime now);
     [[nodiscard]] bool convictPart(SteadyTime now);
     void convictRequests(SteadyTime now);
@@ -153,11 +167,13 @@
     Crashes m_crashes;
     // Those of m_crashes that this host has seen, with its own suspects.
     Crashes m_ownCrashes;
-    // Crashes on this host say nothing until then.
+    // Crashes on this host say nothing until then, or until an answer survives.
     SteadyTime m_widespreadUntil{};
-    // Last time at which a request began with a part, or a suspected request began, on any host and on this one.
-    std::unordered_map<std::uint64_t, SteadyTime> m_begins;
-    std::unordered_map<std::uint64_t, SteadyTime> m_ownBegins;
+    // Of any answer on this host.
+    SteadyTime m_lastOwnSurvival{};
+    // Last time at which an answer with a part, or that to a suspected request, survived on any host and on this one.
+    std::unordered_map<std::uint64_t, SteadyTime> m_survivals;
+    std::unordered_map<std::uint64_t, SteadyTime> m_ownSurvivals;
     // When a part or a request was convicted.
     std::map<std::uint64_t, SteadyTime> m_verdicts;
     std::vector<CrashConviction> m_convicted;
--- a/src/guavafield/coordination/request/request_entry.hpp
+++ b/src/guavafield/coordination/request/request_entry.hpp
@@ -16,6 +16,10 @@
 {
     UpstreamState *upstream{nullptr};
     SteadyTime dispatched{};
+    // Of the first token; empty before.
+    std::optional<SteadyTime> answerBegan{};
+    // The answer has gone on for longer than CrashEvidence::answerBeginning.
+    bool survived{false};
 };
 
 /*! @brief Classification of a request that was running on a crashed upstream. */
--- a/src/guavafield/coordination/request/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler_attempts.cpp
@@ -143,11 +143,11 @@
             endAttempt(*entry, *it.upstream, now);
             continue;
         }
+        noteProgress(*entry, *it.upstream, now);
         it.upstream->markUp();
         const bool first = entry->lastTokens == SteadyTime{};
         if (auto &selfQueueing = poolOf(*entry).selfQueueing; selfQueueing && first) {
             selfQueueing->placement.onFirstToken(*entry, *it.upstream, secondsBetween(it.dispatched, now), now);
-            m_evidence.onBegun(crashSuspectOf(entry->info), now);
         }
         if (!entry->started()) {
             m_times.onFirstToken(entry->info, secondsBetween(it.dispatched, now), now);
@@ -157,6 +157,20 @@
     entry->lastTokens = now;
 }
 
+void RequestScheduler::Impl::noteProgress(RequestEntry &entry, const UpstreamState &upstream, SteadyTime now)
+{
+    const auto attempt = std::ranges::find(entry.attempts, &upstream, &Attempt::upstream);
+    if (!poolOf(entry).selfQueueing || attempt == entry.attempts.end()) {
+        return;
+    }
+    if (!attempt->answerBegan) {
+        attempt->answerBegan = now;
+    } else if (!attempt->survived && now - *attempt->answerBegan >= CrashEvidence::answerBeginning) {
+        attempt->survived = true;
+        m_evidence.onSurvived(crashSuspectOf(entry.info), now);
+    }
+}
+
 void RequestScheduler::Impl::onTokens(std::string_view request, std::uint32_t count, SteadyTime now)
 {
     auto *entry = find(request);
@@ -182,6 +196,9 @@
         }
     }
     entry->lastTokens = now;
+    if (!entry->attempts.empty()) {
+        noteProgress(*entry, *entry->attempts.front().upstream, now);
+    }
 }
 
 AttemptResolution RequestScheduler::Impl::onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end, SteadyTime now)
@@ -204,6 +221,9 @@
     }
     m_times.onEnded(entry->info, entry->deliveredTokens, now);
     m_crashes.clear(entry->info.fingerprint);
+    if (poolOf(*entry).selfQueueing) {
+        m_evidence.onSurvived(crashSuspectOf(entry->info), now);
+    }
     state->markUp();
     erase(*entry, now);
     return RequestDone{};
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -106,6 +106,10 @@
     [[nodiscard]] static ResultCode shortageOf(const Pool &pool, SteadyTime now);
     // Returns for how long all upstreams of the pool that run are paused; 0 if one is not.
     [[nodiscard]] static Milliseconds commonPause(const Pool &pool, SteadyTime now);
+    // Records that a part of the answer has arrived.
+    void noteProgress(RequestEntry &entry, const UpstreamState &upstream, SteadyTime now);
+    // Returns the suspect that a broken connection makes of the request; empty if its answer had got past the beginning.
+    [[nodiscard]] static std::optional<CrashSuspect> suspectOfBreak(const RequestEntry &entry, const UpstreamState &upstream, SteadyTime now);
     [[nodiscard]] AttemptResolution onSelfQueueingFailure(RequestEntry &entry, UpstreamState &upstream, const AttemptFailed &failure, SteadyTime now);
     // Adds (sign 1) or subtracts (sign -1) the work of one report at the upstreams.
     void addPeerWork(std::span<const PeerWork> work, std::span<const EngineDemand> demand, int sign);
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -147,6 +147,18 @@
     m_actions.emplace_back(std::move(action));
 }
 
+std::optional<CrashSuspect> RequestScheduler::Impl::suspectOfBreak(const RequestEntry &entry, const UpstreamState &upstream, SteadyTime now)
+{
+    const auto attempt = std::ranges::find(entry.attempts, &upstream, &Attempt::upstream);
+    const auto began = attempt != entry.attempts.end() ? attempt->answerBegan : std::nullopt;
+    if (began && now - *began >= CrashEvidence::answerBeginning) {
+        return std::nullopt;
+    }
+    auto suspect = crashSuspectOf(entry.info);
+    suspect.answerBegan = began.has_value();
+    return suspect;
+}
+
 AttemptResolution RequestScheduler::Impl::onSelfQueueingFailure(RequestEntry &entry, UpstreamState &upstream, const AttemptFailed &failure, SteadyTime now)
 {
     upstream.failures.add(1, now);
@@ -159,12 +171,13 @@
         m_router.prefixes().removeAll(upstream);
     }
     entry.attemptsRun += failure.notExecuted ? 0 : 1;
+    const auto suspect = failure.upstreamCrashed && !upstream.leaving() ? suspectOfBreak(entry, upstream, now) : std::nullopt;
     endAttempt(entry, upstream, now);
-    if (failure.upstreamCrashed && !entry.started() && !upstream.leaving()) {
-        const auto &pool = poolOf(entry).upstreams;
-        m_evidence.onCrash({upstream.idHash, upstream.upstream.incarnation}, crashSuspectOf(entry.info), pool.size(), now);
+    if (suspect) {
+        m_evidence.onCrash({upstream.idHash, upstream.upstream.incarnation}, *suspect, poolOf(entry).upstreams.size(), now);
     }
-    if (const auto remaining = m_evidence.refusedFor(crashSuspectOf(entry.info), now); remaining && !entry.started()) {
+    // An answer that was broken off would crash the next upstream by going on there.
+    if (const auto remaining = m_evidence.refusedFor(crashSuspectOf(entry.info), now)) {
         erase(entry, now);
         return Refused{ResultCode::CrashSuspectRefused, *remaining};
     }
--- a/src/guavafield/protocol/peer/peer.capnp
+++ b/src/guavafield/protocol/peer/peer.capnp
@@ -115,12 +115,14 @@
   dutyFence @13 :UInt64;
   engineDemand @14 :List(EngineDemand);
   crashes @15 :List(CrashObservation);
+  # Only of earlier versions.
   begins @16 :List(FeatureAge);
   verdicts @17 :List(FeatureAge);
   # The report contains crashes or rate limits only.
   crashesOnly @18 :Bool;
   rateLimits @19 :List(RateLimit);
   reportSentUpTo @20 :UInt64;
+  survivals @21 :List(FeatureAge);
 }
 
 # What an answer said of its upstream's rate limit, for all hosts together; infinite if the limit has ended.
@@ -131,10 +133,11 @@
   ageMs @3 :UInt32;
 }
 
-# A request that an upstream had not begun to answer when it crashed.
+# A request whose answer an upstream had not begun, or had just begun, when it crashed.
 struct CrashSuspect {
   request @0 :UInt64;
   parts @1 :List(UInt64);
+  answerBegan @2 :Bool;
 }
 
 struct CrashObservation {
--- a/src/guavafield/protocol/peer/peer.capnp.h
+++ b/src/guavafield/protocol/peer/peer.capnp.h
@@ -244,7 +244,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 6, 12)
+    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 6, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -274,7 +274,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(af6e707743c7ce54, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(af6e707743c7ce54, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1808,6 +1808,9 @@
 
   inline  ::uint64_t getReportSentUpTo() const;
 
+  inline bool hasSurvivals() const;
+  inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader getSurvivals() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1947,6 +1950,13 @@
   inline  ::uint64_t getReportSentUpTo();
   inline void setReportSentUpTo( ::uint64_t value);
 
+  inline bool hasSurvivals();
+  inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder getSurvivals();
+  inline void setSurvivals( ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder initSurvivals(unsigned int size);
+  inline void adoptSurvivals(::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>> disownSurvivals();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2088,6 +2098,8 @@
   inline bool hasParts() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
+  inline bool getAnswerBegan() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2127,6 +2139,9 @@
   inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
 
+  inline bool getAnswerBegan();
+  inline void setAnswerBegan(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5015,6 +5030,40 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HostReport::Reader::hasSurvivals() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostReport::Builder::hasSurvivals() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader HostReport::Reader::getSurvivals() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::getSurvivals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+inline void HostReport::Builder::setSurvivals( ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Builder HostReport::Builder::initSurvivals(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
+}
+inline void HostReport::Builder::adoptSurvivals(
+    ::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>> HostReport::Builder::disownSurvivals() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RateLimit::Reader::getUpstream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5123,6 +5172,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool CrashSuspect::Reader::getAnswerBegan() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashSuspect::Builder::getAnswerBegan() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void CrashSuspect::Builder::setAnswerBegan(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t CrashObservation::Reader::getUpstream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/guavafield/protocol/peer/peer_codec.cpp
+++ b/src/guavafield/protocol/peer/peer_codec.cpp
@@ -116,13 +116,14 @@
         auto suspects = crashes[n].initSuspects(static_cast<unsigned>(it.suspects.size()));
         for (unsigned k = 0; k < suspects.size(); ++k) {
             suspects[k].setRequest(it.suspects[k].request);
+            suspects[k].setAnswerBegan(it.suspects[k].answerBegan);
             auto parts = suspects[k].initParts(static_cast<unsigned>(it.suspects[k].parts.size()));
             for (unsigned m = 0; m < parts.size(); ++m) {
                 parts.set(m, it.suspects[k].parts[m]);
             }
         }
     }
-    writeAges(knowledge.begins, builder.initBegins(static_cast<unsigned>(knowledge.begins.size())));
+    writeAges(knowledge.survivals, builder.initSurvivals(static_cast<unsigned>(knowledge.survivals.size())));
     writeAges(knowledge.verdicts, builder.initVerdicts(static_cast<unsigned>(knowledge.verdicts.size())));
 }
 
@@ -292,14 +293,14 @@
         auto &crash = knowledge.crashes.emplace_back(CrashObservation{{it.getUpstream(), it.getIncarnation()}, Milliseconds(it.getAgeMs()), {}});
         for (const auto suspect : limited(it.getSuspects())) {
             const auto parts = limited(suspect.getParts());
-            auto &added = crash.suspects.emplace_back(CrashSuspect{suspect.getRequest(), {}});
+            auto &added = crash.suspects.emplace_back(CrashSuspect{suspect.getRequest(), {}, suspect.getAnswerBegan()});
             for (const auto part : parts) {
                 added.parts.push_back(part);
             }
         }
     }
-    for (const auto it : limited(reader.getBegins())) {
-        knowledge.begins.push_back({it.getFeature(), Milliseconds(it.getAgeMs())});
+    for (const auto it : limited(reader.getSurvivals())) {
+        knowledge.survivals.push_back({it.getFeature(), Milliseconds(it.getAgeMs())});
     }
     for (const auto it : limited(reader.getVerdicts())) {
         knowledge.verdicts.push_back({it.getFeature(), Milliseconds(it.getAgeMs())});
--- a/src/guavafield/transport/http/engine_attempt.cpp
+++ b/src/guavafield/transport/http/engine_attempt.cpp
@@ -169,6 +169,9 @@
         deliverFailure(ResultCode::UpstreamIncomplete, crashed ? RetryReason::UpstreamCrashed : RetryReason::AnswerIncomplete, crashed);
         break;
     }
+    case ExchangeResult::Malformed:
+        deliverFailure(ResultCode::UpstreamIncomplete, RetryReason::AnswerIncomplete);
+        break;
     case ExchangeResult::Ok:
     case ExchangeResult::Stalled:
     case ExchangeResult::Aborted:
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -92,7 +92,7 @@
             result = co_await m_exchange.readHeader();
         }
         if (result == ExchangeResult::Ok && internal::isInterim(m_exchange.header().result_int())) {
-            result = ExchangeResult::Broken;
+            result = ExchangeResult::Malformed;
         }
         if (result == ExchangeResult::Ok) {
             facts = m_context->hooks.forward->readAnswer(m_exchange.header(), m_plan.id);
@@ -155,7 +155,7 @@
     while (result == ExchangeResult::Ok && !m_exchange.ended()) {
         result = co_await m_exchange.readSome(body);
         if (body.size() > internal::maxStrayBytes) {
-            co_return ExchangeResult::Broken;
+            co_return ExchangeResult::Malformed;
         }
     }
     // An answer that ends with its connection leaves none for the one that is waited for.
@@ -213,7 +213,7 @@
         const auto patience = lastProgress + m_plan.silenceTime;
         result = co_await m_exchange.readSome(piece, patience);
         if (!splitter.feed(piece, batch.events)) {
-            result = ExchangeResult::Broken;
+            result = ExchangeResult::Malformed;
         }
         // Bytes that complete no event, comments and empty events keep a connection busy but bring the caller nothing.
         const auto now = std::chrono::steady_clock::now();
@@ -272,10 +272,13 @@
         deliverFailure(failure, m_headDelivered ? "the answer stopped" : "no answer in time");
         break;
     case ExchangeResult::Broken:
-        // An upstream that crashes when it writes the first event has sent its header.
-        failure.upstreamCrashed = !m_contentDelivered;
+        // An upstream may crash at any point of the answer.
+        failure.upstreamCrashed = true;
         deliverFailure(failure, "the connection ended before the answer did");
         break;
+    case ExchangeResult::Malformed:
+        deliverFailure(failure, "the bytes received are no answer");
+        break;
     case ExchangeResult::Ok:
     case ExchangeResult::Stalled:
     case ExchangeResult::Aborted:
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -23,6 +23,12 @@
 // Fits into the send buffer of the system, so that sending it cannot wait for the upstream.
 constexpr std::size_t smallRequestBytes = std::size_t{8} * 1024;
 
+// Whether an error is due to the bytes received, not to the connection.
+bool isMalformed(const boost::system::error_code &ec)
+{
+    return ec.category() == make_error_code(http::error::bad_version).category() && ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
+
 } // namespace internal
 
 using namespace internal;
@@ -121,7 +127,7 @@
         ec = {};
     }
     const auto result = resultOf(ec, ExchangeResult::Broken);
-    if (result == ExchangeResult::Ok || result == ExchangeResult::Broken) {
+    if (result == ExchangeResult::Ok || result == ExchangeResult::Broken || result == ExchangeResult::Malformed) {
         body.append(m_piece.data(), m_piece.size() - target.size);
     }
     target.data = nullptr;
@@ -183,6 +189,9 @@
     if (stalled && ec == asio::error::operation_aborted) {
         return ExchangeResult::Stalled;
     }
+    if (ec && isMalformed(ec)) {
+        return ExchangeResult::Malformed;
+    }
     return ec ? failure : ExchangeResult::Ok;
 }
 
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstream_exchange.hpp
@@ -28,8 +28,10 @@
     TimedOut,
     // The time that readSome() was given is over; the connection is unharmed.
     Stalled,
-    // The connection ended or the answer is malformed.
+    // The connection ended before the answer did.
     Broken,
+    // The bytes are no answer, or exceed a limit.
+    Malformed,
     // abort() was called.
     Aborted,
 };
--- a/test/coordination/request/crash_evidence_test.cpp
+++ b/test/coordination/request/crash_evidence_test.cpp
@@ -15,8 +15,8 @@
 constexpr std::uint64_t deadlyPart = 0xDEAD;
 constexpr std::uint64_t commonPart = 1;
 
-// A fleet in front of one pool. Requests with the deadly part crash their upstream when it begins to answer; the other requests that wait there are
-// suspects as well. An upstream is back after a while as a new process.
+// A fleet in front of one pool. Requests with the deadly part crash their upstream when it begins to answer, or after its first events; the other
+// requests that wait there and the answers under way there break as well. An upstream is back after a while as a new process.
 class CrashingFleet
 {
 public:
@@ -33,6 +33,10 @@
         std::size_t waitingBeside{2};
         // Parts below the common one.
         std::uint64_t subjects{400};
+        // The deadly part crashes upstreams only once they have written the first events.
+        bool afterFirstEvents{false};
+        // Longest duration of an answer; the shortest is a tenth of it.
+        Milliseconds answerTime{5'000};
     };
 
     explicit CrashingFleet(Settings settings) : m_settings(settings), m_random(settings.seed), m_hosts(settings.hosts), m_processes(settings.upstreams) { }
@@ -45,14 +49,32 @@
             const auto next = m_now + std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(pause(m_random)));
             while (m_nextReports <= next) {
                 m_now = m_nextReports;
+                endAnswers();
                 report();
                 m_nextReports += m_settings.reportInterval / static_cast<int>(m_hosts.size());
             }
             m_now = next;
+            endAnswers();
             arrive();
         }
     }
 
+    // All connections to an upstream break, but its process goes on.
+    void breakConnections(std::size_t upstream)
+    {
+        breakAnswers(upstream, m_now);
+    }
+    // One connection to an upstream breaks.
+    void breakOneAnswer(std::size_t upstream)
+    {
+        const auto it = std::ranges::find(m_answers, upstream, &Answer::upstream);
+        if (it != m_answers.end()) {
+            const auto answer = *it;
+            m_answers.erase(it);
+            breakAnswer(answer);
+        }
+    }
+
     std::size_t deadlyRuns{0};
     // Runs of requests with the deadly part later than this after the fifth crash.
     Milliseconds toleratedTime{3'000};
@@ -67,6 +89,15 @@
         Incarnation incarnation{1};
         SteadyTime upAt{};
     };
+    // To a sound request.
+    struct Answer
+    {
+        CrashEvidence *host{nullptr};
+        CrashSuspect suspect;
+        std::size_t upstream{0};
+        SteadyTime begun{};
+        SteadyTime survives{};
+    };
 
     std::size_t below(std::size_t limit)
     {
@@ -91,7 +122,7 @@
             return;
         }
         if (!deadly) {
-            host.onBegun(suspect, m_now);
+            answer(host, suspect);
             return;
         }
         // Its stream may go on elsewhere, so it runs twice.
@@ -100,7 +131,56 @@
         }
     }
 
-    void crash(CrashEvidence &host, const CrashSuspect &suspect)
+    // Begins to answer a sound request at an upstream that is up.
+    void answer(CrashEvidence &host, const CrashSuspect &suspect)
+    {
+        auto n = below(m_processes.size());
+        for (int tries = 0; tries < 5 && m_processes[n].upAt > m_now; ++tries) {
+            n = below(m_processes.size());
+        }
+        const auto shortest = static_cast<std::size_t>(m_settings.answerTime.count()) / 10;
+        const Milliseconds duration(static_cast<int>(shortest + below(shortest * 9)));
+        if (m_processes[n].upAt <= m_now) {
+            m_answers.push_back({&host, suspect, n, m_now, m_now + std::min(duration, CrashEvidence::answerBeginning)});
+        }
+    }
+
+    void endAnswers()
+    {
+        std::erase_if(m_answers, [this](const Answer &it) {
+            const bool survived = it.survives <= m_now;
+            if (survived) {
+                it.host->onSurvived(it.suspect, it.survives);
+            }
+            return survived;
+        });
+    }
+
+    void breakAnswers(std::size_t upstream, SteadyTime begunBefore)
+    {
+        const auto answers = m_answers;
+        std::erase_if(m_answers, [&](const Answer &it) { return it.upstream == upstream && it.begun <= begunBefore; });
+        for (const auto &it : answers) {
+            if (it.upstream == upstream && it.begun <= begunBefore) {
+                breakAnswer(it);
+            }
+        }
+    }
+
+    void breakAnswer(const Answer &broken)
+    {
+        auto suspect = broken.suspect;
+        suspect.answerBegan = true;
+        broken.host->onCrash({broken.upstream, m_processes[broken.upstream].incarnation}, suspect, m_settings.upstreams, m_now);
+        if (broken.host->refusedFor(broken.suspect, m_now)) {
+            ++soundRefused;
+            return;
+        }
+        // It goes on elsewhere.
+        answer(*broken.host, broken.suspect);
+    }
+
+    void crash(CrashEvidence &host, CrashSuspect suspect)
     {
         auto &process = m_processes[below(m_processes.size())];
         if (process.upAt > m_now) {
@@ -112,6 +192,8 @@
             m_fifthCrash = m_now;
         }
         const CrashId id{static_cast<std::uint64_t>(&process - m_processes.data()), process.incarnation};
+        suspect.answerBegan = m_settings.afterFirstEvents;
+        breakAnswers(id.upstream, m_now);
         host.onCrash(id, suspect, m_settings.upstreams, m_now);
         for (std::size_t n = 0; n < m_settings.waitingBeside; ++n) {
             auto &other = m_hosts[below(m_hosts.size())];
@@ -119,7 +201,7 @@
             other.onCrash(id, beside, m_settings.upstreams, m_now);
             // It goes on elsewhere.
             if (!other.refusedFor(beside, m_now)) {
-                other.onBegun(beside, m_now);
+                answer(other, beside);
             }
         }
         ++process.incarnation;
@@ -142,6 +224,7 @@
     std::mt19937 m_random;
     std::vector<CrashEvidence> m_hosts;
     std::vector<Process> m_processes;
+    std::vector<Answer> m_answers;
     std::uint64_t m_lastRequest{0};
     std::size_t m_reporter{0};
     SteadyTime m_now{std::chrono::hours{1}};
@@ -156,6 +239,11 @@
     CPPUNIT_TEST_SUITE(CrashEvidenceTest);
     CPPUNIT_TEST(deadlyPartIsStoppedAndSoundRequestsGoOn);
     CPPUNIT_TEST(deadlyPartIsStoppedInALargeFleet);
+    CPPUNIT_TEST(partThatCrashesAfterTheFirstEventsIsStopped);
+    CPPUNIT_TEST(connectionsThatBreakTogetherAccuseNobody);
+    CPPUNIT_TEST(answersThatAreCutShortAccuseNobody);
+    CPPUNIT_TEST(answerThatBeginsIsNoProofOfSoundness);
+    CPPUNIT_TEST(requestThatIsCutShortOnceInAWhileIsNotRefused);
     CPPUNIT_TEST(requestsBesideCrashesAreNotRefused);
     CPPUNIT_TEST(partWithoutSoundRequestsIsNotBlamedForItsNeighbour);
     CPPUNIT_TEST(failureOfManyUpstreamsBlamesNobody);
@@ -198,6 +286,100 @@
         }
     }
 
+    // A part that lets upstreams write the first events before they crash must be found as well, at any rate and on few hosts or many.
+    void partThatCrashesAfterTheFirstEventsIsStopped()
+    {
+        for (unsigned seed = 1; seed <= 50; ++seed) {
+            for (const double deadlyPerSecond : {0.5, 1.0, 3.0}) {
+                CrashingFleet::Settings settings{seed};
+                settings.hosts = seed % 2 == 0 ? 3 : 9;
+                settings.deadlyFraction = deadlyPerSecond / settings.requestsPerSecond;
+                settings.afterFirstEvents = true;
+                CrashingFleet fleet(settings);
+                fleet.run(std::chrono::seconds{40});
+                const auto text = "seed " + std::to_string(seed) + " at " + std::to_string(deadlyPerSecond) + " a second: late runs "
+                    + std::to_string(fleet.lateDeadlyRuns) + ", refused " + std::to_string(fleet.soundRefused);
+                CPPUNIT_ASSERT_MESSAGE(text, fleet.crashes >= 3);
+                CPPUNIT_ASSERT_MESSAGE(text, fleet.lateDeadlyRuns <= 3);
+                // What the users allow of proper requests.
+                CPPUNIT_ASSERT_MESSAGE(text, fleet.soundRefused <= 5 + fleet.soundRequests / 500);
+            }
+        }
+    }
+
+    // A network that breaks the streams of many upstreams, at once or one after the other and again and again, says nothing about requests.
+    void connectionsThatBreakTogetherAccuseNobody()
+    {
+        for (unsigned seed = 1; seed <= 50; ++seed) {
+            for (const auto spread : {Milliseconds{0}, Milliseconds{400}}) {
+                CrashingFleet::Settings settings{seed};
+                settings.deadlyFraction = 0;
+                settings.requestsPerSecond = 50;
+                CrashingFleet fleet(settings);
+                for (int n = 0; n < 6; ++n) {
+                    fleet.run(std::chrono::seconds{3});
+                    for (std::size_t upstream = 0; upstream < settings.upstreams / 3; ++upstream) {
+                        fleet.breakConnections(upstream);
+                        fleet.run(spread);
+                    }
+                }
+                fleet.run(std::chrono::seconds{5});
+                CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::size_t{0}, fleet.soundRefused);
+            }
+        }
+    }
+
+    // Upstreams that end many of their answers too soon have not crashed.
+    void answersThatAreCutShortAccuseNobody()
+    {
+        for (unsigned seed = 1; seed <= 50; ++seed) {
+            CrashingFleet::Settings settings{seed};
+            settings.deadlyFraction = 0;
+            settings.requestsPerSecond = 50;
+            CrashingFleet fleet(settings);
+            for (int n = 0; n < 200; ++n) {
+                fleet.run(Milliseconds{100});
+                fleet.breakOneAnswer(static_cast<std::size_t>(n) % 4);
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::size_t{0}, fleet.soundRefused);
+        }
+    }
+
+    // A request with the deadly part has begun at one upstream while it crashes another, which must not clear the part.
+    void answerThatBeginsIsNoProofOfSoundness()
+    {
+        CrashEvidence evidence;
+        for (std::uint64_t n = 0; n < 4; ++n) {
+            m_now += Milliseconds{700};
+            evidence.onCrash({n, 1}, {100 + n, {commonPart, deadlyPart}, true}, 12, m_now);
+            evidence.onSurvived({50 + n, {commonPart, 1'001}}, m_now + Milliseconds{10});
+        }
+        CPPUNIT_ASSERT(evidence.refusedFor({999, {commonPart, deadlyPart}}, m_now).has_value());
+        CPPUNIT_ASSERT(!evidence.refusedFor({999, {commonPart, 1'002}}, m_now).has_value());
+    }
+
+    // Clients poll one request; now and then its answer is cut short by one of three upstreams in a row.
+    void requestThatIsCutShortOnceInAWhileIsNotRefused()
+    {
+        CrashEvidence evidence;
+        const CrashSuspect polled{7, {}, true};
+        for (std::uint64_t n = 0; n < 20; ++n) {
+            for (std::uint64_t upstream = 0; upstream < 3; ++upstream) {
+                m_now += Milliseconds{50};
+                evidence.onCrash({upstream, 1}, polled, 3, m_now);
+            }
+            CPPUNIT_ASSERT(!evidence.refusedFor(polled, m_now).has_value());
+            m_now += Milliseconds{50};
+            evidence.onSurvived(polled, m_now);
+        }
+        // Where no answer is whole any more, the request is at fault.
+        for (std::uint64_t n = 0; n < 3; ++n) {
+            m_now += Milliseconds{700};
+            evidence.onCrash({n, 2}, polled, 3, m_now);
+        }
+        CPPUNIT_ASSERT(evidence.refusedFor(polled, m_now).has_value());
+    }
+
     // A request that waited beside two or three crashing ones has crashed nothing.
     void requestsBesideCrashesAreNotRefused()
     {
@@ -208,7 +390,7 @@
             const CrashId id{n, 1};
             evidence.onCrash(id, {100 + n, {commonPart, deadlyPart}}, 12, m_now);
             evidence.onCrash(id, sound, 12, m_now);
-            evidence.onBegun({50 + n, {commonPart, 1'001}}, m_now + Milliseconds{10});
+            evidence.onSurvived({50 + n, {commonPart, 1'001}}, m_now + Milliseconds{10});
         }
         CPPUNIT_ASSERT(!evidence.refusedFor(sound, m_now).has_value());
         CPPUNIT_ASSERT(evidence.refusedFor({999, {commonPart, deadlyPart}}, m_now).has_value());
@@ -263,7 +445,7 @@
         other.merge(evidence.knowledge(m_now), m_now);
         CPPUNIT_ASSERT(evidence.refusedFor(next, m_now).has_value() && other.refusedFor(next, m_now).has_value());
         m_now += Milliseconds{200};
-        other.onBegun(next, m_now);
+        other.onSurvived(next, m_now);
         CPPUNIT_ASSERT(!other.refusedFor(next, m_now).has_value());
         evidence.merge(other.knowledge(m_now), m_now);
         CPPUNIT_ASSERT(!evidence.refusedFor(next, m_now).has_value());
@@ -307,7 +489,7 @@
             }
         }
         CPPUNIT_ASSERT(words > 0 && words <= 90);
-        CPPUNIT_ASSERT(knowledge.verdicts.size() <= 8 && knowledge.begins.size() <= 16);
+        CPPUNIT_ASSERT(knowledge.verdicts.size() <= 8 && knowledge.survivals.size() <= 16);
     }
 
 private:
--- a/test/protocol/peer/peer_codec_test.cpp
+++ b/test/protocol/peer/peer_codec_test.cpp
@@ -89,8 +89,8 @@
             made.windows.push_back({word(), {{word(), static_cast<std::uint32_t>(word())}, {word(), 1}}});
         }
         for (auto n = below(3); n > 0; --n) {
-            made.crashes.crashes.push_back({{word(), word()}, Milliseconds(below(8'000)), {{word(), {word(), word()}}, {word(), {}}}});
-            made.crashes.begins.push_back({word(), Milliseconds(below(8'000))});
+            made.crashes.crashes.push_back({{word(), word()}, Milliseconds(below(8'000)), {{word(), {word(), word()}, true}, {word(), {}, false}}});
+            made.crashes.survivals.push_back({word(), Milliseconds(below(8'000))});
             made.crashes.verdicts.push_back({word(), Milliseconds(below(600'000))});
             made.rateLimits.push_back({word(), word(), below(2) == 0 ? unlimitedRate : 0.5 * below(100), Milliseconds(below(10'000))});
         }
@@ -133,7 +133,7 @@
         CPPUNIT_ASSERT(expected.crashes[n].crash == decoded.crashes[n].crash);
         CPPUNIT_ASSERT(expected.crashes[n].suspects == decoded.crashes[n].suspects);
     }
-    CPPUNIT_ASSERT_EQUAL(expected.begins.size(), decoded.begins.size());
+    CPPUNIT_ASSERT_EQUAL(expected.survivals.size(), decoded.survivals.size());
     CPPUNIT_ASSERT_EQUAL(expected.verdicts.size(), decoded.verdicts.size());
 }
 
--- a/test/transport/http/hazards_test.cpp
+++ b/test/transport/http/hazards_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(stalledStreamThatSendsBytesGoesOnElsewhere);
     CPPUNIT_TEST(slowStreamIsKeptWhereItCannotGoOn);
     CPPUNIT_TEST(requestThatCrashesUpstreamsAfterTheHeaderIsStopped);
+    CPPUNIT_TEST(requestsThatCrashUpstreamsInTheirAnswerAreStopped);
     CPPUNIT_TEST(bytesWithoutEndAreBounded);
     CPPUNIT_TEST(bodiesWithoutEndShareOneBound);
     CPPUNIT_TEST(bytesThatDripWithoutEndEndWithTheDeadline);
@@ -146,6 +147,49 @@
         CPPUNIT_ASSERT_MESSAGE(std::to_string(calls), calls <= 6);
     }
 
+    // An upstream may crash after the first events, or in the body of a plain answer; requests that do this are stopped all the same.
+    void requestsThatCrashUpstreamsInTheirAnswerAreStopped()
+    {
+        for (const auto *path : {"/resume/x", "/stream/x", "/call/x"}) {
+            const auto handler = [&](FakeCall &call) {
+                if (!call.path().starts_with("/call/")) {
+                    beginEvents(call);
+                    const auto last = call.request()["Last-Event-ID"];
+                    call.send(chunk(event(last.empty() ? 1 : std::stoi(std::string(last)) + 1)));
+                } else {
+                    call.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n" + echo(call) + "\r\nhalf");
+                }
+                call.drop();
+            };
+            std::vector<std::unique_ptr<FakeUpstream>> upstreams;
+            std::vector<FakeUpstream *> pointers;
+            for (int n = 0; n < 8; ++n) {
+                pointers.push_back(upstreams.emplace_back(std::make_unique<FakeUpstream>(handler)).get());
+            }
+            auto fixture = makeForwardFixture(pointers);
+            fixture->start();
+            const auto calls = [&] {
+                std::size_t sum = 0;
+                for (const auto &it : upstreams) {
+                    sum += it->calls();
+                }
+                return sum;
+            };
+            // The same request comes again, spread over more than the time in which crashes count as one.
+            for (int n = 0; n < 4; ++n) {
+                auto client = fixture->connect();
+                client.send(forwardRequest(path, "again" + std::to_string(n)));
+                std::ignore = client.readAll();
+                std::this_thread::sleep_for(std::chrono::milliseconds(600));
+            }
+            const auto before = calls();
+            for (int n = 0; n < 4; ++n) {
+                std::ignore = fixture->call(forwardRequest(path, "refused" + std::to_string(n)));
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, before, calls());
+        }
+    }
+
     // Bytes that never become an answer must neither fill the memory nor keep the caller waiting.
     void bytesWithoutEndAreBounded()
     {
