Refuse no request of a self-queueing pool for its own length

Cause: one service time was learned for all requests of a service, and it was part of the expected time by which a request is refused. Refused requests give no sample, so that the expectation stayed wrong. Ruled out: full upstreams (they answer whatever reaches them). That the refusal keeps itself alive without a second kind of request is shown by requestsAreServedAfterAFreeze.

Change: the expected time is a reason to refuse only where the request would wait behind others at the upstream. Refusals drain the upstreams, the next request begins at once and corrects the expectation, so nothing needs a timer or a probe. The same holds for engines, whose learned prefill rate could lock out long prompts.

--- a/src/guavafield/coordination/request/placement.cpp
+++ b/src/guavafield/coordination/request/placement.cpp
@@ -16,6 +16,8 @@
 constexpr double maxTokensPerSecond = 1'000'000;
 constexpr double initialServiceSeconds = 0.02;
 constexpr double initialMeanTokens = 2'000;
+// Kinds of request of earlier configurations are forgotten with all others when there are more.
+constexpr std::size_t maxKinds = 2'048;
 constexpr double learningWeight = 0.05;
 // Network and engine overhead before the first token; excluded when the prefill rate is learned.
 constexpr double firstTokenOverheadSeconds = 0.03;
@@ -64,6 +66,11 @@
     return upstream.downSince && upstream.outlier.probeDue(now) && upstream.accepting() && upstream.outstanding() == 0;
 }
 
+void learn(double &value, double sample) noexcept
+{
+    value += learningWeight * (sample - value);
+}
+
 // The ratio decays to 1 without new samples, so that a slow upstream is used again.
 double decayedLatencyRatio(const UpstreamState &upstream, SteadyTime now)
 {
@@ -140,13 +147,19 @@
     return 0;
 }
 
-double Placement::waitSeconds(const UpstreamState &upstream, const RequestEntry &entry, SteadyTime now) const
+double Placement::serviceSeconds(const std::string &kind) const
+{
+    const auto it = m_serviceSecondsByKind.find(kind);
+    return it == m_serviceSecondsByKind.end() ? internal::initialServiceSeconds : it->second;
+}
+
+Placement::Contention Placement::contention(const UpstreamState &upstream, const RequestEntry &entry, SteadyTime now) const
 {
     const double running = upstream.outstanding() + upstream.peerRunning;
     const double slots = std::max(1U, upstream.upstream.slots);
     if (!m_engine) {
         const double queued = std::max(0.0, running + 1 - slots);
-        return m_serviceSeconds * (queued / slots + internal::saturationSeconds * running / slots);
+        return {m_serviceSeconds * queued / slots, m_serviceSeconds * internal::saturationSeconds * running / slots};
     }
     double tokens = upstream.peerWaitingTokens;
     double waiting = upstream.peerWaitingTokens / m_meanTokens;
@@ -162,7 +175,7 @@
         tokens += std::max(0.0, upstream.report.waiting - waiting) * m_meanTokens * reportWeight;
     }
     const double saturation = running >= slots ? internal::saturationSeconds * (1 + running - slots) : 0;
-    return tokens / m_tokensPerSecond + saturation + internal::runningSeconds * running;
+    return {tokens / m_tokensPerSecond + saturation, internal::runningSeconds * running};
 }
 
 const UpstreamState *Placement::fetchSourceFor(const UpstreamState &upstream, double confirmedTokens, const PrefixIndex &prefixes, const RequestEntry &entry)
@@ -209,14 +222,20 @@
         } else {
             penalty = internal::recomputeFactor * missingTokens / m_tokensPerSecond;
         }
-        decision.seconds = (waitSeconds(it, entry, now) + decision.tokens / m_tokensPerSecond) * internal::decayedLatencyRatio(it, now) + copySeconds;
-        decision.seconds += m_engine ? internal::firstTokenOverheadSeconds : m_serviceSeconds;
+        const auto others = contention(it, entry, now);
+        const double latencyRatio = internal::decayedLatencyRatio(it, now);
+        const double slowdown = others.slowdown * latencyRatio;
+        decision.queueSeconds = others.queue * latencyRatio;
+        decision.seconds = decision.queueSeconds + decision.tokens / m_tokensPerSecond * latencyRatio + copySeconds;
+        decision.seconds += m_engine ? slowdown + internal::firstTokenOverheadSeconds : serviceSeconds(entry.info.kind);
         const double remote = it.upstream.dataCentre == m_local ? 0 : internal::remoteDataCentreSeconds;
         // Prefix copies known only to this host should not move requests away from the holder that all hosts agree on.
         const bool exemptFromPenalty = prefix.holder == nullptr || prefix.holder == &it || prefix.tokens < internal::minTokensToFetch;
         const double nonHolderPenalty = exemptFromPenalty ? 0 : internal::nonHolderPenaltySeconds;
         const double rangePenalty = range.contains(it.rank) ? 0 : range.penaltySeconds;
-        const double cost = decision.seconds + penalty + remote + nonHolderPenalty + rangePenalty + internal::failureSeconds * it.failures.valueAt(now);
+        double cost = decision.seconds + penalty + remote + nonHolderPenalty + rangePenalty + internal::failureSeconds * it.failures.valueAt(now);
+        // A plain service is only assumed to become slower, so that its upstreams are used evenly.
+        cost += m_engine ? 0 : slowdown;
         if (probe || cost < lowestCost) {
             best = decision;
             lowestCost = probe ? -1 : cost;
@@ -240,9 +259,17 @@
     }
 }
 
+void Placement::learnServiceTime(const std::string &kind, double seconds)
+{
+    internal::learn(m_serviceSeconds, seconds);
+    if (m_serviceSecondsByKind.size() >= internal::maxKinds && !m_serviceSecondsByKind.contains(kind)) {
+        m_serviceSecondsByKind.clear();
+    }
+    internal::learn(m_serviceSecondsByKind.try_emplace(kind, internal::initialServiceSeconds).first->second, seconds);
+}
+
 void Placement::onFirstToken(const RequestEntry &entry, UpstreamState &upstream, double seconds, SteadyTime now)
 {
-    const auto learn = [](double &value, double sample) { value += internal::learningWeight * (sample - value); };
     if (entry.expectedSeconds > 0) {
         const double ratio = std::clamp(seconds / entry.expectedSeconds, 0.25, internal::maxLatencyRatio);
         const double before = internal::decayedLatencyRatio(upstream, now);
@@ -250,13 +277,15 @@
         upstream.latencyRatioTime = now;
     }
     if (!m_engine) {
-        learn(m_serviceSeconds, seconds);
+        // What arrives later than the deadline was held up by a pause of this host.
+        const double allowed = std::max(0.0, seconds - secondsBetween(entry.deadline, now));
+        learnServiceTime(entry.info.kind, std::min(seconds, allowed));
         return;
     }
-    learn(m_meanTokens, std::max(1.0, entry.prefillTokens));
+    internal::learn(m_meanTokens, std::max(1.0, entry.prefillTokens));
     const double prefillSeconds = seconds - internal::firstTokenOverheadSeconds;
     if (entry.dispatchedToIdle && entry.prefillTokens >= internal::minTokensToLearn && prefillSeconds > 0) {
-        learn(m_tokensPerSecond, std::clamp(entry.prefillTokens / prefillSeconds, internal::minTokensPerSecond, internal::maxTokensPerSecond));
+        internal::learn(m_tokensPerSecond, std::clamp(entry.prefillTokens / prefillSeconds, internal::minTokensPerSecond, internal::maxTokensPerSecond));
     }
 }
 
--- a/src/guavafield/coordination/request/placement.hpp
+++ b/src/guavafield/coordination/request/placement.hpp
@@ -43,6 +43,8 @@
     const UpstreamState *fetchFrom{nullptr};
     // Expected time to the first token.
     double seconds{0};
+    // The part of it for which the request waits behind others at the upstream.
+    double queueSeconds{0};
     // Prompt tokens that the upstream is expected to prefill.
     double tokens{0};
 };
@@ -105,7 +107,19 @@
     };
 
     [[nodiscard]] Prefix findPrefix(const PoolUpstreams &upstreams, const RequestEntry &entry, const EngineRange &range, SteadyTime now) const;
-    [[nodiscard]] double waitSeconds(const UpstreamState &upstream, const RequestEntry &entry, SteadyTime now) const;
+    // Effect of other requests at an upstream on a new one, in seconds.
+    struct Contention
+    {
+        // It begins so much later.
+        double queue{0};
+        // It takes so much longer.
+        double slowdown{0};
+    };
+
+    [[nodiscard]] Contention contention(const UpstreamState &upstream, const RequestEntry &entry, SteadyTime now) const;
+    // Returns the learned service time of a kind of request of a plain service.
+    [[nodiscard]] double serviceSeconds(const std::string &kind) const;
+    void learnServiceTime(const std::string &kind, double seconds);
     // Returns an upstream to which this host has sent more of the prefix, or null. An unneeded fetch from it costs nothing.
     [[nodiscard]] static const UpstreamState *
     fetchSourceFor(const UpstreamState &upstream, double confirmedTokens, const PrefixIndex &prefixes, const RequestEntry &entry);
@@ -114,8 +128,9 @@
     DataCentreId m_local;
     std::optional<EngineFacts> m_engine;
     double m_tokensPerSecond;
-    // Learned service time of a request of a plain service.
+    // Learned service time of a request of a plain service: of all requests, among which a new one waits, and by kind.
     double m_serviceSeconds;
+    StringMap<double> m_serviceSecondsByKind;
     // Learned mean of the uncached prompt tokens of a request.
     double m_meanTokens;
     StreamIsolation m_isolation;
--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -20,6 +20,8 @@
     RequestId id;
     TeamId team;
     std::string className;
+    // Kind of request; upstreams of a plain service take a similar time for all requests of a kind.
+    std::string kind;
     ModelId model;
     Tier tier{tierCount - 1};
     Milliseconds firstTokenTarget{};
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -11,6 +11,8 @@
 constexpr double noUpstreamWaitFraction = 0.125;
 // A request is refused if its expected time to the first token exceeds this fraction of the time to its deadline.
 constexpr double maxWaitFraction = 0.95;
+// A shorter wait behind other requests is no reason to refuse.
+constexpr double negligibleQueueSeconds = 0.001;
 constexpr double refusedRetrySeconds = 0.3;
 // Keeps the retries of all hosts below a fifth of the requests plus a few dozen.
 constexpr double poolRetriesPerRequest = 0.15;
@@ -93,7 +95,10 @@
     for (auto *entry : waiting) {
         const auto decision = pool.selfQueueing->placement.choose(pool.upstreams, m_router.prefixes(), *entry, now);
         const double left = secondsBetween(now, entry->deadline);
-        const bool deadlineUnreachable = decision.upstream != nullptr && !entry->started() && decision.seconds > internal::maxWaitFraction * left;
+        // A request that begins at once is sent, whatever its expected time: no other request gains by its refusal, and without an answer the
+        // expectation would never be corrected.
+        const bool waits = decision.upstream != nullptr && decision.queueSeconds > internal::negligibleQueueSeconds;
+        const bool deadlineUnreachable = waits && !entry->started() && decision.seconds > internal::maxWaitFraction * left;
         if (decision.upstream != nullptr && !deadlineUnreachable) {
             dispatchTo(pool, *entry, decision, now);
         } else if (deadlineUnreachable || now >= entry->latestStart) {
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -67,6 +67,7 @@
     info.team = m_plan.grant.team != nullptr ? m_plan.grant.team->id : TeamId();
     // Retries are bounded by pool.
     info.className = m_call.pool;
+    info.kind = m_call.route;
     info.model = m_call.pool;
     info.tier = static_cast<Tier>(std::min<std::uint32_t>(m_call.enginePriority, tierCount - 1));
     info.firstTokenTarget = m_call.target.target;
