Count parts of events towards the bound of all answers that a host holds

What was seen (report of other operators): a faulty upstream sends bytes that are no answer, without end; the host keeps them all, runs out of memory, and the requests of others end with it.

Cause: only collected bodies shared a bound for the host. An event whose end has not come is collected too, up to 1 MiB for each stream, and so was the body of a stray answer, which was kept only to be thrown away. The parser of engines' streams had the same fault.

Change: what is held of events counts towards held_answer_bytes until the caller has taken it. Stray answers are skipped piece by piece.

--- a/src/guavafield/protocol/chat/sse.hpp
+++ b/src/guavafield/protocol/chat/sse.hpp
@@ -25,6 +25,12 @@
      */
     [[nodiscard]] bool feed(std::string_view bytes, std::vector<std::string> &events);
 
+    /*! @brief Returns the size of the event whose end has not arrived. */
+    [[nodiscard]] std::size_t heldBytes() const noexcept
+    {
+        return m_line.size() + m_data.size();
+    }
+
 private:
     void takeLine(std::string_view line, std::vector<std::string> &events);
 
--- a/src/guavafield/protocol/settings/daemon_settings.hpp
+++ b/src/guavafield/protocol/settings/daemon_settings.hpp
@@ -48,7 +48,7 @@
     std::uint32_t headerBytes{16 * 1024};
     std::uint64_t bodyBytes{8ULL * 1024 * 1024};
     std::uint64_t responseBytes{64ULL * 1024 * 1024};
-    // Of all answers that are being collected, as they are not streamed.
+    // Of all answers that are being collected, as they are not streamed, and of all events that have not arrived completely.
     std::uint64_t heldAnswerBytes{256ULL * 1024 * 1024};
     std::size_t connections{4096};
     std::size_t requests{2048};
--- a/src/guavafield/transport/http/engine_attempt.cpp
+++ b/src/guavafield/transport/http/engine_attempt.cpp
@@ -95,13 +95,14 @@
 EngineAttempt::Awaitable EngineAttempt::readStream()
 {
     SseParser parser;
+    AnswerReservation reservation(m_context->answers, m_context->settings.limits.responseBytes);
     std::string piece;
     bool ended = false;
     while (!ended && !m_outlet.closed()) {
         AnswerEvents batch{m_plan.number, {}};
         piece.clear();
         const auto result = co_await m_exchange.readSome(piece);
-        if (!parser.feed(piece, batch.events)) {
+        if (!parser.feed(piece, batch.events) || !reservation.resize(parser.heldBytes())) {
             deliverFailure(ResultCode::UpstreamFailed, RetryReason::UpstreamError);
             co_return;
         }
@@ -138,7 +139,7 @@
     AnswerReservation reservation(m_context->answers, m_context->settings.limits.responseBytes);
     while (!m_exchange.complete()) {
         const auto result = co_await m_exchange.readSome(answer.body);
-        if (!reservation.growTo(answer.body.size())) {
+        if (!reservation.resize(answer.body.size())) {
             m_exchange.abort();
             deliverFailure(ResultCode::UpstreamFailed, RetryReason::UpstreamError);
             co_return;
--- a/src/guavafield/transport/http/event_splitter.cpp
+++ b/src/guavafield/transport/http/event_splitter.cpp
@@ -8,6 +8,9 @@
 
 namespace internal {
 
+// Memory that a stream keeps after a large event.
+constexpr std::size_t keptCapacity = std::size_t{32} * 1024;
+
 // Returns the length of the first event with its blank line; 0 if its end has not arrived.
 std::size_t eventLength(std::string_view text, std::size_t from) noexcept
 {
@@ -41,6 +44,9 @@
         taken += n;
     }
     m_pending.erase(0, taken);
+    if (m_pending.capacity() > internal::keptCapacity && m_pending.size() <= internal::keptCapacity) {
+        m_pending.shrink_to_fit();
+    }
     m_searched = m_pending.size() - std::min(endBytes, m_pending.size());
     return m_pending.size() <= m_maxEventBytes;
 }
--- a/src/guavafield/transport/http/event_splitter.hpp
+++ b/src/guavafield/transport/http/event_splitter.hpp
@@ -23,6 +23,12 @@
      */
     [[nodiscard]] bool feed(std::string_view bytes, std::vector<std::string> &events);
 
+    /*! @brief Returns the size of the event whose end has not arrived. */
+    [[nodiscard]] std::size_t heldBytes() const noexcept
+    {
+        return m_pending.size();
+    }
+
     /*! @brief Returns whether bytes of an event have arrived whose end has not. */
     [[nodiscard]] bool insideEvent() const noexcept
     {
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace guavafield {
@@ -30,6 +31,11 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+std::size_t totalSize(const std::vector<std::string> &events) noexcept
+{
+    return std::accumulate(events.begin(), events.end(), std::size_t{0}, [](std::size_t sum, const std::string &it) { return sum + it.size(); });
+}
+
 bool isInterim(unsigned status) noexcept
 {
     return status >= 100 && status < 200;
@@ -150,11 +156,14 @@
 
 asio::awaitable<ExchangeResult> ForwardAttempt::skipAnswer()
 {
-    std::string body;
+    std::string piece;
+    std::size_t skipped = 0;
     auto result = ExchangeResult::Ok;
     while (result == ExchangeResult::Ok && !m_exchange.ended()) {
-        result = co_await m_exchange.readSome(body);
-        if (body.size() > internal::maxStrayBytes) {
+        piece.clear();
+        result = co_await m_exchange.readSome(piece);
+        skipped += piece.size();
+        if (skipped > internal::maxStrayBytes) {
             co_return ExchangeResult::Malformed;
         }
     }
@@ -204,6 +213,7 @@
 ForwardAttempt::Awaitable ForwardAttempt::readStream()
 {
     EventSplitter splitter;
+    AnswerReservation reservation(m_context->answers, m_context->settings.limits.responseBytes);
     std::string piece;
     auto result = ExchangeResult::Ok;
     auto lastProgress = std::chrono::steady_clock::now();
@@ -212,8 +222,12 @@
         piece.clear();
         const auto patience = lastProgress + m_plan.silenceTime;
         result = co_await m_exchange.readSome(piece, patience);
-        if (!splitter.feed(piece, batch.events)) {
-            result = ExchangeResult::Malformed;
+        const bool whole = splitter.feed(piece, batch.events);
+        // Events are held until the caller has taken them.
+        if (!whole || !reservation.resize(splitter.heldBytes() + internal::totalSize(batch.events))) {
+            m_exchange.abort();
+            deliverFailure(AttemptFailed{ResultCode::UpstreamFailed, RetryReason::UpstreamError}, "the event is too large");
+            co_return;
         }
         // Bytes that complete no event, comments and empty events keep a connection busy but bring the caller nothing.
         const auto now = std::chrono::steady_clock::now();
@@ -245,7 +259,7 @@
     auto result = ExchangeResult::Ok;
     while (result == ExchangeResult::Ok && !m_exchange.ended()) {
         result = co_await m_exchange.readSome(answer.body);
-        if (!reservation.growTo(answer.body.size())) {
+        if (!reservation.resize(answer.body.size())) {
             m_exchange.abort();
             deliverFailure(AttemptFailed{ResultCode::UpstreamFailed, RetryReason::UpstreamError}, "the answer is too large");
             co_return;
--- a/src/guavafield/transport/http/service_request.cpp
+++ b/src/guavafield/transport/http/service_request.cpp
@@ -39,7 +39,7 @@
         exchange.abort();
         co_return ExchangeResult::Broken;
     }
-    while (result == ExchangeResult::Ok && !exchange.ended() && reservation.growTo(answer.body.size())) {
+    while (result == ExchangeResult::Ok && !exchange.ended() && reservation.resize(answer.body.size())) {
         result = co_await exchange.readSome(answer.body);
     }
     if (result == ExchangeResult::Ok && !exchange.complete()) {
--- a/test/system/fleet.py
+++ b/test/system/fleet.py
@@ -111,6 +111,11 @@
     def is_running(self):
         return self.process.poll() is None
 
+    def peak_memory_mb(self):
+        """Returns the largest resident memory that the process has had."""
+        with open(f"/proc/{self.process.pid}/status") as file:
+            return next(int(line.split()[1]) / 1024 for line in file if line.startswith("VmHWM:"))
+
     def send_signal(self, number):
         if self.is_running():
             self.process.send_signal(number)
--- a/test/system/machines.py
+++ b/test/system/machines.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import tempfile
 import threading
 import time
@@ -215,13 +216,97 @@
         handler.wfile.write(b"0\r\n\r\n")
 
 
-def operators_document(version, keys=("key-a",), routes=()):
+class EndlessServer:
+    """A service instance whose answers never end; the path says what they seem to be. Listens on an ephemeral port.
+
+    Each answer pauses after its first bytes until it is released, so that all of them are under way at once.
+    """
+
+    PAUSE_AFTER_BYTES = 1_000_000
+    ANSWER_BYTES = 6_000_000
+
+    def __init__(self, name):
+        self.name = name
+        self.lock = threading.Lock()
+        # Answers that pause or whose connection was closed before.
+        self.paused = 0
+        self.released = threading.Event()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def entry(self, service, zone):
+        return json.dumps({"service": service, "address": f"127.0.0.1:{self.port}", "zone": zone, "version": "v1", "slots": 512, "state": "ready",
+                           "coldLeftMs": 0, "seqNo": 1, "born": 1700000000000})
+
+    def stop(self):
+        self.listener.close()
+
+    def accept(self):
+        while True:
+            try:
+                connection = self.listener.accept()[0]
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        with connection:
+            try:
+                request = b""
+                while b"\r\n\r\n" not in request:
+                    piece = connection.recv(65536)
+                    if not piece:
+                        return
+                    request += piece
+                start, piece = self.answer(request.decode("latin-1"))
+                connection.sendall(start)
+                try:
+                    self.send_repeatedly(connection, piece, self.PAUSE_AFTER_BYTES)
+                finally:
+                    with self.lock:
+                        self.paused += 1
+                self.released.wait(30)
+                self.send_repeatedly(connection, piece, self.ANSWER_BYTES)
+                # The daemon closes the connection.
+                connection.settimeout(30)
+                connection.recv(1)
+            except OSError:
+                pass
+
+    @staticmethod
+    def send_repeatedly(connection, piece, size):
+        for _ in range(size // len(piece)):
+            connection.sendall(piece)
+
+    @staticmethod
+    def answer(request):
+        lines = request.split("\r\n")
+        request_id = next(it.partition(":")[2].strip() for it in lines if it.lower().startswith("x-guavafield-request-id:"))
+        head = f"HTTP/1.1 200 OK\r\nX-Guavafield-Request-Id: {request_id}\r\nX-Guavafield-Response-Seal: s\r\n"
+        stream = head + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+        filler = b"a" * 16384
+        forms = {
+            "event": (stream + "id: 1\ndata: ", filler),
+            "lines": (stream + "id: 1\n", b"data: " + filler[:1000] + b"\n"),
+            "comments": (stream, b": " + filler[:1000] + b"\n"),
+            "body": (head + "Connection: close\r\n\r\n", filler),
+            "stray": (head.replace(request_id, "another") + "Connection: close\r\n\r\n", filler),
+            "header": ("HTTP/1.1 200 OK\r\nX-Long: ", filler),
+            "headers": ("HTTP/1.1 200 OK\r\n", b"X-Line: " + filler[:200] + b"\r\n"),
+            "extension": (head + "Transfer-Encoding: chunked\r\n\r\n5;x=", filler),
+        }
+        start, piece = forms[lines[0].split(" ")[1].rsplit("/", 1)[1]]
+        return start.encode(), piece
+
+
+def operators_document(version, keys=("key-a",), routes=(), services=()):
     """Returns a configuration document as operators write it, with a plain and a streamed route."""
     plain = {"name": "call", "host": HOST_NAME, "prefix": "/call/", "kind": "idempotent", "timeoutMs": 5000, "targetLatencyMs": 500, "service": "s",
              "maxAttempts": 2}
     stream = {"name": "stream", "host": HOST_NAME, "prefix": "/stream/", "kind": "stream", "resumable": True, "timeoutMs": 20000,
               "targetLatencyMs": 1000, "gapAimMs": 500, "service": "s", "maxAttempts": 2}
-    return json.dumps({"version": version, "routes": [plain, stream, *routes], "services": [{"name": "s", "maxConns": 100}],
+    return json.dumps({"version": version, "routes": [plain, stream, *routes], "services": [{"name": "s", "maxConns": 100}, *services],
                        "tenants": [{"name": "team-a", "apiKeys": list(keys)}]})
 
 
@@ -233,6 +318,8 @@
         self.store = RowStore()
         self.servers = {}
         self.hosts = {}
+        # Lines added to the settings of hosts that are started later.
+        self.extra_settings = []
         self.store.write("op", "config", operators_document(1))
         return self
 
@@ -254,7 +341,7 @@
             "[host]", f"id = {name}", f"data_centre = {zone}", "threads = 1", "fleet_secret = machines-test", "[listen]", "address = 127.0.0.1",
             "caller_port = 0", "operator_port = 0", "peer_port = 0", "ready_path = /ready", "[platform]", "kind = machines",
             f"endpoint = 127.0.0.1:{self.store.port}", f"duties = 127.0.0.1:{self.store.port}", "holder_gap_ms = 500",
-            f"usage_window_s = {WINDOW_S}", "[peers]", f"seeds = {seeds}", "[shutdown]", "grace_s = 4", ""])
+            f"usage_window_s = {WINDOW_S}", "[peers]", f"seeds = {seeds}", "[shutdown]", "grace_s = 4", *self.extra_settings, ""])
 
     def start_host(self, name, zone="a"):
         seeds = ",".join(f"127.0.0.1:{it['peer_port']}" for it in self.hosts.values())
--- a/test/system/machines_test.py
+++ b/test/system/machines_test.py
@@ -5,20 +5,30 @@
 import time
 
 from fleet import http_request, run_tests, wait_until
-from machines import HOST_NAME, WINDOW_S, MachinesFixture, operators_document
+from machines import HOST_NAME, WINDOW_S, EndlessServer, MachinesFixture, operators_document
 
 # Longest time until a change of the configuration is in force.
 IN_FORCE_S = 18.0
 REQUEST_IDS = itertools.count(1)
+# Memory of the smallest machines.
+SMALLEST_MACHINE_MB = 88
+ENDLESS_ANSWERS = 200
 
 
-def send_request(host, path, key="key-a", timeout_s=30.0):
-    headers = {"Host": HOST_NAME, "X-Guavafield-Request-Id": f"r{next(REQUEST_IDS)}", "X-Guavafield-Deadline-Ms": "4000"}
+def send_request(host, path, key="key-a", timeout_s=30.0, deadline_ms=4000):
+    headers = {"Host": HOST_NAME, "X-Guavafield-Request-Id": f"r{next(REQUEST_IDS)}", "X-Guavafield-Deadline-Ms": str(deadline_ms)}
     if key:
         headers["Authorization"] = "Token " + key
     return http_request(host["caller_port"], "GET", path, None, headers, timeout_s)
 
 
+def send_and_ignore_breaks(host, path):
+    try:
+        send_request(host, path, deadline_ms=40000)
+    except (http.client.HTTPException, OSError):
+        pass
+
+
 def is_ready(host):
     try:
         return http_request(host["operator_port"], "GET", "/ready").status == 200
@@ -145,6 +155,40 @@
         assert host["child"].wait() == 0
 
 
+def test_answers_without_end_leave_a_small_machine_its_memory():
+    """Many answers at once that never end must neither exceed the memory of the smallest machines nor end the requests of others."""
+    with MachinesFixture() as machines:
+        machines.extra_settings = ["[limits]", "answer_bytes = 4194304", "held_answer_bytes = 8388608"]
+        machines.start_server("s1")
+        plain = {"name": "plain", "host": HOST_NAME, "prefix": "/plain/", "kind": "idempotent", "timeoutMs": 40000, "service": "f", "maxAttempts": 1}
+        stream = {"name": "endless", "host": HOST_NAME, "prefix": "/endless/", "kind": "stream", "timeoutMs": 40000, "service": "f"}
+        services = [{"name": "f", "maxConns": 1000}]
+        machines.store.write("op", "config", operators_document(2, routes=[plain, stream], services=services))
+        host = start_hosts(machines, 1)[0]
+        sound = []
+        for form in ("event", "lines", "comments", "body", "stray", "header", "headers", "extension"):
+            path = ("/plain/" if form in ("body", "stray") else "/endless/") + form
+            # A new one for each form, as an upstream that fails too often is given up.
+            name = "endless-" + form
+            server = machines.servers[name] = EndlessServer(name)
+            machines.store.write("servers", name, server.entry("f", "a"))
+            wait_until(lambda: f"upstream found, upstream={name}" in host["child"].log(), f"{name} is known")
+            callers = [threading.Thread(target=send_and_ignore_breaks, args=(host, path)) for _ in range(ENDLESS_ANSWERS)]
+            for it in callers:
+                it.start()
+            # Answers that do not pause have been refused or broken off.
+            wait_until(lambda: server.paused + sum(not it.is_alive() for it in callers) >= ENDLESS_ANSWERS, f"all answers of the form {form}")
+            sound += [send_request(host, "/call/x").status for _ in range(5)]
+            server.released.set()
+            for it in callers:
+                it.join()
+            machines.store.remove("servers", name)
+            peak = host["child"].peak_memory_mb()
+            assert peak <= SMALLEST_MACHINE_MB, f"{form}: {peak:.0f} MB at the peak"
+        assert host["child"].is_running()
+        assert set(sound) == {200}, {it: sound.count(it) for it in set(sound)}
+
+
 def test_usage_is_reported_once_with_one_set_of_figures():
     with MachinesFixture() as machines:
         machines.start_server("s1")
