Let a cut of many connections hide no part that crashes upstreams

Cause: a verdict has to explain a sixth of all crashes since its first. Where a cut breaks the connections to many upstreams at one moment, each of them counted, so that a part that crashes few upstreams was found late.

Change: of the crashes at one moment four count. The part that a cut hides is a cause of its own, which goes on.

--- a/src/guavafield/coordination/request/crash_evidence.cpp
+++ b/src/guavafield/coordination/request/crash_evidence.cpp
@@ -26,6 +26,8 @@
 constexpr double specialFraction = 0.6;
 // A cause has a part in at least one of so many crashes.
 constexpr std::size_t crashesPerExplained = 6;
+// More crashes at one moment are one failure of the network.
+constexpr std::size_t maxSeparateAtOnce = 4;
 // If more upstreams than this break within a short time, the cause is not one request.
 constexpr Milliseconds widespreadTime{2'000};
 constexpr double widespreadFraction = 0.3;
@@ -72,6 +74,23 @@
     return count;
 }
 
+// Counts crashes, of those at one moment no more than one cause brings about.
+std::size_t countSeparate(std::vector<SteadyTime> times)
+{
+    std::ranges::sort(times);
+    std::size_t count = 0;
+    std::size_t atOnce = 0;
+    SteadyTime moment{};
+    for (const auto it : times) {
+        if (count == 0 || it - moment >= momentDistance) {
+            moment = it;
+            atOnce = 0;
+        }
+        count += atOnce++ < maxSeparateAtOnce ? 1 : 0;
+    }
+    return count;
+}
+
 // Keeps the newest observations.
 template <typename Observation>
 void limitNewest(std::vector<Observation> &observations, std::size_t limit)
@@ -279,8 +298,13 @@
 bool CrashEvidence::explainsEnough(const Blame &blame) const
 {
     const auto first = *std::ranges::min_element(blame.times);
-    const auto all = static_cast<std::size_t>(std::ranges::count_if(m_crashes, [first](const auto &it) { return it.second.at >= first; }));
-    return blame.times.size() * internal::crashesPerExplained >= all;
+    std::vector<SteadyTime> times;
+    for (const auto &[id, crash] : m_crashes) {
+        if (crash.at >= first) {
+            times.push_back(crash.at);
+        }
+    }
+    return blame.times.size() * internal::crashesPerExplained >= internal::countSeparate(std::move(times));
 }
 
 void CrashEvidence::evaluate(SteadyTime now)
--- a/src/guavafield/coordination/usage/seal_floor.hpp
+++ b/src/guavafield/coordination/usage/seal_floor.hpp
@@ -7,6 +7,7 @@
 #include <guavafield/coordination/usage/window_aggregator.hpp>
 
 #include <optional>
+#include <utility>
 
 namespace guavafield {
 
--- a/test/coordination/request/crash_evidence_test.cpp
+++ b/test/coordination/request/crash_evidence_test.cpp
@@ -241,6 +241,7 @@
     CPPUNIT_TEST(deadlyPartIsStoppedInALargeFleet);
     CPPUNIT_TEST(partThatCrashesAfterTheFirstEventsIsStopped);
     CPPUNIT_TEST(connectionsThatBreakTogetherAccuseNobody);
+    CPPUNIT_TEST(deadlyPartIsFoundBesideACut);
     CPPUNIT_TEST(answersThatAreCutShortAccuseNobody);
     CPPUNIT_TEST(answerThatBeginsIsNoProofOfSoundness);
     CPPUNIT_TEST(requestThatIsCutShortOnceInAWhileIsNotRefused);
@@ -329,6 +330,29 @@
         }
     }
 
+    // Many connections that break at one moment must not hide the part that goes on crashing upstreams.
+    void deadlyPartIsFoundBesideACut()
+    {
+        for (unsigned seed = 1; seed <= 20; ++seed) {
+            CrashingFleet::Settings settings{seed};
+            settings.upstreams = 120;
+            settings.requestsPerSecond = 200;
+            settings.deadlyFraction = 0.00125;
+            settings.afterFirstEvents = true;
+            CrashingFleet fleet(settings);
+            fleet.run(std::chrono::seconds{5});
+            for (std::size_t upstream = 0; upstream < settings.upstreams * 2 / 3; ++upstream) {
+                fleet.breakConnections(upstream);
+            }
+            fleet.run(std::chrono::seconds{50});
+            const auto text =
+                "seed " + std::to_string(seed) + " late runs " + std::to_string(fleet.lateDeadlyRuns) + ", refused " + std::to_string(fleet.soundRefused);
+            CPPUNIT_ASSERT_MESSAGE(text, fleet.crashes >= 3);
+            CPPUNIT_ASSERT_MESSAGE(text, fleet.lateDeadlyRuns <= 3);
+            CPPUNIT_ASSERT_MESSAGE(text, fleet.soundRefused <= 5 + fleet.soundRequests / 500);
+        }
+    }
+
     // Upstreams that end many of their answers too soon have not crashed.
     void answersThatAreCutShortAccuseNobody()
     {
--- a/test/transport/http/hazards_test.cpp
+++ b/test/transport/http/hazards_test.cpp
@@ -163,7 +163,9 @@
             };
             std::vector<std::unique_ptr<FakeUpstream>> upstreams;
             std::vector<FakeUpstream *> pointers;
-            for (int n = 0; n < 8; ++n) {
+            constexpr int upstreamCount = 8;
+            pointers.reserve(upstreamCount);
+            for (int n = 0; n < upstreamCount; ++n) {
                 pointers.push_back(upstreams.emplace_back(std::make_unique<FakeUpstream>(handler)).get());
             }
             auto fixture = makeForwardFixture(pointers);
