--- a/src/guavafield/coordination/request/crash_evidence.cpp
+++ b/src/guavafield/coordination/request/crash_evidence.cpp
@@ -74,7 +74,7 @@
     return count;
 }
 
-// Counts crashes, of those at one moment no more than one cause brings about.
+// Counts crashes, of those at one moment at most maxSeparateAtOnce.
 std::size_t countSeparate(std::vector<SteadyTime> times)
 {
     std::ranges::sort(times);
