Say in a failed attempt's log line whether its connection had carried requests before

The log of a refused attempt is the same whether the refusal is the upstream's answer to this attempt or a copy of an earlier one that bears the same id. Change: the line names the connection as kept, new or none; the line of a skipped stray answer names its status.

--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -106,7 +106,10 @@
             if (!facts.stray) {
                 co_return true;
             }
-            logEvent(LogLevel::Warning, "http:", m_plan.id, "stray answer skipped, upstream=" + m_plan.upstream);
+            logEvent(LogLevel::Warning,
+                     "http:",
+                     m_plan.id,
+                     "stray answer skipped, upstream=" + m_plan.upstream + " status=" + std::to_string(m_exchange.header().result_int()));
             result = co_await skipAnswer();
         }
         if (result != ExchangeResult::Ok) {
@@ -307,6 +310,7 @@
     }
     std::string text = "attempt failed, cause=\"" + std::string(cause) + "\" upstream=" + m_plan.upstream;
     text += " attempt=" + std::to_string(m_plan.number) + " reason=" + std::string(describe(failure.reason));
+    text += m_exchange.reused() ? " connection=kept" : m_exchange.sent() ? " connection=new" : " connection=-";
     text += failure.notExecuted ? " executed=no" : " executed=unknown";
     text += m_contentDelivered ? " received=content" : m_headDelivered ? " received=header" : " received=nothing";
     logEvent(LogLevel::Warning, "http:", m_plan.id, text);
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -43,7 +43,8 @@
     if (!freshConnection) {
         m_state->connection = m_pool->takeIdle(m_endpoint);
     }
-    if (m_state->connection) {
+    m_reused = m_state->connection != nullptr;
+    if (m_reused) {
         co_return ExchangeResult::Ok;
     }
     m_state->connection = m_pool->makeUnconnected();
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstream_exchange.hpp
@@ -99,6 +99,11 @@
     {
         return m_sent;
     }
+    /*! @brief Returns whether the connection has carried other requests before. */
+    [[nodiscard]] bool reused() const noexcept
+    {
+        return m_reused;
+    }
 
     /*! @brief Closes the connection, which cancels the request at the upstream. */
     void abort();
@@ -137,6 +142,7 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
     bool m_aborted{false};
     bool m_sent{false};
+    bool m_reused{false};
     bool m_endMarked{false};
     // The answer has no body whatever its header says.
     bool m_headOnly{false};
