Send no request a second time on a connection that has carried its id

What callers saw: a request that must run once was answered 503 (or 429, 421) although its upstream ran it, and ran twice when the caller came back. Cause: an answer too many is told by the id that it repeats, and it may be the copy of a refusal. A request that was refused and is sent again, by its caller under the same id or by a retry at an address that is listed under two ids, got the connection of the refusal from the pool, and the copy answered it while it ran. The class of fault: an identity that is used twice within its scope, so that it identifies nothing any more. Change: a connection remembers the hashes of the ids that it has carried, and the pool does not give it to one of these again; it gives a connection up after 1,000 requests, which bounds what is remembered. The pool is keyed by upstream and address, so that nothing that was sent to one upstream is taken for an answer of another that now has the address. Reads of engines' control paths have ids of their own and heed them. All ways to an upstream (forwarded requests, model attempts, services, control reads) take their connection there, so that none is left out. Ruled out: closing each connection after a refusal.

--- a/src/guavafield/transport/http/connection_pool.cpp
+++ b/src/guavafield/transport/http/connection_pool.cpp
@@ -5,6 +5,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <xxhash.h>
+
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <iterator>
@@ -20,6 +23,11 @@
 // A connection is given up before the upstream closes it, so that no request crosses its close.
 constexpr Milliseconds closingMargin{1'000};
 
+std::uint64_t hashOf(std::string_view request) noexcept
+{
+    return XXH3_64bits(request.data(), request.size());
+}
+
 void setTcpOption(int socket, int option, int value) noexcept
 {
     ::setsockopt(socket, IPPROTO_TCP, option, &value, sizeof(value));
@@ -54,24 +62,45 @@
     return keepAlive && now - idleSince + internal::closingMargin >= *keepAlive;
 }
 
-std::unique_ptr<UpstreamConnection> ConnectionPool::takeIdle(const UpstreamEndpoint &endpoint)
+void UpstreamConnection::carry(std::string_view request)
 {
-    const auto oldest = std::chrono::steady_clock::now() - m_settings.idleTime;
+    requests.push_back(internal::hashOf(request));
+}
+
+bool UpstreamConnection::hasCarried(std::string_view request) const noexcept
+{
+    return std::ranges::find(requests, internal::hashOf(request)) != requests.end();
+}
+
+bool ConnectionPool::isStale(const UpstreamConnection &connection, SteadyTime now) const noexcept
+{
+    return connection.idleSince < now - m_settings.idleTime || connection.expires(now);
+}
+
+std::unique_ptr<UpstreamConnection> ConnectionPool::takeIdle(const ConnectionTarget &target, std::string_view request)
+{
+    const auto now = std::chrono::steady_clock::now();
     const std::scoped_lock lock(m_mutex);
-    const auto found = m_idle.find(endpoint);
+    const auto found = m_idle.find(target);
     if (found == m_idle.end()) {
         return nullptr;
     }
     auto &connections = found->second;
-    while (!connections.empty()) {
-        auto connection = std::move(connections.back());
-        connections.pop_back();
+    for (auto n = connections.size(); n > 0; --n) {
+        const auto it = connections.begin() + static_cast<std::ptrdiff_t>(n - 1);
+        if ((*it)->hasCarried(request)) {
+            continue;
+        }
+        auto connection = std::move(*it);
+        connections.erase(it);
         // Bytes on an idle connection are an answer that nobody waits for, so the next answer could not be told from it.
-        if (connection->idleSince >= oldest && !connection->expires(std::chrono::steady_clock::now()) && peek(connection->socket) == PeekResult::Nothing) {
+        if (!isStale(*connection, now) && peek(connection->socket) == PeekResult::Nothing) {
             return connection;
         }
     }
-    m_idle.erase(found);
+    if (connections.empty()) {
+        m_idle.erase(found);
+    }
     return nullptr;
 }
 
@@ -80,14 +109,14 @@
     return std::make_unique<UpstreamConnection>(m_executor);
 }
 
-void ConnectionPool::giveBack(const UpstreamEndpoint &endpoint, std::unique_ptr<UpstreamConnection> connection)
+void ConnectionPool::giveBack(const ConnectionTarget &target, std::unique_ptr<UpstreamConnection> connection)
 {
-    if (!connection->socket.is_open() || connection->buffer.size() > 0) {
+    if (!connection->socket.is_open() || connection->buffer.size() > 0 || connection->requests.size() >= m_settings.requestsPerConnection) {
         return;
     }
     connection->idleSince = std::chrono::steady_clock::now();
     const std::scoped_lock lock(m_mutex);
-    auto &connections = m_idle[endpoint];
+    auto &connections = m_idle[target];
     if (connections.size() < m_settings.idlePerUpstream) {
         connections.push_back(std::move(connection));
     }
@@ -95,11 +124,10 @@
 
 void ConnectionPool::closeStale()
 {
-    const auto oldest = std::chrono::steady_clock::now() - m_settings.idleTime;
+    const auto now = std::chrono::steady_clock::now();
     const std::scoped_lock lock(m_mutex);
     for (auto it = m_idle.begin(); it != m_idle.end();) {
-        std::erase_if(it->second,
-                      [&](const auto &connection) { return connection->idleSince < oldest || connection->expires(std::chrono::steady_clock::now()); });
+        std::erase_if(it->second, [&](const auto &connection) { return isStale(*connection, now); });
         it = it->second.empty() ? m_idle.erase(it) : std::next(it);
     }
 }
--- a/src/guavafield/transport/http/connection_pool.hpp
+++ b/src/guavafield/transport/http/connection_pool.hpp
@@ -9,10 +9,12 @@
 #include <boost/beast/http/fields.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace guavafield {
@@ -22,6 +24,18 @@
 /*! @brief Bytes that one connection may hold unparsed; larger than any header. */
 inline constexpr std::size_t maxUnparsedBytes = std::size_t{64} * 1024;
 
+/*! @brief An upstream and where it listens; an address may pass from one upstream to another while both are listed. */
+struct ConnectionTarget
+{
+    UpstreamId upstream;
+    UpstreamEndpoint endpoint;
+
+    friend bool operator<(const ConnectionTarget &left, const ConnectionTarget &right)
+    {
+        return left.endpoint != right.endpoint ? left.endpoint < right.endpoint : left.upstream < right.upstream;
+    }
+};
+
 /*! @brief A connection to an upstream; used by one exchange at a time. */
 struct UpstreamConnection
 {
@@ -34,7 +48,12 @@
     SteadyTime idleSince{};
     // The upstream closes the connection when it was idle for this long; empty if it did not say.
     std::optional<Milliseconds> keepAlive;
+    // Hashes of the ids of all requests sent on it. A late copy of an answer is told by its id, so that no id may be sent a second time.
+    std::vector<std::uint64_t> requests;
 
+    /*! @brief Notes that a request is sent on the connection. */
+    void carry(std::string_view request);
+    [[nodiscard]] bool hasCarried(std::string_view request) const noexcept;
     /*! @brief Makes the system end the connection when the other side no longer acknowledges anything. */
     void detectDeadPeer();
     /*! @brief Takes the keep-alive time from an answer's header. */
@@ -49,31 +68,35 @@
     std::size_t idlePerUpstream{64};
     // Shorter than the usual keep-alive time of servers, so that a connection is seldom closed by the other side while it is taken.
     Milliseconds idleTime{15'000};
+    // Bounds what is remembered of the requests that a connection has carried.
+    std::size_t requestsPerConnection{1'000};
 };
 
-/*! @brief Keeps idle connections by endpoint. Safe to use from several threads. */
+/*! @brief Keeps idle connections by upstream. Safe to use from several threads. */
 class ConnectionPool
 {
 public:
     ConnectionPool(boost::asio::any_io_executor executor, PoolSettings settings) : m_executor(std::move(executor)), m_settings(settings) { }
 
-    /*! @brief Returns an idle connection on which nothing has arrived, or null. */
-    [[nodiscard]] std::unique_ptr<UpstreamConnection> takeIdle(const UpstreamEndpoint &endpoint);
+    /*! @brief Returns an idle connection that has not carried the request and on which nothing has arrived, or null. */
+    [[nodiscard]] std::unique_ptr<UpstreamConnection> takeIdle(const ConnectionTarget &target, std::string_view request);
     /*! @brief Returns an unconnected connection. */
     [[nodiscard]] std::unique_ptr<UpstreamConnection> makeUnconnected() const;
     /*! @brief Takes back a connection whose last answer was read as a whole. */
-    void giveBack(const UpstreamEndpoint &endpoint, std::unique_ptr<UpstreamConnection> connection);
+    void giveBack(const ConnectionTarget &target, std::unique_ptr<UpstreamConnection> connection);
     /*! @brief Closes connections that have been idle for too long. */
     void closeStale();
     /*! @brief Closes all idle connections. */
     void clear();
 
 private:
+    [[nodiscard]] bool isStale(const UpstreamConnection &connection, SteadyTime now) const noexcept;
+
     boost::asio::any_io_executor m_executor;
     PoolSettings m_settings;
     std::mutex m_mutex;
     // Guarded by m_mutex; the connection used last is at the back.
-    std::map<UpstreamEndpoint, std::vector<std::unique_ptr<UpstreamConnection>>> m_idle;
+    std::map<ConnectionTarget, std::vector<std::unique_ptr<UpstreamConnection>>> m_idle;
 };
 
 /*! @brief What a look at a socket finds without taking bytes from it. */
--- a/src/guavafield/transport/http/engine_attempt.cpp
+++ b/src/guavafield/transport/http/engine_attempt.cpp
@@ -29,8 +29,10 @@
     : m_context(std::move(context))
     , m_strand(strand)
     , m_plan(std::move(plan))
-    , m_exchange(
-          m_context->pool, strand, m_plan.endpoint, ExchangeTimes{m_context->settings.upstream.tcpConnectTimeout, m_context->settings.upstream.readTimeout})
+    , m_exchange(m_context->pool,
+                 strand,
+                 {{m_plan.upstream, m_plan.endpoint}, std::string(m_plan.request[requestIdHeader])},
+                 ExchangeTimes{m_context->settings.upstream.tcpConnectTimeout, m_context->settings.upstream.readTimeout})
     , m_outlet(strand, std::move(mailbox))
     , m_incarnation(m_context->engines.incarnation(m_plan.upstream))
 {
@@ -166,7 +168,8 @@
         deliverFailure(ResultCode::UpstreamTimeout, m_answerBegan ? RetryReason::AnswerIncomplete : RetryReason::FirstTokenLate);
         break;
     case ExchangeResult::Broken: {
-        const bool crashed = co_await hasCrashed(m_context, m_strand, m_plan.endpoint, m_incarnation);
+        ConnectionTarget engine{m_plan.upstream, m_plan.endpoint};
+        const bool crashed = co_await hasCrashed(m_context, m_strand, std::move(engine), m_incarnation);
         deliverFailure(ResultCode::UpstreamIncomplete, crashed ? RetryReason::UpstreamCrashed : RetryReason::AnswerIncomplete, crashed);
         break;
     }
--- a/src/guavafield/transport/http/engine_probe.cpp
+++ b/src/guavafield/transport/http/engine_probe.cpp
@@ -2,6 +2,7 @@
 #include <guavafield/transport/http/engine_probe.hpp>
 
 #include <guavafield/protocol/chat/engine_report.hpp>
+#include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
 
 #include <boost/asio/ip/address.hpp>
@@ -32,15 +33,21 @@
 }
 
 asio::awaitable<std::optional<std::string>>
-getControl(std::shared_ptr<PathContext> context, asio::any_io_executor strand, UpstreamEndpoint endpoint, std::string target)
+getControl(std::shared_ptr<PathContext> context, asio::any_io_executor strand, ConnectionTarget engine, std::string path)
 {
-    UpstreamExchange exchange(context->pool, strand, endpoint, ExchangeTimes{internal::controlTime, internal::controlTime});
-    UpstreamRequest request(boost::beast::http::verb::get, target, 11);
-    request.set(boost::beast::http::field::host, endpoint.address().to_string());
+    UpstreamRequest request(boost::beast::http::verb::get, path, 11);
+    request.set(boost::beast::http::field::host, engine.endpoint.address().to_string());
+    const auto id = context->makeRequestId();
+    request.set(requestIdHeader, id);
+    UpstreamExchange exchange(context->pool, strand, {std::move(engine), id}, ExchangeTimes{internal::controlTime, internal::controlTime});
     auto result = co_await exchange.send(request, false);
     if (result == ExchangeResult::Ok) {
         result = co_await exchange.readHeader();
     }
+    if (result == ExchangeResult::Ok && answersAnother(exchange.header(), id)) {
+        result = ExchangeResult::Malformed;
+        exchange.abort();
+    }
     std::string body;
     while (result == ExchangeResult::Ok && !exchange.ended() && body.size() <= internal::controlAnswerLimit) {
         result = co_await exchange.readSome(body);
@@ -50,9 +57,9 @@
     co_return whole ? std::optional(std::move(body)) : std::nullopt;
 }
 
-asio::awaitable<bool> hasCrashed(std::shared_ptr<PathContext> context, asio::any_io_executor strand, UpstreamEndpoint endpoint, Incarnation known)
+asio::awaitable<bool> hasCrashed(std::shared_ptr<PathContext> context, asio::any_io_executor strand, ConnectionTarget engine, Incarnation known)
 {
-    const auto body = co_await getControl(context, strand, endpoint, "/control/load");
+    const auto body = co_await getControl(context, strand, std::move(engine), "/control/load");
     if (!body) {
         co_return true;
     }
--- a/src/guavafield/transport/http/engine_probe.hpp
+++ b/src/guavafield/transport/http/engine_probe.hpp
@@ -33,14 +33,14 @@
 
 /*! @brief Reads a control path; empty if there is no whole answer of status 200. */
 [[nodiscard]] boost::asio::awaitable<std::optional<std::string>>
-getControl(std::shared_ptr<PathContext> context, boost::asio::any_io_executor strand, UpstreamEndpoint endpoint, std::string target);
+getControl(std::shared_ptr<PathContext> context, boost::asio::any_io_executor strand, ConnectionTarget engine, std::string path);
 
 /*!
  * @brief Finds out whether an engine's process died under an attempt whose connection broke.
  * @param known Incarnation at the start of the attempt; 0 if unknown.
  */
 [[nodiscard]] boost::asio::awaitable<bool>
-hasCrashed(std::shared_ptr<PathContext> context, boost::asio::any_io_executor strand, UpstreamEndpoint endpoint, Incarnation known);
+hasCrashed(std::shared_ptr<PathContext> context, boost::asio::any_io_executor strand, ConnectionTarget engine, Incarnation known);
 
 /*! @brief Returns the endpoint of an upstream; empty if its address is no IP address. */
 [[nodiscard]] std::optional<UpstreamEndpoint> endpointOf(std::string_view address, std::uint16_t port);
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -55,7 +55,10 @@
     : m_context(std::move(context))
     , m_strand(strand)
     , m_plan(std::move(plan))
-    , m_exchange(m_context->pool, strand, m_plan.endpoint, ExchangeTimes{m_context->settings.upstream.tcpConnectTimeout, m_plan.firstByteTime})
+    , m_exchange(m_context->pool,
+                 strand,
+                 {{m_plan.upstream, m_plan.endpoint}, m_plan.id},
+                 ExchangeTimes{m_context->settings.upstream.tcpConnectTimeout, m_plan.firstByteTime})
     , m_outlet(strand, std::move(mailbox))
 {
 }
--- a/src/guavafield/transport/http/load_poller.cpp
+++ b/src/guavafield/transport/http/load_poller.cpp
@@ -90,7 +90,8 @@
     if (!endpoint) {
         co_return;
     }
-    const auto body = co_await getControl(m_context, strand, *endpoint, "/control/load");
+    ConnectionTarget engine{upstream.id, *endpoint};
+    const auto body = co_await getControl(m_context, strand, std::move(engine), "/control/load");
     if (!body) {
         logEvent(LogLevel::Debug, "http:", {}, "no load report from upstream " + upstream.id);
         co_return;
@@ -111,7 +112,8 @@
         co_return;
     }
     auto target = "/control/cache-events?after=" + std::to_string(after);
-    const auto body = co_await getControl(m_context, strand, *endpoint, std::move(target));
+    ConnectionTarget engine{upstream.id, *endpoint};
+    const auto body = co_await getControl(m_context, strand, std::move(engine), std::move(target));
     const auto page = body ? capture([&] { return parseCacheEvents(*body); }) : Outcome<CacheEventPage>{};
     if (page) {
         after = page.value->next;
--- a/src/guavafield/transport/http/service_request.cpp
+++ b/src/guavafield/transport/http/service_request.cpp
@@ -86,7 +86,7 @@
     }
     const auto &target = std::get<ServiceCall>(m_plan.grant.target).target;
     const ExchangeTimes times{m_context->settings.upstream.tcpConnectTimeout, m_plan.grant.timeout};
-    UpstreamExchange exchange(m_context->pool, m_strand, *endpoint, times);
+    UpstreamExchange exchange(m_context->pool, m_strand, {{upstream.id, *endpoint}, m_plan.id}, times);
     m_exchange = &exchange;
     m_plan.request.set(http::field::host, upstream.address);
     m_context->services.begin(upstream.id);
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -33,28 +33,30 @@
 
 using namespace internal;
 
-UpstreamExchange::UpstreamExchange(ConnectionPool &pool, const asio::any_io_executor &strand, UpstreamEndpoint endpoint, ExchangeTimes times)
-    : m_pool(&pool), m_endpoint(std::move(endpoint)), m_times(times), m_timer(strand), m_state(std::make_shared<State>())
+UpstreamExchange::UpstreamExchange(ConnectionPool &pool, const asio::any_io_executor &strand, ExchangeTarget target, ExchangeTimes times)
+    : m_pool(&pool), m_target(std::move(target)), m_times(times), m_timer(strand), m_state(std::make_shared<State>())
 {
 }
 
 asio::awaitable<ExchangeResult> UpstreamExchange::connect(bool freshConnection)
 {
     if (!freshConnection) {
-        m_state->connection = m_pool->takeIdle(m_endpoint);
+        m_state->connection = m_pool->takeIdle(m_target.connection, m_target.request);
     }
     m_reused = m_state->connection != nullptr;
     if (m_reused) {
+        m_state->connection->carry(m_target.request);
         co_return ExchangeResult::Ok;
     }
     m_state->connection = m_pool->makeUnconnected();
     startTimer(m_times.connect);
     boost::system::error_code ec;
-    co_await m_state->connection->socket.async_connect(m_endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    co_await m_state->connection->socket.async_connect(m_target.connection.endpoint, asio::redirect_error(asio::use_awaitable, ec));
     const auto result = resultOf(ec, ExchangeResult::ConnectFailed);
     if (result == ExchangeResult::Ok) {
         m_state->connection->socket.set_option(asio::ip::tcp::no_delay(true), ec);
         m_state->connection->detectDeadPeer();
+        m_state->connection->carry(m_target.request);
     }
     co_return result == ExchangeResult::TimedOut ? ExchangeResult::ConnectFailed : result;
 }
@@ -148,7 +150,7 @@
     const bool reusable = m_state->connection && !m_state->sending && m_parser && complete() && m_parser->keep_alive() && !m_aborted;
     if (reusable) {
         m_state->connection->keepFor(m_parser->get());
-        m_pool->giveBack(m_endpoint, std::move(m_state->connection));
+        m_pool->giveBack(m_target.connection, std::move(m_state->connection));
     }
     m_state->close();
 }
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstream_exchange.hpp
@@ -36,6 +36,13 @@
     Aborted,
 };
 
+/*! @brief Where an exchange goes, and the id under which the upstream knows the request and repeats it in its answers. */
+struct ExchangeTarget
+{
+    ConnectionTarget connection;
+    RequestId request;
+};
+
 /*! @brief Times of an exchange. */
 struct ExchangeTimes
 {
@@ -53,7 +60,7 @@
 class UpstreamExchange
 {
 public:
-    UpstreamExchange(ConnectionPool &pool, const boost::asio::any_io_executor &strand, UpstreamEndpoint endpoint, ExchangeTimes times);
+    UpstreamExchange(ConnectionPool &pool, const boost::asio::any_io_executor &strand, ExchangeTarget target, ExchangeTimes times);
 
     /*!
      * @brief Connects and sends the request.
@@ -134,7 +141,7 @@
     [[nodiscard]] ExchangeResult resultOf(const boost::system::error_code &ec, ExchangeResult failure);
 
     ConnectionPool *m_pool;
-    UpstreamEndpoint m_endpoint;
+    ExchangeTarget m_target;
     ExchangeTimes m_times;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<State> m_state;
