Measure the bound on configurations against the time that passed

Cause: partsOfAPushAreAppliedTogether failed once beside builds: 15 configurations where 14 were allowed. Its stated target is one in 50 ms; it was counted against the time that the test asks for, while the timers that it counts run on the machine's clock, which a busy machine stretches. Trace: beside 40 busy processes six runs saw 13 to 15 configurations in 681 to 899 ms; the run with 15 took 857 ms. Idle, 15 runs: 13 in 670 ms. Change: the bound is one in 50 ms of the time that passed, as strict as before for the same time.

--- a/test/transport/fleet/directory_push_test.cpp
+++ b/test/transport/fleet/directory_push_test.cpp
@@ -1,6 +1,8 @@
 // Tests of changes that the reading host sends to the others.
 #include "directory_fixture.hpp"
 
+#include <iostream>
+
 namespace guavafield {
 
 using test::Host;
@@ -108,6 +110,7 @@
         constexpr int parts = 300;
         constexpr int partsAtOnce = 5;
         constexpr Milliseconds length{600};
+        const auto began = std::chrono::steady_clock::now();
         for (int n = 0; n < parts; ++n) {
             HostReport part;
             part.changesOnly = true;
@@ -126,11 +129,14 @@
         }
         runFor(Milliseconds{60});
         const auto configurations = follower.configurations - before;
+        const auto elapsed = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - began);
         follower.service->stop();
         CPPUNIT_ASSERT_EQUAL(version, follower.service->knowledge(DirectoryTable::Upstreams).content);
         CPPUNIT_ASSERT(configurations > 0);
-        // One in 50 ms.
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(configurations) + " configurations", configurations <= (length + Milliseconds{60}) / Milliseconds{50} + 1);
+        // One in 50 ms of the time of the timers, which a busy machine stretches.
+        const auto figures = std::to_string(configurations) + " configurations in " + std::to_string(elapsed.count()) + " ms";
+        std::cout << " " << figures << std::flush;
+        CPPUNIT_ASSERT_MESSAGE(figures, configurations <= elapsed / Milliseconds{50} + 1);
     }
 
     // Guards against a host that uses upstreams which left seconds ago, because it got only the first parts of the changes and seems up to date.
