Skip as many answers too many as the connection has carried requests

Cause: two stray answers were skipped on a connection, whatever it had carried. Each refusal on it may come once more, and under overload a connection carries many refusals in a row; their copies arrive together, in the place of the next answer. Change: the bound is the number of requests that the connection has carried before, and two on a new one. The bytes of each are bounded as before.

--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -19,8 +19,8 @@
 
 namespace internal {
 
-// Stray answers of earlier requests that are skipped on one connection.
-constexpr int maxStrayAnswers = 2;
+// Stray answers that are skipped on a connection that has carried no request before.
+constexpr std::size_t minStrayAnswers = 2;
 // Interim answers announce the final one and are not passed on.
 constexpr int maxInterimAnswers = 8;
 constexpr std::size_t maxStrayBytes = std::size_t{1} << 20U;
@@ -95,7 +95,9 @@
 asio::awaitable<bool> ForwardAttempt::readHeader(AnswerFacts &facts)
 {
     int interim = 0;
-    for (int strays = 0; strays <= internal::maxStrayAnswers; ++strays) {
+    // Each earlier request may be answered once more.
+    const auto maxStrays = std::max(internal::minStrayAnswers, m_exchange.earlierRequests());
+    for (std::size_t strays = 0; strays <= maxStrays; ++strays) {
         auto result = co_await m_exchange.readHeader();
         while (result == ExchangeResult::Ok && internal::isInterim(m_exchange.header().result_int()) && interim++ < internal::maxInterimAnswers) {
             result = co_await m_exchange.readHeader();
@@ -313,7 +315,7 @@
     }
     std::string text = "attempt failed, cause=\"" + std::string(cause) + "\" upstream=" + m_plan.upstream;
     text += " attempt=" + std::to_string(m_plan.number) + " reason=" + std::string(describe(failure.reason));
-    text += m_exchange.reused() ? " connection=kept" : m_exchange.sent() ? " connection=new" : " connection=-";
+    text += m_exchange.earlierRequests() > 0 ? " connection=kept" : m_exchange.sent() ? " connection=new" : " connection=-";
     text += failure.notExecuted ? " executed=no" : " executed=unknown";
     text += m_contentDelivered ? " received=content" : m_headDelivered ? " received=header" : " received=nothing";
     logEvent(LogLevel::Warning, "http:", m_plan.id, text);
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -43,8 +43,8 @@
     if (!freshConnection) {
         m_state->connection = m_pool->takeIdle(m_target.connection, m_target.request);
     }
-    m_reused = m_state->connection != nullptr;
-    if (m_reused) {
+    if (m_state->connection) {
+        m_earlierRequests = m_state->connection->requests.size();
         m_state->connection->carry(m_target.request);
         co_return ExchangeResult::Ok;
     }
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstream_exchange.hpp
@@ -106,10 +106,10 @@
     {
         return m_sent;
     }
-    /*! @brief Returns whether the connection has carried other requests before. */
-    [[nodiscard]] bool reused() const noexcept
+    /*! @brief Returns the number of requests that the connection has carried before. */
+    [[nodiscard]] std::size_t earlierRequests() const noexcept
     {
-        return m_reused;
+        return m_earlierRequests;
     }
 
     /*! @brief Closes the connection, which cancels the request at the upstream. */
@@ -147,9 +147,9 @@
     std::shared_ptr<State> m_state;
     std::array<char, std::size_t{16} * 1024> m_piece;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
+    std::size_t m_earlierRequests{0};
     bool m_aborted{false};
     bool m_sent{false};
-    bool m_reused{false};
     bool m_endMarked{false};
     // The answer has no body whatever its header says.
     bool m_headOnly{false};
--- a/test/transport/http/repeated_answers_test.cpp
+++ b/test/transport/http/repeated_answers_test.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <set>
@@ -100,6 +101,7 @@
     CPPUNIT_TEST(requestSentAgainAtAnAddressUnderTwoIdsIsNotAnsweredByTheCopyOfItsRefusal);
     CPPUNIT_TEST(copyOfARefusalSaysNothingOfAnotherUpstreamAtTheAddress);
     CPPUNIT_TEST(refusalsOfDifferentRequestsCostNoConnections);
+    CPPUNIT_TEST(requestGetsItsAnswerBehindCopiesOfManyRefusals);
     CPPUNIT_TEST(connectionIsGivenUpWhenItHasCarriedTooManyRequests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -191,6 +193,29 @@
         CPPUNIT_ASSERT(repeater.connections() <= 2);
     }
 
+    // The copies of all refusals on a connection may come at once.
+    void requestGetsItsAnswerBehindCopiesOfManyRefusals()
+    {
+        constexpr int refused = 20;
+        std::atomic<int> calls{0};
+        std::string copies;
+        FakeUpstream upstream([&](FakeCall &call) {
+            if (++calls <= refused) {
+                copies += refusal(503, idOf(call));
+                call.send(refusal(503, idOf(call)));
+            } else {
+                call.send(copies);
+                call.reply(200, "done", echo(call));
+            }
+        });
+        auto fixture = makeForwardFixture({&upstream});
+        fixture->start();
+        for (int n = 0; n < refused; ++n) {
+            CPPUNIT_ASSERT_EQUAL(503U, fixture->call(forwardRequest("/once/x", "request" + std::to_string(n)))->result_int());
+        }
+        CPPUNIT_ASSERT_EQUAL(200U, fixture->call(forwardRequest("/once/x", "last"))->result_int());
+    }
+
     void connectionIsGivenUpWhenItHasCarriedTooManyRequests()
     {
         FakeUpstream upstream([](FakeCall &call) { call.reply(200, "x"); });
