Promise nothing of a request that was taken from a leaving upstream

What callers saw: 503 with not_run, which promises that the request has not run and never will, although an upstream was at work on it. Cause: an upstream that names the time of its end loses the requests that may go elsewhere. When no other upstream took such a request in its time, it was refused as if it had never been sent: the other ends of an attempt note that it may have run, the taking away did not. Change: it notes that too, so that the refusal becomes 502. Ruled out: requests that must run once. Measured: requestTakenFromALeavingUpstreamIsNotCalledNotRun failed before with 503 in place of 502.

--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -107,6 +107,7 @@
         co_await startAttempt(*dispatch);
     } else if (const auto *preemption = std::get_if<PreemptAction>(&action)) {
         if (m_attempt && m_attempt->upstream() == preemption->upstream) {
+            m_mayHaveRun = m_mayHaveRun || m_attempt->sent();
             endAttempt();
         }
     } else if (const auto *shed = std::get_if<ShedAction>(&action)) {
--- a/test/transport/http/upstream_notices_test.cpp
+++ b/test/transport/http/upstream_notices_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(upstreamThatAskedForAPauseGetsNoRequests);
     CPPUNIT_TEST(refusalWithoutAReadableTimeIsNoPause);
     CPPUNIT_TEST(upstreamThatLimitsItsRateGetsNoMore);
+    CPPUNIT_TEST(requestTakenFromALeavingUpstreamIsNotCalledNotRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -72,6 +73,23 @@
         CPPUNIT_ASSERT_EQUAL(200U, fixture->call(forwardRequest("/once/x", "n2"))->result_int());
     }
 
+    // The upstream that leaves has been at work on the request, so that no status may promise the contrary.
+    void requestTakenFromALeavingUpstreamIsNotCalledNotRun()
+    {
+        FakeUpstream upstream([](FakeCall &call) { call.waitForClose(); });
+        auto fixture = makeForwardFixture({&upstream});
+        fixture->start();
+        auto client = fixture->connect();
+        client.send(forwardRequest("/call/x"));
+        CPPUNIT_ASSERT(waitUntil([&] { return upstream.calls() == 1; }));
+        fixture->configuration.upstreams["u1"].leavesAt = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        fixture->applyConfiguration();
+        const auto answer = client.read();
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(502U, answer->result_int());
+        CPPUNIT_ASSERT(!notRun(answer->body()));
+    }
+
     // A request that is sent before the pause is over finds the upstream as busy as before and costs its caller another attempt.
     void upstreamThatAskedForAPauseGetsNoRequests()
     {
