Take an upstream's load from its own answers only

What callers saw: attempts at an upstream that had failed, each answered 421, where its address was another's by now. Cause: the load that an answer states was taken up before the answer was looked at: also from a 421, which states that of whoever has taken over the address, and from an answer that names no request, which may be an earlier one once more. A report of load marks a failed upstream as up, so that each such answer ended the pause between its trials. Change: it is taken up where the other notices of an upstream are, behind the same conditions: not from a misdirected answer, and only from one that names the request.

--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -141,6 +141,9 @@
         const auto text = "upstream asks for a pause, upstream=" + m_plan.upstream + " pause_ms=" + std::to_string(facts.pause->count());
         logEvent(LogLevel::Info, "http:", m_plan.id, text);
     }
+    if (facts.load && facts.ours) {
+        m_context->driver->onLoadReport(m_plan.upstream, *facts.load);
+    }
     noteRateLimit(facts);
 }
 
@@ -182,9 +185,6 @@
 ForwardAttempt::Awaitable ForwardAttempt::readAnswer(const AnswerFacts &facts)
 {
     const auto status = m_exchange.header().result_int();
-    if (facts.load) {
-        m_context->driver->onLoadReport(m_plan.upstream, *facts.load);
-    }
     if (!facts.ours) {
         // It may be an earlier answer once more, so that it says nothing about this request.
         m_exchange.abort();
--- a/test/transport/http/upstream_notices_test.cpp
+++ b/test/transport/http/upstream_notices_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(UpstreamNoticesTest);
     CPPUNIT_TEST(upstreamThatAnnouncedItsEndGetsNoRequests);
     CPPUNIT_TEST(announcementOfAnotherUpstreamAtTheAddressIsIgnored);
+    CPPUNIT_TEST(loadOfAnotherUpstreamAtTheAddressIsNoSignOfLife);
     CPPUNIT_TEST(upstreamThatAskedForAPauseGetsNoRequests);
     CPPUNIT_TEST(refusalWithoutAReadableTimeIsNoPause);
     CPPUNIT_TEST(upstreamThatLimitsItsRateGetsNoMore);
@@ -90,6 +91,29 @@
         CPPUNIT_ASSERT(!notRun(answer->body()));
     }
 
+    // Whoever has taken over the address of a failed upstream says how busy it is itself.
+    void loadOfAnotherUpstreamAtTheAddressIsNoSignOfLife()
+    {
+        constexpr std::size_t failures = 3;
+        std::atomic<std::size_t> calls{0};
+        FakeUpstream upstream([&](FakeCall &call) {
+            if (++calls <= failures) {
+                call.reply(200, "without a seal", "X-Guavafield-Request-Id: " + idOf(call) + "\r\n");
+            } else {
+                const auto load = "X-Guavafield-Not-Executed: 1\r\nX-Guavafield-Server-Load: 0,0,8\r\n";
+                call.reply(421, "another", "X-Guavafield-Request-Id: " + idOf(call) + "\r\n" + load);
+            }
+        });
+        auto fixture = makeForwardFixture({&upstream});
+        fixture->start();
+        int number = 0;
+        const auto send = [&] { return fixture->call(forwardRequest("/call/x", "n" + std::to_string(++number))).has_value(); };
+        // Until the upstream is tried again.
+        CPPUNIT_ASSERT(waitUntil([&] { return send() && calls > failures; }));
+        CPPUNIT_ASSERT(send());
+        CPPUNIT_ASSERT_EQUAL(failures + 1, calls.load());
+    }
+
     // A request that is sent before the pause is over finds the upstream as busy as before and costs its caller another attempt.
     void upstreamThatAskedForAPauseGetsNoRequests()
     {
