Send HEAD requests on connections of their own

What callers saw: 502 for a request that its upstream answered with 200, and the connection to the upstream lost. Cause: the body of an answer depends on its request. The copy of an answer to HEAD states a length and has no body; where a GET's or POST's answer was due, that many bytes of this answer were skipped as the copy's. The other way round, the body of a copied refusal was read as a header where an answer to HEAD was due. What tells the sort of a copy is the connection alone. Change: the pool keeps connections for HEAD apart, so that all copies on one connection are of one sort. Ruled out: closing a connection after HEAD, which costs a handshake for each.

--- a/src/guavafield/transport/http/connection_pool.hpp
+++ b/src/guavafield/transport/http/connection_pool.hpp
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <optional>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace guavafield {
@@ -29,10 +30,12 @@
 {
     UpstreamId upstream;
     UpstreamEndpoint endpoint;
+    // For HEAD requests. Whether a late copy of an answer has a body depends on its request, so that one connection carries only one sort.
+    bool headOnly{false};
 
     friend bool operator<(const ConnectionTarget &left, const ConnectionTarget &right)
     {
-        return left.endpoint != right.endpoint ? left.endpoint < right.endpoint : left.upstream < right.upstream;
+        return std::tie(left.endpoint, left.upstream, left.headOnly) < std::tie(right.endpoint, right.upstream, right.headOnly);
     }
 };
 
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -38,8 +38,9 @@
 {
 }
 
-asio::awaitable<ExchangeResult> UpstreamExchange::connect(bool freshConnection)
+asio::awaitable<ExchangeResult> UpstreamExchange::connect(const UpstreamRequest &request, bool freshConnection)
 {
+    m_target.connection.headOnly = request.method() == http::verb::head;
     if (!freshConnection) {
         m_state->connection = m_pool->takeIdle(m_target.connection, m_target.request);
     }
@@ -63,12 +64,11 @@
 
 asio::awaitable<ExchangeResult> UpstreamExchange::send(const UpstreamRequest &request, bool freshConnection)
 {
-    const auto connected = co_await connect(freshConnection);
+    const auto connected = co_await connect(request, freshConnection);
     if (connected != ExchangeResult::Ok) {
         co_return connected;
     }
     m_sent = true;
-    m_headOnly = request.method() == http::verb::head;
     startTimer(m_times.silence);
     boost::system::error_code ec;
     co_await http::async_write(m_state->connection->socket, request, asio::redirect_error(asio::use_awaitable, ec));
@@ -80,12 +80,11 @@
     if (request.body().size() <= smallRequestBytes) {
         co_return co_await send(request, false);
     }
-    const auto connected = co_await connect(false);
+    const auto connected = co_await connect(request, false);
     if (connected != ExchangeResult::Ok) {
         co_return connected;
     }
     m_sent = true;
-    m_headOnly = request.method() == http::verb::head;
     m_state->sending = true;
     const auto executor = co_await asio::this_coro::executor;
     asio::co_spawn(
@@ -105,7 +104,7 @@
     m_parser.emplace();
     m_parser->header_limit(answerHeaderLimit);
     m_parser->body_limit(boost::none);
-    m_parser->skip(m_headOnly);
+    m_parser->skip(m_target.connection.headOnly);
     startTimer(m_times.silence);
     boost::system::error_code ec;
     co_await http::async_read_header(m_state->connection->socket, m_state->connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstream_exchange.hpp
@@ -133,7 +133,7 @@
         void interrupt();
     };
 
-    [[nodiscard]] boost::asio::awaitable<ExchangeResult> connect(bool freshConnection);
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> connect(const UpstreamRequest &request, bool freshConnection);
     // Closes the connection when the time is over.
     void startTimer(Milliseconds time);
     // Ends the operation under way when the time is over.
@@ -151,8 +151,6 @@
     bool m_aborted{false};
     bool m_sent{false};
     bool m_endMarked{false};
-    // The answer has no body whatever its header says.
-    bool m_headOnly{false};
 };
 
 } // namespace guavafield
--- a/test/transport/http/repeated_answers_test.cpp
+++ b/test/transport/http/repeated_answers_test.cpp
@@ -16,10 +16,10 @@
 
 namespace {
 
-std::string refusal(unsigned status, std::string_view id, std::string_view headers = {})
+std::string refusal(unsigned status, std::string_view id, std::string_view headers = {}, std::size_t length = 0)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " Refused\r\nX-Guavafield-Request-Id: " + std::string(id);
-    text += "\r\nX-Guavafield-Not-Executed: 1\r\nContent-Length: 0\r\n";
+    text += "\r\nX-Guavafield-Not-Executed: 1\r\nContent-Length: " + std::to_string(length) + "\r\n";
     return text + std::string(headers) + "\r\n";
 }
 
@@ -39,10 +39,12 @@
     }
     void refuse(FakeCall &call, unsigned status, std::string_view headers = {})
     {
-        const auto text = refusal(status, idOf(call), headers);
-        const std::scoped_lock lock(m_mutex);
-        m_due[std::this_thread::get_id()] = text;
-        call.send(text);
+        repeat(call, refusal(status, idOf(call), headers));
+    }
+    /*! @param length The length that the refusal states, whatever its body is. */
+    void refuse(FakeCall &call, unsigned status, std::size_t length, std::string_view body)
+    {
+        repeat(call, refusal(status, idOf(call), {}, length) + std::string(body));
     }
     [[nodiscard]] std::size_t connections()
     {
@@ -51,6 +53,13 @@
     }
 
 private:
+    void repeat(FakeCall &call, const std::string &text)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_due[std::this_thread::get_id()] = text;
+        call.send(text);
+    }
+
     std::mutex m_mutex;
     // Guarded by m_mutex.
     std::map<std::thread::id, std::string> m_due;
@@ -102,6 +111,7 @@
     CPPUNIT_TEST(copyOfARefusalSaysNothingOfAnotherUpstreamAtTheAddress);
     CPPUNIT_TEST(refusalsOfDifferentRequestsCostNoConnections);
     CPPUNIT_TEST(requestGetsItsAnswerBehindCopiesOfManyRefusals);
+    CPPUNIT_TEST(copyOfAnAnswerToHeadTakesNoBytesOfTheNextAnswer);
     CPPUNIT_TEST(connectionIsGivenUpWhenItHasCarriedTooManyRequests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -216,6 +226,36 @@
         CPPUNIT_ASSERT_EQUAL(200U, fixture->call(forwardRequest("/once/x", "last"))->result_int());
     }
 
+    // An answer to HEAD states a length and has no body, also when it comes once more where another answer is due.
+    void copyOfAnAnswerToHeadTakesNoBytesOfTheNextAnswer()
+    {
+        RefusalRepeater repeater;
+        FakeUpstream upstream([&](FakeCall &call) {
+            repeater.sendDue(call);
+            const bool head = call.request().method() == boost::beast::http::verb::head;
+            if (call.path() == "/call/refused") {
+                repeater.refuse(call, 503, 5, head ? "" : "later");
+            } else {
+                call.send("HTTP/1.1 200 OK\r\n" + echo(call) + "Content-Length: 4\r\n\r\n" + (head ? "" : "done"));
+            }
+        });
+        auto fixture = makeForwardFixture({&upstream});
+        fixture->start();
+        int number = 0;
+        const auto statusOf = [&](std::string_view method, std::string_view path) {
+            auto client = fixture->connect();
+            auto text = forwardRequest(path, "request" + std::to_string(++number), "Connection: close\r\n");
+            client.send(text.replace(0, std::string_view("POST").size(), method));
+            return client.readAll().substr(0, std::string_view("HTTP/1.1 200").size());
+        };
+        for (int n = 0; n < 4; ++n) {
+            CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), statusOf("HEAD", "/call/refused"));
+            CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), statusOf("POST", "/call/x"));
+            CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), statusOf("POST", "/call/refused"));
+            CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), statusOf("HEAD", "/call/x"));
+        }
+    }
+
     void connectionIsGivenUpWhenItHasCarriedTooManyRequests()
     {
         FakeUpstream upstream([](FakeCall &call) { call.reply(200, "x"); });
