Read and log the software version of upstreams and what a taken-up stream resumes

Cause: streams were reported that hold events from two software versions of a service (ORDER). Neither the version of a server's entry nor the attempt that a taken-up stream names was read, so that no log could tell whether the run that went on is of the version that began. Change: the entry's version and the header Resumes become typed fields, and the line of a dispatch names version, resumed attempt and last event. Nothing decides by them yet. An entry without a version stays usable; one whose version is not a text is rejected like other faulty entries.

--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -7,6 +7,7 @@
 #include <guavafield/state/types.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,6 +50,8 @@
     std::uint8_t enginePriority{0};
     // Maximum number of attempts that upstreams execute; 0 uses the scheduler's limit.
     std::uint32_t maxAttempts{0};
+    // Software version that wrote the events which the caller has; only upstreams of this version may go on. Empty for a stream from its start.
+    std::optional<SoftwareVersion> origin{};
 };
 
 /*! @brief The request is queued for an upstream. */
@@ -81,6 +84,8 @@
     Milliseconds expected{0};
     // What the upstream takes from all hosts together, in requests per second, as far as known at the dispatch.
     double rateLimit{unlimitedRate};
+    // Of the upstream, as its entry names it at the dispatch.
+    SoftwareVersion softwareVersion{};
 };
 
 /*! @brief Refuse a queued request. */
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -149,6 +149,7 @@
     action.fetchFrom = decision.fetchFrom != nullptr ? decision.fetchFrom->upstream.id : UpstreamId();
     action.expected = std::chrono::duration_cast<Milliseconds>(Seconds(decision.seconds));
     action.rateLimit = upstream.rateLimit ? upstream.rateLimit->perSecond() : unlimitedRate;
+    action.softwareVersion = upstream.upstream.softwareVersion;
     m_actions.emplace_back(std::move(action));
 }
 
--- a/src/guavafield/state/configuration.hpp
+++ b/src/guavafield/state/configuration.hpp
@@ -180,6 +180,8 @@
     PoolId pool{};
     // Changes when its process restarts; 0 if it is not known.
     Incarnation incarnation{0};
+    // Empty if its entry names none.
+    SoftwareVersion softwareVersion{};
     // When a leaving upstream ends, if that is known.
     std::optional<SteadyTime> leavesAt{};
 
--- a/src/guavafield/state/types.hpp
+++ b/src/guavafield/state/types.hpp
@@ -20,6 +20,8 @@
 using HostId = std::string;
 using DataCentreId = std::string;
 using RequestId = std::string;
+/*! @brief Version of the software that an upstream's process runs; versions have no order. Not that of a model's weights. */
+using SoftwareVersion = std::string;
 
 /*! @brief Service tier; 0 is the highest of four. */
 using Tier = std::uint8_t;
--- a/src/guavafield/transport/http/forward_dialect.hpp
+++ b/src/guavafield/transport/http/forward_dialect.hpp
@@ -35,6 +35,8 @@
     std::vector<std::uint64_t> sharedParts;
     // The caller has the events up to this one.
     std::optional<std::uint64_t> lastEventId;
+    // The caller's attempt that brought the first of them; empty if the caller names none.
+    RequestId resumes;
 };
 
 /*! @brief What an attempt adds to a request. */
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -178,6 +178,9 @@
     text += " expected_ms=" + std::to_string(dispatch.expected.count()) + " left_ms=" + std::to_string(timeLeft().count());
     text += " fetch_from=" + (dispatch.fetchFrom.empty() ? std::string("-") : dispatch.fetchFrom);
     text += " rate_limit=" + formatRate(dispatch.rateLimit);
+    text += " version=" + (dispatch.softwareVersion.empty() ? std::string("-") : dispatch.softwareVersion);
+    text += " resumes=" + (m_call.envelope.resumes.empty() ? std::string("-") : m_call.envelope.resumes);
+    text += " after_event=" + (m_lastEvent ? std::to_string(*m_lastEvent) : std::string("-"));
     text += " configuration=" + std::to_string(m_plan.grant.configuration->revision);
     const auto age = m_context->upstreamsAge.since(std::chrono::steady_clock::now());
     text += " upstreams_version=" + std::to_string(configuration->upstreamsVersion);
--- a/test/platform/directory_codec_test.cpp
+++ b/test/platform/directory_codec_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(storesNoPlainTextKeys);
     CPPUNIT_TEST(errorReportsPath);
     CPPUNIT_TEST(parsesServerEntries);
+    CPPUNIT_TEST(serverEntryNamesTheVersionOfItsSoftware);
     CPPUNIT_TEST(rejectsInvalidServerEntries);
     CPPUNIT_TEST(survivesCorruptedInput);
     CPPUNIT_TEST_SUITE_END();
@@ -96,6 +97,17 @@
         CPPUNIT_ASSERT(parsedLeaving.value->upstream.leaving && parsedLeaving.value->leavesIn == Milliseconds{1'800});
     }
 
+    // Guards against servers whose software version is not known, and against servers without one that are not used.
+    void serverEntryNamesTheVersionOfItsSoftware()
+    {
+        const auto parsed = capture([&] { return m_codec.upstream("i-1", serverEntry); });
+        CPPUNIT_ASSERT_EQUAL(SoftwareVersion("v1"), parsed.value->upstream.softwareVersion);
+        auto unnamed = serverEntry;
+        unnamed.replace(unnamed.find("\"version\":\"v1\","), 15, "");
+        const auto parsedUnnamed = capture([&] { return m_codec.upstream("i-1", unnamed); });
+        CPPUNIT_ASSERT(parsedUnnamed && parsedUnnamed.value->upstream.softwareVersion.empty());
+    }
+
     // Guards against an entry of another format that is accepted as a server.
     void rejectsInvalidServerEntries()
     {
@@ -118,6 +130,7 @@
                                                               {"\"slots\":64", "\"slots\":\"many\""},
                                                               {"\"slots\":64", "\"slots\":-1"},
                                                               {"\"service\":\"s1\",", ""},
+                                                              {"\"version\":\"v1\"", "\"version\":1"},
                                                               {"\"spot\":true", "\"spot\":\"yes\""},
                                                               {"{", "["}}) {
             auto text = serverEntry;
