Let a taken-up stream go on only at the software version that began it

Cause: a stream's state was taken to be independent of the process that wrote it; a host that takes a stream up decided by the pool alone. Change: a host tells its StreamOriginService of a resumable stream's first event. A take-up looks up the attempt that it names: in this host's book, in the rows of stream_origins, or by the pool's history if one version alone may have begun it. The version found goes to the scheduler as the request's origin; where none is found, the take-up is refused before anything is sent (3012, 503, not run), so that the caller begins anew. Versions are written to stream_versions when they change. Origins are written to stream_origins, in batches, only while the history doesn't tell. A take-up is hashed to its pool by the attempt that it resumes. Why it works: no source guesses. A miss counts only after a read that began after the take-up; the history counts only while the table of upstreams is fresh and the rows were read since the last gap.

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -72,6 +72,7 @@
     , m_peers(makePeers())
     , m_directory(makeDirectory())
     , m_duties(m_dependencies.settings.platform.dutyEndpoint.address.empty() ? nullptr : makeDuties())
+    , m_streams(makeStreams())
 {
 }
 
@@ -119,6 +120,7 @@
         m_requestPath->configurationConfirmed(at);
     } else {
         m_requestPath->upstreamsConfirmed(at);
+        m_streams->onUpstreamsConfirmed(m_bootClock.now() - (m_dependencies.clock.now() - at));
     }
 }
 
@@ -144,6 +146,20 @@
     return std::make_shared<DutyService>(std::move(dependencies), std::move(result));
 }
 
+std::shared_ptr<StreamOriginService> MachinesPlatformServices::makeStreams()
+{
+    StreamOriginDependencies dependencies{m_dependencies.executor,
+                                          m_bootClock,
+                                          m_dependencies.counters,
+                                          platform::storeAccess(m_storeClient),
+                                          platform::storeFeed(m_storeClient),
+                                          [this] { return m_dependencies.configuration.load(); },
+                                          [this] { return fleetTime(); },
+                                          [this] { return m_addressBook.countResponsive(m_dependencies.clock.now()) + 1; },
+                                          [this] { return m_directory->reads(); }};
+    return std::make_shared<StreamOriginService>(std::move(dependencies), m_dependencies.settings.host.id, m_dependencies.incarnation);
+}
+
 PathHooks MachinesPlatformServices::pathHooks()
 {
     PathHooks hooks;
@@ -153,6 +169,7 @@
             m_duties->onStarted(team);
         }
     };
+    hooks.streams = m_streams->hooks();
     return hooks;
 }
 
@@ -174,6 +191,7 @@
         m_peers->leave();
         m_stopped = true;
         m_directory->stop();
+        m_streams->stop();
         co_await sleepFor(Milliseconds{10});
         m_peers->stop();
     };
@@ -189,6 +207,7 @@
 {
     m_peers->start();
     m_directory->start();
+    m_streams->start();
     if (m_duties) {
         m_duties->start();
     }
@@ -233,9 +252,15 @@
     }
 }
 
+WallTime MachinesPlatformServices::fleetTime() const
+{
+    const auto agreed = m_duties ? m_duties->agreedTime() : std::nullopt;
+    return agreed.value_or(m_dependencies.clock.wallNow());
+}
+
 void MachinesPlatformServices::updateFleetClock()
 {
-    const auto time = m_duties ? m_duties->agreedTime().value_or(m_dependencies.clock.wallNow()) : m_dependencies.clock.wallNow();
+    const auto time = fleetTime();
     m_requestPath->driver().withScheduler(
         [&](RequestScheduler &scheduler, SteadyTime now) { scheduler.setFleetClock(time.time_since_epoch() - now.time_since_epoch(), now); });
 }
--- a/apps/guavafieldd/machines_platform_services.hpp
+++ b/apps/guavafieldd/machines_platform_services.hpp
@@ -12,6 +12,7 @@
 #include <guavafield/state/snapshot_cell.hpp>
 #include <guavafield/transport/fleet/directory_service.hpp>
 #include <guavafield/transport/fleet/duty_service.hpp>
+#include <guavafield/transport/fleet/stream_origin_service.hpp>
 #include <guavafield/transport/http/request_path.hpp>
 #include <guavafield/transport/peer/peer_service.hpp>
 #include <guavafield/transport/platform/platform_client.hpp>
@@ -65,9 +66,12 @@
     [[nodiscard]] std::shared_ptr<DirectoryService> makeDirectory();
     void confirmTable(DirectoryTable table, SteadyTime at);
     [[nodiscard]] std::shared_ptr<DutyService> makeDuties();
+    [[nodiscard]] std::shared_ptr<StreamOriginService> makeStreams();
     [[nodiscard]] std::unique_ptr<PeerService> makePeers();
     [[nodiscard]] boost::asio::awaitable<Outcome<std::string>> fetchTable(PeerAddress peer, DirectoryTable table, RowVersion after);
     [[nodiscard]] boost::asio::awaitable<void> reportLoop();
+    // Returns the time of day that the hosts agree on, or this host's own where they don't.
+    [[nodiscard]] WallTime fleetTime() const;
     [[nodiscard]] HostReport makeReport();
     // Returns the reports of crashes and of rate limits; those that say nothing are left out.
     [[nodiscard]] std::vector<HostReport> makeEvidenceReports();
@@ -92,6 +96,7 @@
     std::unique_ptr<PeerService> m_peers;
     std::shared_ptr<DirectoryService> m_directory;
     std::shared_ptr<DutyService> m_duties;
+    std::shared_ptr<StreamOriginService> m_streams;
     AddressBook m_addressBook;
     ReportSchedule m_reportSchedule;
     bool m_stopped{false};
--- a/src/guavafield/state/counters.cpp
+++ b/src/guavafield/state/counters.cpp
@@ -19,6 +19,7 @@
     {"guavafield_requests_dispatched_total", "Attempts sent to upstreams"},
     {"guavafield_requests_preempted_total", "Running requests preempted for a higher tier"},
     {"guavafield_requests_hedged_total", "Requests sent to a second upstream before the first token"},
+    {"guavafield_streams_taken_up_total", "Streams taken up by their callers whose origin was known"},
     {"guavafield_configuration_applied_total", "Configuration revisions applied"},
     {"guavafield_configuration_rejected_total", "Configuration changes that could not be applied"},
     {"guavafield_streams_closed_by_withdrawal_total", "Open streams closed because their key was withdrawn"},
--- a/src/guavafield/state/counters.hpp
+++ b/src/guavafield/state/counters.hpp
@@ -26,6 +26,7 @@
     RequestsDispatched,
     RequestsPreempted,
     RequestsHedged,
+    StreamsTakenUp,
     // configuration and keys
     ConfigurationApplied,
     ConfigurationRejected,
--- a/src/guavafield/transport/fleet/fwd.hpp
+++ b/src/guavafield/transport/fleet/fwd.hpp
@@ -5,5 +5,6 @@
 
 class DirectoryService;
 class DutyService;
+class StreamOriginService;
 
 } // namespace guavafield
--- a/src/guavafield/transport/http/forward_access.cpp
+++ b/src/guavafield/transport/http/forward_access.cpp
@@ -38,7 +38,7 @@
     return best;
 }
 
-// Distributes requests over the pools by their weights; the same request goes to the same pool.
+// Distributes requests over the pools by their weights; the same request, and what resumes it, goes to the same pool.
 const PoolId *choosePool(const PoolTarget &target, std::string_view requestId)
 {
     double total = 0;
@@ -125,7 +125,8 @@
     }
     call.route = route->id;
     call.target = std::get<PoolTarget>(route->target);
-    const auto *pool = internal::choosePool(call.target, call.envelope.id);
+    const auto &first = call.envelope.resumes.empty() ? call.envelope.id : call.envelope.resumes;
+    const auto *pool = internal::choosePool(call.target, first);
     if (pool == nullptr) {
         return fail(ResultCode::NoUpstream, "the route has no pool", route->id);
     }
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -33,6 +33,11 @@
     return head.status == 200 && it != head.headers.end() && guavafield::isEventStream(it->second);
 }
 
+bool leadsToSeveralPools(const PoolTarget &target)
+{
+    return std::ranges::count_if(target.pools, [](const PoolShare &it) { return it.weight > 0; }) > 1;
+}
+
 Milliseconds scaled(Milliseconds time, double factor)
 {
     return Milliseconds{static_cast<Milliseconds::rep>(static_cast<double>(time.count()) * factor)};
@@ -83,11 +88,53 @@
     info.fingerprint = m_plan.fingerprint;
     info.enginePriority = m_call.enginePriority;
     info.maxAttempts = m_call.target.maxAttempts;
+    info.origin = m_origin;
     return info;
 }
 
+bool ForwardRequest::needsOrigin() const
+{
+    return m_context->hooks.streams.find && m_call.target.stream && m_call.target.repeat == Repeat::Resume && m_call.envelope.lastEventId;
+}
+
+boost::asio::awaitable<bool> ForwardRequest::findOrigin()
+{
+    StreamTakeUp takeUp;
+    takeUp.attempt = m_call.envelope.id;
+    takeUp.resumes = m_call.envelope.resumes;
+    takeUp.pool = m_call.pool;
+    takeUp.split = internal::leadsToSeveralPools(m_call.target);
+    takeUp.timeLeft = timeLeft();
+    auto search = m_context->hooks.streams.find(std::move(takeUp));
+    auto origin = co_await std::move(search);
+    const auto fits = [&](const PoolShare &it) { return it.pool == origin->pool && it.weight > 0; };
+    if (!origin || std::ranges::none_of(m_call.target.pools, fits)) {
+        co_return false;
+    }
+    std::get<ForwardCall>(m_plan.grant.target).pool = origin->pool;
+    m_origin = std::move(origin->version);
+    co_return true;
+}
+
+void ForwardRequest::tellBeginning()
+{
+    const bool begins = m_call.target.stream && m_call.target.repeat == Repeat::Resume && !m_call.envelope.lastEventId;
+    if (!begins || !m_beginning || !m_context->hooks.streams.began) {
+        return;
+    }
+    m_beginning->sinceDispatch = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - m_dispatched);
+    m_context->hooks.streams.began(*m_beginning);
+}
+
 boost::asio::awaitable<void> ForwardRequest::run()
 {
+    if (needsOrigin()) {
+        const bool found = co_await findOrigin();
+        if (!found) {
+            co_await finishWith(ResultCode::StreamOriginUnknown);
+            co_return;
+        }
+    }
     const auto admission = m_context->driver->submit(requestInfo(), m_mailbox);
     if (const auto *refusal = std::get_if<Refused>(&admission)) {
         co_await finishWith(refusal->code, refusal->retryAfter);
@@ -170,6 +217,12 @@
         co_await failAttempt(failure);
         co_return;
     }
+    m_beginning.reset();
+    m_dispatched = std::chrono::steady_clock::now();
+    if (it->second.softwareVersion == dispatch.softwareVersion) {
+        const StreamOrigin origin{m_call.pool, dispatch.softwareVersion};
+        m_beginning = StreamBeginning{m_call.envelope.id, origin, dispatch.upstream, it->second.incarnation, {}, internal::leadsToSeveralPools(m_call.target)};
+    }
     auto plan = attemptPlan(*configuration, dispatch, it->second);
     ++m_nextAttempt;
     std::string text = "dispatched, upstream=" + dispatch.upstream + " pool=" + m_call.pool + " route=" + m_call.route;
@@ -228,6 +281,9 @@
         const auto now = std::chrono::steady_clock::now();
         m_longestPause = m_firstEventAt ? std::max(m_longestPause, std::chrono::duration_cast<Milliseconds>(now - m_lastEventAt)) : Milliseconds{0};
         m_lastEventAt = now;
+        if (!m_firstEventAt) {
+            tellBeginning();
+        }
         m_firstEventAt = m_firstEventAt.value_or(now);
         if (!std::exchange(m_firstTokenTold, true)) {
             m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
--- a/src/guavafield/transport/http/forward_request.hpp
+++ b/src/guavafield/transport/http/forward_request.hpp
@@ -54,6 +54,11 @@
     using Awaitable = boost::asio::awaitable<void>;
 
     [[nodiscard]] RequestInfo requestInfo() const;
+    // Whether the caller takes a stream up, and only the version that began it may go on.
+    [[nodiscard]] bool needsOrigin() const;
+    // Finds the origin of the stream that the caller takes up; false if it is not known, or can't be met by the route.
+    [[nodiscard]] boost::asio::awaitable<bool> findOrigin();
+    void tellBeginning();
     [[nodiscard]] Milliseconds timeLeft() const;
 
     [[nodiscard]] Awaitable on(SchedulerAction &action);
@@ -105,6 +110,11 @@
     // Between two events.
     Milliseconds m_longestPause{0};
     UpstreamId m_lastUpstream;
+    // Of the stream that the caller takes up, if it does.
+    std::optional<SoftwareVersion> m_origin;
+    // Of the running attempt; empty if the entry of its upstream changed between choice and dispatch.
+    std::optional<StreamBeginning> m_beginning;
+    SteadyTime m_dispatched{};
     // An upstream may have run the request in an attempt that is over.
     bool m_mayHaveRun{false};
     // The running attempt has been counted as started.
--- a/src/guavafield/transport/http/path_hooks.hpp
+++ b/src/guavafield/transport/http/path_hooks.hpp
@@ -1,6 +1,7 @@
 // Points at which other parts of the daemon join the request path.
 #pragma once
 
+#include <guavafield/coordination/streams/stream_origin.hpp>
 #include <guavafield/state/result.hpp>
 #include <guavafield/state/types.hpp>
 
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -65,6 +67,41 @@
 /*! @brief An upstream began to run a team's request; called from any I/O thread. */
 using StartedSink = std::function<void(const TeamId &)>;
 
+/*! @brief The first event of a stream that its caller may take up later. */
+struct StreamBeginning
+{
+    // As the caller knows the attempt.
+    RequestId attempt;
+    StreamOrigin origin;
+    UpstreamId upstream;
+    // As its entry named it at the dispatch.
+    Incarnation incarnation{0};
+    Milliseconds sinceDispatch{0};
+    // The route leads to several pools.
+    bool split{false};
+};
+
+/*! @brief A caller takes up a stream that broke. */
+struct StreamTakeUp
+{
+    RequestId attempt;
+    // The caller's attempt that brought the first event; empty if the caller names none.
+    RequestId resumes;
+    // The one to which the route leads now.
+    PoolId pool;
+    // The route leads to several pools.
+    bool split{false};
+    Milliseconds timeLeft{0};
+};
+
+/*! @brief Where streams began; called from any I/O thread. */
+struct StreamOriginHooks
+{
+    std::function<void(StreamBeginning)> began;
+    // Empty if it is not known for certain.
+    std::function<boost::asio::awaitable<std::optional<StreamOrigin>>(StreamTakeUp)> find;
+};
+
 struct ForwardDialect;
 
 /*! @brief Hooks of the request path; empty ones are allowed. */
@@ -76,6 +113,8 @@
     UsageSink usage;
     // Without a gate, calls that may not be repeated are refused with OnceStoreUnavailable.
     OnceGate once;
+    // Without them, streams are taken up at any upstream.
+    StreamOriginHooks streams;
 };
 
 } // namespace guavafield
