--- a/test/system/fleet.py
+++ b/test/system/fleet.py
@@ -96,13 +96,20 @@
         self.out_path = os.path.join(folder, name + ".out")
         self.err_path = os.path.join(folder, name + ".err")
         with open(self.out_path, "ab") as out, open(self.err_path, "ab") as err:
+            # Earlier processes of the same name wrote what comes before.
+            self.out_start = out.tell()
             self.process = subprocess.Popen(arguments, stdout=out, stderr=err, stdin=subprocess.DEVNULL)
-        self.out_start = 0
 
     def output(self):
         with open(self.out_path, "rb") as file:
             return file.read().decode(errors="replace")
 
+    def run_output(self):
+        """Returns the output of this process alone."""
+        with open(self.out_path, "rb") as file:
+            file.seek(self.out_start)
+            return file.read().decode(errors="replace")
+
     def log(self):
         """Returns all output: the daemon logs to standard output and reports settings errors on standard error."""
         with open(self.err_path, "rb") as file:
--- a/test/system/machines.py
+++ b/test/system/machines.py
@@ -13,7 +13,7 @@
 import urllib.parse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-from fleet import BIN_DIR, ChildProcess, wait_until
+from fleet import BIN_DIR, ChildProcess, http_request, wait_until
 
 HOST_NAME = "app.example"
 WINDOW_S = 5
@@ -49,6 +49,8 @@
 class QuietHttpServer(ThreadingHTTPServer):
     """An HTTP server that logs no errors, since tests disconnect clients during requests."""
 
+    request_queue_size = 512
+
     def handle_error(self, *_):
         pass
 
@@ -310,6 +312,13 @@
                        "tenants": [{"name": "team-a", "apiKeys": list(keys)}]})
 
 
+def is_ready(host):
+    try:
+        return http_request(host["operator_port"], "GET", "/ready").status == 200
+    except OSError:
+        return False
+
+
 class MachinesFixture:
     """Row store, servers and daemons of one test."""
 
@@ -351,7 +360,7 @@
         child = ChildProcess(self.folder.name, name, [os.path.join(BIN_DIR, "guavafieldd"), "--settings", path])
 
         def ports():
-            line = next((it for it in child.output().splitlines() if it.startswith("caller_port=")), None)
+            line = next((it for it in child.run_output().splitlines() if it.startswith("caller_port=")), None)
             return line and dict(it.split("=") for it in line.split())
 
         found = wait_until(ports, f"ports of {name}")
--- a/test/system/machines_test.py
+++ b/test/system/machines_test.py
@@ -5,7 +5,7 @@
 import time
 
 from fleet import http_request, run_tests, wait_until
-from machines import HOST_NAME, WINDOW_S, EndlessServer, MachinesFixture, operators_document
+from machines import HOST_NAME, WINDOW_S, EndlessServer, MachinesFixture, is_ready, operators_document
 
 # Longest time until a change of the configuration is in force.
 IN_FORCE_S = 18.0
@@ -29,13 +29,6 @@
         pass
 
 
-def is_ready(host):
-    try:
-        return http_request(host["operator_port"], "GET", "/ready").status == 200
-    except OSError:
-        return False
-
-
 def start_hosts(machines, hosts=3):
     started = [machines.start_host(f"h{n}") for n in range(hosts)]
     for host in started:
