Let a stream that has begun go on only at the software version that began it

A stream that broke was sent on to the upstream that suited best, whatever its version. Cause: each place that picks an upstream (retries, moves, hedges, preemption, probes) looked at load and caches only; nobody noted who had written what the caller has. The class of fault: replicas taken for interchangeable in the middle of a unit of work that one of them has begun. Change: an attempt remembers version and process of its upstream at the dispatch, and its first output binds the stream to that version. mayRunOn() is the one predicate, which placement, router, moves and preemption ask; prefix owners and sources of copies are those among the allowed upstreams. Where the upstream's entry names another process and version by the time output arrives, the writer is not certain and the stream goes on nowhere. Output of an attempt that the scheduler has moved already is dropped, since the stream may be on its way to another version (onFirstToken() now returns this). What brought the caller nothing binds nothing: such a request is free again after its failure. A bound stream waits until its deadline for an upstream of its version that is paused, limited or down, in place of an eighth of its target; it is broken off at once, with the new code 3012, if none is listed, and after the short wait if all of them leave or have been tried, so that its caller can take it up anew. In pools whose host queues, a bound stream is put aside while only other versions have free slots, so that it holds up nobody. Why it works: the version is that of the writer and not of the table at the retry, and there is no way to an upstream that doesn't ask the predicate.

--- a/src/guavafield/coordination/request/placement.cpp
+++ b/src/guavafield/coordination/request/placement.cpp
@@ -2,6 +2,7 @@
 #include <guavafield/coordination/request/placement.hpp>
 
 #include <guavafield/coordination/request/decaying_sum.hpp>
+#include <guavafield/coordination/request/stream_origin.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -56,11 +57,6 @@
     return value ^ (value >> 31U);
 }
 
-bool tried(const RequestEntry &entry, const UpstreamState &upstream)
-{
-    return std::ranges::find(entry.tried, upstream.idHash) != entry.tried.end();
-}
-
 bool probeDue(const UpstreamState &upstream, SteadyTime now)
 {
     return upstream.downSince && upstream.outlier.probeDue(now) && upstream.accepting() && upstream.outstanding() == 0;
@@ -117,6 +113,9 @@
     std::pair<bool, std::uint64_t> ownerWeight;
     std::pair<bool, std::uint64_t> holderWeight;
     upstreams.forEach([&](const UpstreamState &it) {
+        if (!mayRunOn(entry, it)) {
+            return;
+        }
         const std::pair weight(range.contains(it.rank), rendezvousWeight(prefix.hash, it.idHash));
         if (it.usable() && (prefix.owner == nullptr || weight > ownerWeight)) {
             prefix.owner = &it;
@@ -184,7 +183,7 @@
     const auto &tokens = entry.info.prefixTokens;
     for (std::size_t n = std::min(hashes.size(), tokens.size()); n > 0 && tokens[n - 1] >= confirmedTokens + internal::minTokensToFetch; --n) {
         for (const auto *it : prefixes.holders(hashes[n - 1])) {
-            if (it != &upstream && !it->downSince) {
+            if (it != &upstream && !it->downSince && mayRunOn(entry, *it)) {
                 return it;
             }
         }
@@ -202,7 +201,7 @@
     double lowestCost = std::numeric_limits<double>::infinity();
     upstreams.forEach([&](UpstreamState &it) {
         const bool probe = probeAllowed && internal::probeDue(it, now);
-        if ((!it.usable() && !probe) || !it.withinRate(now) || internal::tried(entry, it)) {
+        if ((!it.usable() && !probe) || !it.withinRate(now) || entry.hasTried(it.idHash) || !mayRunOn(entry, it)) {
             return;
         }
         const double confirmedTokens = indexedPrefixTokens(it, prefixes, entry);
--- a/src/guavafield/coordination/request/placement.hpp
+++ b/src/guavafield/coordination/request/placement.hpp
@@ -100,9 +100,9 @@
     {
         std::uint64_t hash{0};
         double tokens{0};
-        // Upstream assumed to hold the whole prefix; null if the request has no prefix.
+        // Upstream assumed to hold the whole prefix, of those that may run the request; null if there is none or no prefix.
         const UpstreamState *holder{nullptr};
-        // Owner of the prefix among the usable upstreams.
+        // Owner of the prefix among the usable upstreams that may run the request.
         const UpstreamState *owner{nullptr};
     };
 
--- a/src/guavafield/coordination/request/pool.hpp
+++ b/src/guavafield/coordination/request/pool.hpp
@@ -55,6 +55,8 @@
     std::array<TierStats, tierCount> tiers;
     // Waiting crash suspects; each runs on an upstream without another suspect.
     std::set<RequestEntry *, ByDeadline> suspects;
+    // Streams that were next in the queue while only upstreams of other software versions had a free slot; queued anew by the next step.
+    std::set<RequestEntry *, ByDeadline> heldBack;
     // Running requests that a higher tier may preempt.
     std::set<RequestEntry *, ByPreemption> preemptable;
     DecayingSum dispatches{5};
@@ -69,7 +71,7 @@
         for (const auto &it : tiers) {
             running += it.running;
         }
-        return running == 0 && queue.size() == 0 && suspects.empty() && (!selfQueueing || selfQueueing->waiting.empty());
+        return running == 0 && queue.size() == 0 && suspects.empty() && heldBack.empty() && (!selfQueueing || selfQueueing->waiting.empty());
     }
 };
 
--- a/src/guavafield/coordination/request/request_entry.hpp
+++ b/src/guavafield/coordination/request/request_entry.hpp
@@ -3,6 +3,7 @@
 
 #include <guavafield/coordination/request/request_info.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -16,6 +17,9 @@
 {
     UpstreamState *upstream{nullptr};
     SteadyTime dispatched{};
+    // Of the upstream at the dispatch; its entry may name another process later.
+    Incarnation incarnation{0};
+    SoftwareVersion softwareVersion{};
     // Of the first token; empty before.
     std::optional<SteadyTime> answerBegan{};
     // The answer has gone on for longer than CrashEvidence::answerBeginning.
@@ -61,6 +65,10 @@
     double expectedCost{0};
     double charged{0};
     double used{0};
+    // Software version that wrote the events which the caller has, be they of this answer or of an earlier one; empty if there are none.
+    std::optional<SoftwareVersion> origin;
+    // The process that wrote the events is not known for certain, so that no upstream may go on with the stream.
+    bool originUncertain{false};
     // Expected remaining slot time in seconds.
     double work{0};
     // Dispatch order; set on dispatch.
@@ -87,6 +95,16 @@
     {
         return deliveredTokens > 0;
     }
+    /*! @brief Whether only upstreams of one software version may run the request, as the caller has events of it. */
+    [[nodiscard]] bool bound() const noexcept
+    {
+        return originUncertain || origin.has_value();
+    }
+    /*! @brief Whether an upstream, by the hash of its id, has been tried; always false for pools that this host queues for. */
+    [[nodiscard]] bool hasTried(std::uint64_t idHash) const noexcept
+    {
+        return std::ranges::find(tried, idHash) != tried.end();
+    }
     /*! @brief Whether the request can be moved to another upstream. */
     [[nodiscard]] bool migratable() const noexcept
     {
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -44,9 +44,9 @@
     return m_impl->nextWakeup();
 }
 
-void RequestScheduler::onFirstToken(std::string_view request, std::string_view upstream, SteadyTime now)
+bool RequestScheduler::onFirstToken(std::string_view request, std::string_view upstream, SteadyTime now)
 {
-    m_impl->onFirstToken(request, upstream, now);
+    return m_impl->onFirstToken(request, upstream, now);
 }
 
 void RequestScheduler::onTokens(std::string_view request, std::uint32_t count, SteadyTime now)
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -67,8 +67,11 @@
     /*! @brief Returns the latest time for the next call of step(); empty if it need not be called before the next event. */
     [[nodiscard]] std::optional<SteadyTime> nextWakeup() const;
 
-    /*! @brief Handles the first token of an attempt. */
-    void onFirstToken(std::string_view request, std::string_view upstream, SteadyTime now);
+    /*!
+     * @brief Handles the first token of an attempt; to be called before the caller gets any of it.
+     * @returns Whether the caller may get the output; otherwise the attempt is no longer the request's or does not fit what the caller has.
+     */
+    [[nodiscard]] bool onFirstToken(std::string_view request, std::string_view upstream, SteadyTime now);
     /*! @brief Handles the arrival of output tokens. */
     void onTokens(std::string_view request, std::uint32_t count, SteadyTime now);
     /*! @brief Handles the end of an attempt; returns whether the request has ended as well. */
--- a/src/guavafield/coordination/request/router.cpp
+++ b/src/guavafield/coordination/request/router.cpp
@@ -2,6 +2,7 @@
 #include <guavafield/coordination/request/router.hpp>
 
 #include <guavafield/coordination/request/decaying_sum.hpp>
+#include <guavafield/coordination/request/stream_origin.hpp>
 
 #include <algorithm>
 
@@ -36,12 +37,12 @@
         if (auto *upstream = chooseByAffinity(*list, entry, now)) {
             return upstream;
         }
-        if (auto *upstream = chooseByLoad(*list, now)) {
+        if (auto *upstream = chooseByLoad(*list, entry, now)) {
             return upstream;
         }
     }
     // All upstreams appear full by their reports, but this host may still have free slots of its own share.
-    return chooseOwnSlot(upstreams, now);
+    return chooseOwnSlot(upstreams, entry, now);
 }
 
 UpstreamState *Router::chooseByAffinity(std::span<UpstreamState *const> upstreams, const RequestEntry &entry, SteadyTime now) const
@@ -61,7 +62,7 @@
         UpstreamState *best = nullptr;
         for (auto *it : m_prefixes.holders(*prefix)) {
             const double load = internal::relativeLoad(*it, now);
-            const bool fits = it->upstream.kind == kind && it->usable() && it->likelyHasFreeSlot(now) && load < bound;
+            const bool fits = it->upstream.kind == kind && mayRunOn(entry, *it) && it->usable() && it->likelyHasFreeSlot(now) && load < bound;
             if (fits && (best == nullptr || load < internal::relativeLoad(*best, now))) {
                 best = it;
             }
@@ -73,7 +74,7 @@
     return nullptr;
 }
 
-UpstreamState *Router::chooseByLoad(std::span<UpstreamState *const> upstreams, SteadyTime now)
+UpstreamState *Router::chooseByLoad(std::span<UpstreamState *const> upstreams, const RequestEntry &entry, SteadyTime now)
 {
     if (upstreams.empty()) {
         return nullptr;
@@ -81,7 +82,7 @@
     UpstreamState *best = nullptr;
     int found = 0;
     const auto consider = [&](UpstreamState *it) {
-        if (it->usable() && it->likelyHasFreeSlot(now)) {
+        if (mayRunOn(entry, *it) && it->usable() && it->likelyHasFreeSlot(now)) {
             ++found;
             best = best == nullptr || internal::relativeLoad(*it, now) < internal::relativeLoad(*best, now) ? it : best;
         }
@@ -95,18 +96,19 @@
     return best;
 }
 
-UpstreamState *Router::chooseOwnSlot(const PoolUpstreams &upstreams, SteadyTime now)
+UpstreamState *Router::chooseOwnSlot(const PoolUpstreams &upstreams, const RequestEntry &entry, SteadyTime now)
 {
     UpstreamState *best = nullptr;
     upstreams.forEach([&](UpstreamState &it) {
-        if (internal::canAccept(it) && (best == nullptr || internal::relativeLoad(it, now) < internal::relativeLoad(*best, now))) {
+        if (mayRunOn(entry, it) && internal::canAccept(it) && (best == nullptr || internal::relativeLoad(it, now) < internal::relativeLoad(*best, now))) {
             best = &it;
         }
     });
     return best;
 }
 
-UpstreamState *Router::chooseForSuspect(const PoolUpstreams &upstreams, std::uint32_t hosts, std::uint32_t hostIndex, SteadyTime now) const
+UpstreamState *
+Router::chooseForSuspect(const PoolUpstreams &upstreams, const RequestEntry &entry, std::uint32_t hosts, std::uint32_t hostIndex, SteadyTime now) const
 {
     UpstreamState *best = nullptr;
     UpstreamState *other = nullptr;
@@ -114,6 +116,9 @@
     std::uint32_t index = 0;
     upstreams.forEach([&](UpstreamState &it) {
         const bool own = index++ % hosts == hostIndex;
+        if (!mayRunOn(entry, it)) {
+            return;
+        }
         ownUsable |= own && it.usable();
         auto *&candidate = own ? best : other;
         const bool free = it.usable() && it.suspects == 0;
@@ -124,11 +129,13 @@
     return ownUsable ? best : other;
 }
 
-UpstreamState *Router::chooseForHedge(const PoolUpstreams &upstreams, const UpstreamState &first, SteadyTime now) const
+UpstreamState *Router::chooseForHedge(const PoolUpstreams &upstreams, const RequestEntry &entry, SteadyTime now) const
 {
+    const auto *first = entry.attempts.front().upstream;
     UpstreamState *best = nullptr;
     upstreams.forEach([&](UpstreamState &it) {
-        const bool idle = &it != &first && internal::canAccept(it) && it.suspects == 0 && internal::relativeLoad(it, now) < internal::idleFraction;
+        const bool other = &it != first && mayRunOn(entry, it);
+        const bool idle = other && internal::canAccept(it) && it.suspects == 0 && internal::relativeLoad(it, now) < internal::idleFraction;
         if (idle && (best == nullptr || internal::relativeLoad(it, now) < internal::relativeLoad(*best, now))) {
             best = &it;
         }
@@ -136,13 +143,13 @@
     return best;
 }
 
-UpstreamState *Router::chooseForProbe(const PoolUpstreams &upstreams, Tier tier, SteadyTime now) const
+UpstreamState *Router::chooseForProbe(const PoolUpstreams &upstreams, const RequestEntry &entry, SteadyTime now) const
 {
     UpstreamState *found = nullptr;
-    const auto minDelay = internal::probeDelayPerTier * (tierCount - 1 - tier);
+    const auto minDelay = internal::probeDelayPerTier * (tierCount - 1 - entry.info.tier);
     upstreams.forEach([&](UpstreamState &it) {
         const bool due = it.outlier.probeDue(now) && now - it.outlier.nextProbe() >= minDelay;
-        if (due && it.accepting() && it.outstanding() == 0) {
+        if (due && mayRunOn(entry, it) && it.accepting() && it.outstanding() == 0) {
             found = &it;
         }
     });
--- a/src/guavafield/coordination/request/router.hpp
+++ b/src/guavafield/coordination/request/router.hpp
@@ -32,7 +32,7 @@
     }
 };
 
-/*! @brief Routes requests by prefix affinity, load and kind of upstream. */
+/*! @brief Routes requests by prefix affinity, load and kind of upstream, each to an upstream that may run it by mayRunOn(). */
 class Router
 {
 public:
@@ -44,11 +44,12 @@
      * @brief Returns an upstream for a crash suspect that runs no other suspect, or null.
      * @param hosts Number of live hosts. Upstreams are divided among them, so that suspects of two hosts do not share one.
      */
-    [[nodiscard]] UpstreamState *chooseForSuspect(const PoolUpstreams &upstreams, std::uint32_t hosts, std::uint32_t hostIndex, SteadyTime now) const;
+    [[nodiscard]] UpstreamState *
+    chooseForSuspect(const PoolUpstreams &upstreams, const RequestEntry &entry, std::uint32_t hosts, std::uint32_t hostIndex, SteadyTime now) const;
     /*! @brief Returns an idle upstream for a hedge, other than that of the first attempt, or null. */
-    [[nodiscard]] UpstreamState *chooseForHedge(const PoolUpstreams &upstreams, const UpstreamState &first, SteadyTime now) const;
-    /*! @brief Returns an ejected or failed upstream that is due for a probe by a request of this tier, or null. */
-    [[nodiscard]] UpstreamState *chooseForProbe(const PoolUpstreams &upstreams, Tier tier, SteadyTime now) const;
+    [[nodiscard]] UpstreamState *chooseForHedge(const PoolUpstreams &upstreams, const RequestEntry &entry, SteadyTime now) const;
+    /*! @brief Returns an ejected or failed upstream that is due for a probe by this request, or null. */
+    [[nodiscard]] UpstreamState *chooseForProbe(const PoolUpstreams &upstreams, const RequestEntry &entry, SteadyTime now) const;
 
     [[nodiscard]] PrefixIndex &prefixes() noexcept
     {
@@ -57,8 +58,8 @@
 
 private:
     [[nodiscard]] UpstreamState *chooseByAffinity(std::span<UpstreamState *const> upstreams, const RequestEntry &entry, SteadyTime now) const;
-    [[nodiscard]] UpstreamState *chooseByLoad(std::span<UpstreamState *const> upstreams, SteadyTime now);
-    [[nodiscard]] static UpstreamState *chooseOwnSlot(const PoolUpstreams &upstreams, SteadyTime now);
+    [[nodiscard]] UpstreamState *chooseByLoad(std::span<UpstreamState *const> upstreams, const RequestEntry &entry, SteadyTime now);
+    [[nodiscard]] static UpstreamState *chooseOwnSlot(const PoolUpstreams &upstreams, const RequestEntry &entry, SteadyTime now);
 
     SplitMix m_random;
     PrefixIndex m_prefixes;
--- a/src/guavafield/coordination/request/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler_attempts.cpp
@@ -1,5 +1,6 @@
 // Lifecycle of attempts: start, tokens and end, with retries, crash classification and cost accounting.
 #include <guavafield/coordination/request/scheduler_core.hpp>
+#include <guavafield/coordination/request/stream_origin.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -29,7 +30,7 @@
 
 void RequestScheduler::Impl::startAttempt(RequestEntry &entry, UpstreamState &upstream, SteadyTime now)
 {
-    entry.attempts.push_back({&upstream, now});
+    entry.attempts.push_back({&upstream, now, upstream.upstream.incarnation, upstream.upstream.softwareVersion});
     ++entry.attemptsMade;
     entry.lastTokens = {};
     upstream.addAttempt(entry, now);
@@ -73,7 +74,7 @@
     entry.queued = true;
     entry.requeued = entry.attemptsMade > 0;
     refundUnusedCharge(entry);
-    if (entry.started()) {
+    if (entry.started() && !pool.selfQueueing) {
         // The caller already has part of the answer; a late completion is better than none.
         entry.latestStart = SteadyTime::max();
     }
@@ -104,7 +105,7 @@
         removeFromRunning(entry);
     } else if (auto &selfQueueing = poolOf(entry).selfQueueing) {
         selfQueueing->waiting.erase(&entry);
-    } else if (poolOf(entry).suspects.erase(&entry) == 0) {
+    } else if (poolOf(entry).suspects.erase(&entry) == 0 && poolOf(entry).heldBack.erase(&entry) == 0) {
         poolOf(entry).queue.tier(entry.info.tier).remove(entry);
     }
     refundUnusedCharge(entry);
@@ -130,14 +131,18 @@
     }
 }
 
-void RequestScheduler::Impl::onFirstToken(std::string_view request, std::string_view upstream, SteadyTime now)
+bool RequestScheduler::Impl::onFirstToken(std::string_view request, std::string_view upstream, SteadyTime now)
 {
     auto *entry = find(request);
     if (entry == nullptr || entry->queued) {
-        return;
+        return false;
     }
-    cancelHedge(*entry);
     const auto attempts = entry->attempts;
+    const auto writer = std::ranges::find_if(attempts, [&](const Attempt &it) { return it.upstream->upstream.id == upstream; });
+    if (writer == attempts.end() || !noteWriter(*entry, *writer)) {
+        return false;
+    }
+    cancelHedge(*entry);
     for (const auto &it : attempts) {
         if (it.upstream->upstream.id != upstream) {
             endAttempt(*entry, *it.upstream, now);
@@ -155,6 +160,7 @@
         }
     }
     entry->lastTokens = now;
+    return true;
 }
 
 void RequestScheduler::Impl::noteProgress(RequestEntry &entry, const UpstreamState &upstream, SteadyTime now)
@@ -197,7 +203,9 @@
     }
     entry->lastTokens = now;
     if (!entry->attempts.empty()) {
-        noteProgress(*entry, *entry->attempts.front().upstream, now);
+        const auto &writer = entry->attempts.front();
+        entry->originUncertain = !noteWriter(*entry, writer) || entry->originUncertain;
+        noteProgress(*entry, *writer.upstream, now);
     }
 }
 
@@ -246,7 +254,7 @@
     const auto classification = std::exchange(entry.crashClassification, CrashClassification::None);
     endAttempt(entry, upstream, now);
     if (classification == CrashClassification::Quarantined || classification == CrashClassification::Suspect) {
-        return afterCrash(entry, classification, now);
+        return afterCrash(entry, classification, failure.answerStarted, now);
     }
     if (!entry.attempts.empty()) {
         return RetryQueued{};
@@ -274,7 +282,7 @@
     }
 }
 
-AttemptResolution RequestScheduler::Impl::afterCrash(RequestEntry &entry, CrashClassification classification, SteadyTime now)
+AttemptResolution RequestScheduler::Impl::afterCrash(RequestEntry &entry, CrashClassification classification, bool answerStarted, SteadyTime now)
 {
     if (classification == CrashClassification::Quarantined) {
         erase(entry, now);
@@ -286,6 +294,7 @@
     }
     AttemptFailed failure;
     failure.reason = RetryReason::UpstreamCrashed;
+    failure.answerStarted = answerStarted;
     entry.suspect = true;
     return retry(entry, failure, true, now);
 }
@@ -302,21 +311,27 @@
     if (!possible || !m_poolRetries.available(entry->info.className, now)) {
         return false;
     }
-    bool another = false;
-    pool.upstreams.forEach(
-        [&](const UpstreamState &it) { another |= it.usable() && it.withinRate(now) && std::ranges::find(entry->tried, it.idHash) == entry->tried.end(); });
-    return another;
+    return anotherTakesNow(*entry, pool.upstreams, now);
 }
 
 AttemptResolution RequestScheduler::Impl::retry(RequestEntry &entry, const AttemptFailed &failure, bool bypassBudget, SteadyTime now)
 {
     const bool started = entry.started() || failure.answerStarted;
+    if (!started) {
+        // The caller got nothing of what the attempt wrote.
+        entry.origin = entry.info.origin;
+        entry.originUncertain = false;
+    }
     const bool allowed = started ? entry.info.resumable : entry.info.repeatable || failure.notExecuted;
     const bool possible = allowed && internal::attemptsLeft(entry, entry.attemptsRun);
     if (!possible) {
         erase(entry, now);
         return m_admission.refusal(failure.code, 1);
     }
+    if (entry.bound() && !anyMayRun(entry, poolOf(entry).upstreams)) {
+        erase(entry, now);
+        return m_admission.refusal(ResultCode::StreamVersionGone, 1);
+    }
     if (!bypassBudget && (saturated(poolOf(entry)) || !(poolOf(entry).selfQueueing ? m_poolRetries : m_retries).take(entry.info.className, now))) {
         erase(entry, now);
         return m_admission.refusal(ResultCode::RetryBudgetExhausted, 1);
--- a/src/guavafield/coordination/request/scheduler_checks.cpp
+++ b/src/guavafield/coordination/request/scheduler_checks.cpp
@@ -1,5 +1,6 @@
 // Periodic checks: outlier ejection, migration from leaving upstreams, ends of pauses and removal of upstreams.
 #include <guavafield/coordination/request/scheduler_core.hpp>
+#include <guavafield/coordination/request/stream_origin.hpp>
 
 #include <algorithm>
 
@@ -86,6 +87,10 @@
         const auto requests = upstream.running;
         for (auto *entry : requests) {
             const bool last = left <= internal::forcedMigrationSeconds;
+            // The upstream may still finish what nobody else may go on with.
+            if (entry->bound() && !anotherTakesNow(*entry, poolOf(*entry).upstreams, now)) {
+                continue;
+            }
             if (entry->attempts.size() == 1 && entry->migratable() && left > 0 && !likelyFinishesWithin(*entry, left) && (last || !saturated(poolOf(*entry)))) {
                 migrate(*entry, upstream, now);
             }
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler_core.cpp
@@ -202,6 +202,7 @@
     }
     auto entry = std::make_unique<RequestEntry>();
     entry->info = std::move(request);
+    entry->origin = entry->info.origin;
     entry->sequence = ++m_nextSequence;
     entry->submitted = now;
     entry->deadline = now + entry->info.totalTarget;
@@ -339,7 +340,7 @@
 {
     std::size_t count = 0;
     for (const auto &[model, pool] : m_pools) {
-        count += pool.queue.size() + pool.suspects.size() + (pool.selfQueueing ? pool.selfQueueing->waiting.size() : 0);
+        count += pool.queue.size() + pool.suspects.size() + pool.heldBack.size() + (pool.selfQueueing ? pool.selfQueueing->waiting.size() : 0);
     }
     return count;
 }
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -33,7 +33,7 @@
     [[nodiscard]] Admission submit(RequestInfo request, SteadyTime now);
     [[nodiscard]] std::vector<SchedulerAction> step(SteadyTime now);
     [[nodiscard]] std::optional<SteadyTime> nextWakeup() const;
-    void onFirstToken(std::string_view request, std::string_view upstream, SteadyTime now);
+    [[nodiscard]] bool onFirstToken(std::string_view request, std::string_view upstream, SteadyTime now);
     void onTokens(std::string_view request, std::uint32_t count, SteadyTime now);
     [[nodiscard]] AttemptResolution onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end, SteadyTime now);
     [[nodiscard]] bool mayMove(std::string_view request, SteadyTime now);
@@ -102,8 +102,10 @@
     [[nodiscard]] Admission submitSelfQueueing(Pool &pool, std::unique_ptr<RequestEntry> entry, SteadyTime now);
     void dispatchSelfQueueing(Pool &pool, SteadyTime now);
     void dispatchTo(Pool &pool, RequestEntry &entry, const PlacementDecision &decision, SteadyTime now);
-    // Returns why no upstream of the pool takes a request now.
-    [[nodiscard]] static ResultCode shortageOf(const Pool &pool, SteadyTime now);
+    // Whether a request that no upstream takes now is refused; a stream that has begun waits longer, as fewer upstreams may go on with it.
+    [[nodiscard]] static bool waitIsOver(const Pool &pool, const RequestEntry &entry, SteadyTime now);
+    // Returns why no upstream of the pool takes the request now.
+    [[nodiscard]] static ResultCode shortageFor(const Pool &pool, const RequestEntry &entry, SteadyTime now);
     // Returns for how long all upstreams of the pool that run are paused; 0 if one is not.
     [[nodiscard]] static Milliseconds commonPause(const Pool &pool, SteadyTime now);
     // Records that a part of the answer has arrived.
@@ -118,11 +120,15 @@
     void expirePeerWork(SteadyTime now);
 
     // Dispatch, in scheduler_dispatch.cpp.
+    void requeueHeldBack(Pool &pool);
     void shedExpired(SteadyTime now);
     void shed(RequestEntry &entry);
     void dispatchSuspects(Pool &pool, SteadyTime now);
     void dispatchQueues(SteadyTime now);
     [[nodiscard]] bool dispatchNext(Pool &pool, SteadyTime now);
+    [[nodiscard]] UpstreamState *chooseUpstream(const Pool &pool, const RequestEntry &entry, SteadyTime now);
+    // Takes the next request out of the way of others if it has to wait for its software version; returns whether it stood in their way.
+    [[nodiscard]] bool holdBackNext(Pool &pool, SteadyTime now);
     [[nodiscard]] static UpstreamState *freePreviousUpstream(const RequestEntry &entry);
     [[nodiscard]] static bool blockedByReserve(const Pool &pool, Tier tier, SteadyTime now);
     [[nodiscard]] bool dispatchByPreemption(Pool &pool, SteadyTime now);
@@ -142,7 +148,7 @@
     void cancelHedge(RequestEntry &entry);
     void refundUnusedCharge(RequestEntry &entry);
     [[nodiscard]] AttemptResolution onFailure(RequestEntry &entry, UpstreamState &upstream, const AttemptFailed &failure, SteadyTime now);
-    [[nodiscard]] AttemptResolution afterCrash(RequestEntry &entry, CrashClassification classification, SteadyTime now);
+    [[nodiscard]] AttemptResolution afterCrash(RequestEntry &entry, CrashClassification classification, bool answerStarted, SteadyTime now);
     [[nodiscard]] AttemptResolution retry(RequestEntry &entry, const AttemptFailed &failure, bool bypassBudget, SteadyTime now);
     void classifyCrash(UpstreamState &upstream, SteadyTime now);
     [[nodiscard]] bool saturated(const Pool &pool) const;
--- a/src/guavafield/coordination/request/scheduler_dispatch.cpp
+++ b/src/guavafield/coordination/request/scheduler_dispatch.cpp
@@ -1,5 +1,6 @@
 // Scheduler step: shedding, dispatch, preemption and hedging.
 #include <guavafield/coordination/request/scheduler_core.hpp>
+#include <guavafield/coordination/request/stream_origin.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -26,6 +27,9 @@
     m_lastStep = now;
     endPauses(now);
     runPeriodicChecks(now);
+    for (auto &[model, pool] : m_pools) {
+        requeueHeldBack(pool);
+    }
     shedExpired(now);
     for (auto &[model, pool] : m_pools) {
         dispatchSuspects(pool, now);
@@ -38,6 +42,13 @@
     return std::exchange(m_actions, {});
 }
 
+void RequestScheduler::Impl::requeueHeldBack(Pool &pool)
+{
+    for (auto *entry : std::exchange(pool.heldBack, {})) {
+        pool.queue.tier(entry->info.tier).push(*entry);
+    }
+}
+
 void RequestScheduler::Impl::shedExpired(SteadyTime now)
 {
     for (auto &[model, pool] : m_pools) {
@@ -68,6 +79,7 @@
     }
     auto code = higher > pool.slots / 2 ? ResultCode::ShedForHigherTier : ResultCode::FirstTokenTargetUnreachable;
     code = pool.slots > 0 ? code : entry.lastFailure.value_or(ResultCode::NoUpstream);
+    code = entry.bound() && !anyMayRun(entry, pool.upstreams) ? ResultCode::StreamVersionGone : code;
     const double drain = pool.slots > 0 ? pool.queue.tier(tier).waitingWork() / pool.slots : 1;
     m_actions.emplace_back(ShedAction{entry.info.id, m_admission.refusal(code, drain)});
     refundUnusedCharge(entry);
@@ -78,7 +90,10 @@
 {
     const auto suspects = pool.suspects;
     for (auto *entry : suspects) {
-        if (auto *upstream = m_router.chooseForSuspect(pool.upstreams, m_settings.hostsInDataCentre, m_hostIndex, now)) {
+        if (entry->bound() && !anyMayRun(*entry, pool.upstreams)) {
+            pool.suspects.erase(entry);
+            shed(*entry);
+        } else if (auto *upstream = m_router.chooseForSuspect(pool.upstreams, *entry, m_settings.hostsInDataCentre, m_hostIndex, now)) {
             pool.suspects.erase(entry);
             dispatch(pool, *entry, *upstream, now);
         }
@@ -98,7 +113,7 @@
     };
     while (!activePools.empty()) {
         const auto first = std::ranges::min_element(activePools, {}, nextTier);
-        if (!dispatchNext(**first, now) && !dispatchByPreemption(**first, now)) {
+        if (!dispatchNext(**first, now) && !dispatchByPreemption(**first, now) && !holdBackNext(**first, now)) {
             activePools.erase(first);
         }
     }
@@ -110,13 +125,7 @@
     if (pick.entry == nullptr || (!pick.byFloor && blockedByReserve(pool, pick.entry->info.tier, now))) {
         return false;
     }
-    auto *upstream = m_router.chooseForProbe(pool.upstreams, pick.entry->info.tier, now);
-    if (upstream == nullptr) {
-        upstream = freePreviousUpstream(*pick.entry);
-    }
-    if (upstream == nullptr) {
-        upstream = m_router.choose(pool.upstreams, *pick.entry, now);
-    }
+    auto *upstream = chooseUpstream(pool, *pick.entry, now);
     if (upstream == nullptr) {
         return false;
     }
@@ -124,9 +133,41 @@
     return true;
 }
 
+UpstreamState *RequestScheduler::Impl::chooseUpstream(const Pool &pool, const RequestEntry &entry, SteadyTime now)
+{
+    if (auto *upstream = m_router.chooseForProbe(pool.upstreams, entry, now)) {
+        return upstream;
+    }
+    if (auto *upstream = freePreviousUpstream(entry)) {
+        return upstream;
+    }
+    return m_router.choose(pool.upstreams, entry, now);
+}
+
+bool RequestScheduler::Impl::holdBackNext(Pool &pool, SteadyTime now)
+{
+    auto *entry = pool.queue.next(now).entry;
+    if (entry == nullptr || !entry->bound()) {
+        return false;
+    }
+    if (!anyMayRun(*entry, pool.upstreams)) {
+        pool.queue.tier(entry->info.tier).remove(*entry);
+        shed(*entry);
+        return true;
+    }
+    bool free = false;
+    pool.upstreams.forEach([&](const UpstreamState &it) { free |= it.usable() && it.hasFreeSlot(); });
+    if (free) {
+        pool.queue.tier(entry->info.tier).remove(*entry);
+        pool.heldBack.insert(entry);
+    }
+    return free;
+}
+
 UpstreamState *RequestScheduler::Impl::freePreviousUpstream(const RequestEntry &entry)
 {
-    return entry.previousUpstream != nullptr && entry.previousUpstream->usable() && entry.previousUpstream->hasFreeSlot() ? entry.previousUpstream : nullptr;
+    auto *previous = entry.previousUpstream;
+    return previous != nullptr && mayRunOn(entry, *previous) && previous->usable() && previous->hasFreeSlot() ? previous : nullptr;
 }
 
 bool RequestScheduler::Impl::blockedByReserve(const Pool &pool, Tier tier, SteadyTime now)
@@ -167,12 +208,13 @@
 
 UpstreamState *RequestScheduler::Impl::preemptFor(Pool &pool, Tier tier, SteadyTime now)
 {
+    const auto *next = pool.queue.tier(tier).front(now);
     for (auto *victim : pool.preemptable) {
         if (victim->info.tier <= tier) {
             break;
         }
         auto &upstream = *victim->attempts.front().upstream;
-        if (!upstream.usable() || !victim->migratable() || victim->attempts.size() > 1) {
+        if (!upstream.usable() || !mayRunOn(*next, upstream) || !victim->migratable() || victim->attempts.size() > 1) {
             continue;
         }
         endAttempt(*victim, upstream, now);
@@ -217,7 +259,9 @@
     entry.charged = entry.used + expected;
     startAttempt(entry, upstream, now);
     scheduleHedge(entry, now);
-    m_actions.emplace_back(DispatchAction{entry.info.id, upstream.upstream.id, tier, entry.attemptsMade});
+    DispatchAction action{entry.info.id, upstream.upstream.id, tier, entry.attemptsMade};
+    action.softwareVersion = upstream.upstream.softwareVersion;
+    m_actions.emplace_back(std::move(action));
 }
 
 void RequestScheduler::Impl::sendDueHedges(SteadyTime now)
@@ -226,7 +270,7 @@
         auto &entry = *std::get<2>(*m_hedges.begin());
         cancelHedge(entry);
         auto &pool = poolOf(entry);
-        auto *upstream = m_router.chooseForHedge(pool.upstreams, *entry.attempts.front().upstream, now);
+        auto *upstream = m_router.chooseForHedge(pool.upstreams, entry, now);
         if (upstream != nullptr && !saturated(pool) && m_retries.take(entry.info.className, now)) {
             startAttempt(entry, *upstream, now);
             m_actions.emplace_back(HedgeAction{entry.info.id, upstream->upstream.id, entry.info.tier});
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -1,5 +1,6 @@
 // Self-queueing pools: requests are sent immediately to the upstream chosen by placement, which queues them by priority.
 #include <guavafield/coordination/request/scheduler_core.hpp>
+#include <guavafield/coordination/request/stream_origin.hpp>
 
 #include <algorithm>
 
@@ -98,11 +99,11 @@
         // A request that begins at once is sent, whatever its expected time: no other request gains by its refusal, and without an answer the
         // expectation would never be corrected.
         const bool waits = decision.upstream != nullptr && decision.queueSeconds > internal::negligibleQueueSeconds;
-        const bool deadlineUnreachable = waits && !entry->started() && decision.seconds > internal::maxWaitFraction * left;
+        const bool deadlineUnreachable = waits && !entry->started() && !entry->bound() && decision.seconds > internal::maxWaitFraction * left;
         if (decision.upstream != nullptr && !deadlineUnreachable) {
             dispatchTo(pool, *entry, decision, now);
-        } else if (deadlineUnreachable || now >= entry->latestStart) {
-            const auto code = deadlineUnreachable ? ResultCode::FirstTokenTargetUnreachable : entry->lastFailure.value_or(shortageOf(pool, now));
+        } else if (deadlineUnreachable || waitIsOver(pool, *entry, now)) {
+            const auto code = deadlineUnreachable ? ResultCode::FirstTokenTargetUnreachable : shortageFor(pool, *entry, now);
             pool.selfQueueing->waiting.erase(entry);
             auto refusal = m_admission.refusal(code, internal::refusedRetrySeconds);
             refusal.retryAfter += commonPause(pool, now);
@@ -112,10 +113,27 @@
     }
 }
 
-ResultCode RequestScheduler::Impl::shortageOf(const Pool &pool, SteadyTime now)
+bool RequestScheduler::Impl::waitIsOver(const Pool &pool, const RequestEntry &entry, SteadyTime now)
 {
+    if (!entry.bound()) {
+        return now >= entry.latestStart;
+    }
+    if (worthWaiting(entry, pool.upstreams)) {
+        return now >= entry.deadline;
+    }
+    return now >= entry.latestStart || !anyMayRun(entry, pool.upstreams);
+}
+
+ResultCode RequestScheduler::Impl::shortageFor(const Pool &pool, const RequestEntry &entry, SteadyTime now)
+{
+    if (entry.bound() && !anyMayRun(entry, pool.upstreams)) {
+        return ResultCode::StreamVersionGone;
+    }
+    if (entry.lastFailure) {
+        return *entry.lastFailure;
+    }
     bool limited = false;
-    pool.upstreams.forEach([&](const UpstreamState &it) { limited |= it.usable() && !it.withinRate(now); });
+    pool.upstreams.forEach([&](const UpstreamState &it) { limited |= mayRunOn(entry, it) && it.usable() && !it.withinRate(now); });
     return limited ? ResultCode::UpstreamRateLimited : ResultCode::NoUpstream;
 }
 
--- a/src/guavafield/state/result.cpp
+++ b/src/guavafield/state/result.cpp
@@ -41,6 +41,7 @@
     ResultCodeInfo{QueueFull, "QueueFull", 503, "the queue is full"},
     ResultCodeInfo{CrashSuspectNotRun, "CrashSuspectNotRun", 503, "the request, or a part of its prompt, has crashed upstreams; it was not run this time"},
     ResultCodeInfo{UpstreamRateLimited, "UpstreamRateLimited", 503, "all upstreams that could run the request have used up the rates that they grant"},
+    ResultCodeInfo{StreamVersionGone, "StreamVersionGone", 503, "no upstream of the software version that began the stream is left"},
     ResultCodeInfo{UpstreamUnreachable, "UpstreamUnreachable", 502, "the upstream could not be reached"},
     ResultCodeInfo{UpstreamFailed, "UpstreamFailed", 502, "the upstream answered with an error"},
     ResultCodeInfo{UpstreamIncomplete, "UpstreamIncomplete", 502, "the answer of the upstream ended early"},
--- a/src/guavafield/state/result.hpp
+++ b/src/guavafield/state/result.hpp
@@ -48,6 +48,7 @@
     QueueFull = 3009,
     CrashSuspectNotRun = 3010,
     UpstreamRateLimited = 3011,
+    StreamVersionGone = 3012,
     // 4xxx upstream
     UpstreamUnreachable = 4001,
     UpstreamFailed = 4002,
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -210,7 +210,7 @@
         co_return;
     }
     if (!m_call.target.stream) {
-        m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
+        std::ignore = m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
         m_firstEventAt = std::chrono::steady_clock::now();
     }
 }
@@ -221,6 +221,11 @@
         co_return;
     }
     countStarted();
+    if (!std::exchange(m_firstTokenTold, true) && !m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream())) {
+        AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::AnswerIncomplete};
+        co_await failAttempt(failure);
+        co_return;
+    }
     std::string text;
     std::uint32_t count = 0;
     const bool valid = takeEvents(event.events, text, count);
@@ -229,9 +234,6 @@
         m_longestPause = m_firstEventAt ? std::max(m_longestPause, std::chrono::duration_cast<Milliseconds>(now - m_lastEventAt)) : Milliseconds{0};
         m_lastEventAt = now;
         m_firstEventAt = m_firstEventAt.value_or(now);
-        if (!std::exchange(m_firstTokenTold, true)) {
-            m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
-        }
         m_context->driver->onTokens(m_plan.id, count);
         bool written = true;
         if (!m_answer->started()) {
--- a/src/guavafield/transport/http/model_request.cpp
+++ b/src/guavafield/transport/http/model_request.cpp
@@ -128,7 +128,7 @@
     const auto *attempt = findAttempt(event.attempt);
     const bool whole = !m_plan.chat.stream || event.status != 200;
     if (attempt != nullptr && whole && m_winner == 0) {
-        chooseWinner(attempt->engine);
+        std::ignore = chooseWinner(attempt->engine);
     }
     co_return;
 }
@@ -158,8 +158,9 @@
     const auto engine = attempt->engine;
     auto events = std::exchange(attempt->held, {});
     std::ranges::move(event.events, std::back_inserter(events));
-    if (m_winner == 0) {
-        chooseWinner(engine);
+    if (m_winner == 0 && !chooseWinner(engine)) {
+        co_await failAttempt(engine, AttemptFailed{ResultCode::UpstreamFailed, RetryReason::AnswerIncomplete, false, false});
+        co_return;
     }
     co_await relay(engine, std::move(events));
 }
@@ -245,7 +246,10 @@
     if (m_winner == 0) {
         // An answer without a token is whole too.
         auto held = std::exchange(attempt->held, {});
-        chooseWinner(engine);
+        if (!chooseWinner(engine)) {
+            co_await failAttempt(engine, AttemptFailed{ResultCode::UpstreamFailed, RetryReason::AnswerIncomplete, false, false});
+            co_return;
+        }
         co_await relay(engine, std::move(held));
     }
     if (m_over || findAttempt(event.attempt) == nullptr) {
@@ -352,10 +356,12 @@
     }
 }
 
-void ModelRequest::chooseWinner(const std::shared_ptr<EngineAttempt> &engine)
+bool ModelRequest::chooseWinner(const std::shared_ptr<EngineAttempt> &engine)
 {
+    if (!m_context->driver->onFirstToken(m_plan.id, engine->upstream())) {
+        return false;
+    }
     m_winner = engine->number();
-    m_context->driver->onFirstToken(m_plan.id, engine->upstream());
     std::vector<std::shared_ptr<EngineAttempt>> losers;
     for (const auto &it : m_attempts) {
         if (it.engine != engine) {
@@ -366,6 +372,7 @@
         it->cancel();
         removeAttempt(it->number());
     }
+    return true;
 }
 
 ModelRequest::Attempt *ModelRequest::findAttempt(std::uint32_t number)
--- a/src/guavafield/transport/http/model_request.hpp
+++ b/src/guavafield/transport/http/model_request.hpp
@@ -92,7 +92,8 @@
     [[nodiscard]] Awaitable finishWith(ResultCode code, std::optional<Milliseconds> retryAfter = {});
     [[nodiscard]] Awaitable sendWhole(AnswerCompleted &event);
 
-    void chooseWinner(const std::shared_ptr<EngineAttempt> &engine);
+    // Returns whether the caller may get the output of the attempt.
+    [[nodiscard]] bool chooseWinner(const std::shared_ptr<EngineAttempt> &engine);
     [[nodiscard]] Attempt *findAttempt(std::uint32_t number);
     void removeAttempt(std::uint32_t number);
     // Takes the request out of the scheduler and cancels what runs for it.
--- a/src/guavafield/transport/http/request_driver.cpp
+++ b/src/guavafield/transport/http/request_driver.cpp
@@ -38,9 +38,9 @@
     });
 }
 
-void RequestDriver::onFirstToken(std::string_view request, std::string_view upstream)
+bool RequestDriver::onFirstToken(std::string_view request, std::string_view upstream)
 {
-    withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onFirstToken(request, upstream, now); });
+    return withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { return scheduler.onFirstToken(request, upstream, now); });
 }
 
 void RequestDriver::onTokens(std::string_view request, std::uint32_t count)
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -29,7 +29,8 @@
 
     /*! @brief Admits a request; its actions go to the mailbox until the request is over. */
     [[nodiscard]] Admission submit(RequestInfo request, std::shared_ptr<Mailbox> mailbox);
-    void onFirstToken(std::string_view request, std::string_view upstream);
+    /*! @brief Tells the scheduler of an attempt's first output; returns whether the caller may get it. */
+    [[nodiscard]] bool onFirstToken(std::string_view request, std::string_view upstream);
     void onTokens(std::string_view request, std::uint32_t count);
     /*! @brief Tells the scheduler that an attempt ended. The request is over unless the verdict is RetryQueued or another attempt runs. */
     [[nodiscard]] AttemptResolution onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end);
--- a/test/coordination/request/placement_fixture.hpp
+++ b/test/coordination/request/placement_fixture.hpp
@@ -87,12 +87,12 @@
     void complete(const DispatchAction &dispatch, Milliseconds firstToken)
     {
         now += firstToken;
-        scheduler.onFirstToken(dispatch.request, dispatch.upstream, now);
+        (void)scheduler.onFirstToken(dispatch.request, dispatch.upstream, now);
         scheduler.onTokens(dispatch.request, 1, now);
         for (int n = 0; n < 20; ++n) {
             now += Milliseconds{50};
             // The driver may report the first token with every event.
-            scheduler.onFirstToken(dispatch.request, dispatch.upstream, now);
+            (void)scheduler.onFirstToken(dispatch.request, dispatch.upstream, now);
             scheduler.onTokens(dispatch.request, 1, now);
         }
         (void)scheduler.onAttemptEnded(dispatch.request, dispatch.upstream, AttemptCompleted{}, now);
--- a/test/coordination/request/plain_service_test.cpp
+++ b/test/coordination/request/plain_service_test.cpp
@@ -142,7 +142,7 @@
                 if (it.end > m_now) {
                     return false;
                 }
-                m_scheduler.onFirstToken(it.id, upstream, m_now);
+                (void)m_scheduler.onFirstToken(it.id, upstream, m_now);
                 (void)m_scheduler.onAttemptEnded(it.id, upstream, AttemptCompleted{}, m_now);
                 m_outcomes[it.kind.name].late += m_now - it.sent > it.kind.deadline ? 1 : 0;
                 return true;
--- a/test/coordination/request/scheduler_fixture.hpp
+++ b/test/coordination/request/scheduler_fixture.hpp
@@ -172,7 +172,7 @@
         for (const auto &[id, attempt] : before) {
             if (!attempt.firstToken && now - attempt.started >= Milliseconds{50}) {
                 running[id].firstToken = true;
-                scheduler.onFirstToken(id, attempt.upstream, now);
+                (void)scheduler.onFirstToken(id, attempt.upstream, now);
                 scheduler.onTokens(id, 1, now);
             }
             if (now - attempt.started >= serviceTime) {
--- a/test/coordination/request/stream_isolation_test.cpp
+++ b/test/coordination/request/stream_isolation_test.cpp
@@ -217,7 +217,7 @@
             caller.latePause |= m_now - *caller.lastEvent > kind.gapTarget;
         } else {
             caller.lateFirstEvent = m_now - caller.submitted > kind.firstTokenTarget;
-            m_scheduler.onFirstToken(event.request, upstream, m_now);
+            (void)m_scheduler.onFirstToken(event.request, upstream, m_now);
         }
         m_scheduler.onTokens(event.request, 1, m_now);
         caller.lastEvent = m_now;
