--- a/src/guavafield/state/result.hpp
+++ b/src/guavafield/state/result.hpp
@@ -49,6 +49,7 @@
     CrashSuspectNotRun = 3010,
     UpstreamRateLimited = 3011,
     StreamOriginUnknown = 3012,
+    StreamVersionGone = 3013,
     // 4xxx upstream
     UpstreamUnreachable = 4001,
     UpstreamFailed = 4002,
