Name the match of streams and software versions apart from the records of origins

Two files were called stream_origin in neighbouring folders: one says which upstreams may go on with a stream, the other what hosts keep of streams. The first is stream_binding now; nothing else changes.

--- a/src/guavafield/coordination/request/placement.cpp
+++ b/src/guavafield/coordination/request/placement.cpp
@@ -2,7 +2,7 @@
 #include <guavafield/coordination/request/placement.hpp>
 
 #include <guavafield/coordination/request/decaying_sum.hpp>
-#include <guavafield/coordination/request/stream_origin.hpp>
+#include <guavafield/coordination/request/stream_binding.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/src/guavafield/coordination/request/scheduler_dispatch.cpp
+++ b/src/guavafield/coordination/request/scheduler_dispatch.cpp
@@ -1,6 +1,6 @@
 // Scheduler step: shedding, dispatch, preemption and hedging.
 #include <guavafield/coordination/request/scheduler_core.hpp>
-#include <guavafield/coordination/request/stream_origin.hpp>
+#include <guavafield/coordination/request/stream_binding.hpp>
 
 #include <algorithm>
 #include <utility>
