Hold a bound stream back only while it stands in the way of others

Found by the queueing cases of QueuedStreamVersionTest, which come with it: a stream that waits for its software version was queued anew at each step and the next request of its tier waited behind it.

--- a/src/guavafield/coordination/request/scheduler_dispatch.cpp
+++ b/src/guavafield/coordination/request/scheduler_dispatch.cpp
@@ -155,13 +155,13 @@
         shed(*entry);
         return true;
     }
-    bool free = false;
-    pool.upstreams.forEach([&](const UpstreamState &it) { free |= it.usable() && it.hasFreeSlot(); });
-    if (free) {
+    bool inTheWay = false;
+    pool.upstreams.forEach([&](const UpstreamState &it) { inTheWay |= !mayRunOn(*entry, it) && it.usable() && it.hasFreeSlot(); });
+    if (inTheWay) {
         pool.queue.tier(entry->info.tier).remove(*entry);
         pool.heldBack.insert(entry);
     }
-    return free;
+    return inTheWay;
 }
 
 UpstreamState *RequestScheduler::Impl::freePreviousUpstream(const RequestEntry &entry)
