--- a/test/system/machines_test.py
+++ b/test/system/machines_test.py
@@ -123,6 +123,32 @@
         wait_until(lambda: all_hosts_return(hosts, "/call/x", 200), "service after the entry is corrected")
 
 
+def take_up(host, resumes):
+    headers = {"Host": HOST_NAME, "X-Guavafield-Request-Id": f"r{next(REQUEST_IDS)}", "X-Guavafield-Deadline-Ms": "6000", "Authorization": "Token key-a",
+               "Last-Event-Id": "4", "Resumes": resumes}
+    return http_request(host["caller_port"], "GET", "/stream/x", None, headers, 30.0)
+
+
+def test_host_that_lost_its_memory_takes_up_only_streams_whose_origin_was_kept():
+    with MachinesFixture() as machines:
+        machines.start_server("s1")
+        host = start_hosts(machines, 1)[0]
+        first = f"r{next(REQUEST_IDS)}"
+        headers = {"Host": HOST_NAME, "X-Guavafield-Request-Id": first, "X-Guavafield-Deadline-Ms": "4000", "Authorization": "Token key-a"}
+        assert http_request(host["caller_port"], "GET", "/stream/x", None, headers, 30.0).status == 200
+        wait_until(lambda: any(table == "stream_origins" for table, _ in machines.store.rows), "the origin is written")
+        host["child"].kill()
+        again = machines.start_host("h1")
+        wait_until(lambda: is_ready(again), "readiness")
+        known = take_up(again, first)
+        assert known.status == 200 and "id: 5" in known.body and "id: 4" not in known.body, known.body
+        unknown = take_up(again, "never-seen")
+        assert unknown.status == 503 and "retry-after" in unknown.headers, (unknown.status, unknown.body)
+        log = again["child"].log()
+        assert "source=store resumes=" + first + " pool=s version=v1" in log, log
+        assert "origin of a stream not known, resumes=never-seen" in log, log
+
+
 def test_sighup_reloads_and_cuts_nothing():
     with MachinesFixture() as machines:
         machines.start_server("s1").delay_s = 0.1
