Know at the first start of a system that no stream began before

Callers would have seen take-ups refused in the first minute and a half of a system whose hosts restart, though it has one software version: the row of versions is absent then, so the past counted as unknown. Cause: an absent row means both a first start and a loss; only the platform can tell the two apart. Change: the setting platform.first_start, from the platform's bootstrap field, tells the version history that nothing began before. It doesn't outlast a gap in the host's observation. In the same way, a pool that appears while a host observes had no streams before the observation began. The clock of the service's tests runs faster than their event loop, which halves their time.

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -157,7 +157,9 @@
                                           [this] { return fleetTime(); },
                                           [this] { return m_addressBook.countResponsive(m_dependencies.clock.now()) + 1; },
                                           [this] { return m_directory->reads(); }};
-    return std::make_shared<StreamOriginService>(std::move(dependencies), m_dependencies.settings.host.id, m_dependencies.incarnation);
+    const auto &settings = m_dependencies.settings;
+    const auto completeSince = settings.platform.firstStart != 0 ? std::optional(WallTime{}) : std::nullopt;
+    return std::make_shared<StreamOriginService>(std::move(dependencies), settings.host.id, m_dependencies.incarnation, completeSince);
 }
 
 PathHooks MachinesPlatformServices::pathHooks()
--- a/src/guavafield/coordination/streams/version_history.cpp
+++ b/src/guavafield/coordination/streams/version_history.cpp
@@ -54,6 +54,7 @@
         takePresent(pool, versions == present.end() ? internal::Versions() : versions->second, now);
     }
     m_observed = true;
+    m_observedSince = m_observedSince.value_or(now);
 }
 
 void VersionHistory::takePresent(PoolHistory &pool, const internal::Versions &present, WallTime now)
@@ -90,11 +91,8 @@
         takeRow(pool, *record, m_observed, now);
     }
     // A row that may have come back older says nothing of what happened since it was written; this host's own memory does, if it has any.
-    if (current) {
-        pool.since = pool.since ? std::min(*pool.since, record->since) : record->since;
-    } else {
-        pool.since = pool.since.value_or(now);
-    }
+    const auto own = std::min(pool.since.value_or(now), m_observedSince.value_or(now));
+    pool.since = current ? std::min(own, record->since) : own;
     pool.row = record;
     pool.rowVersion = version;
     pool.rowKnown = true;
@@ -107,6 +105,7 @@
         pool.since.reset();
     }
     m_observed = false;
+    m_observedSince.reset();
 }
 
 void VersionHistory::forgetRows()
--- a/src/guavafield/coordination/streams/version_history.hpp
+++ b/src/guavafield/coordination/streams/version_history.hpp
@@ -21,6 +21,10 @@
     // For a caller's later tries, after the time limit of the first one's route, and for the error of the agreed clock.
     static constexpr Milliseconds takeUpMargin{60'000};
 
+    VersionHistory() = default;
+    /*! @param completeSince No stream began before this time, which may be long past, unseen by this host. */
+    explicit VersionHistory(WallTime completeSince) : m_observedSince(completeSince) { }
+
     /*! @brief Takes the present upstreams; only to be called while the table of upstreams is known to be up to date. */
     void onConfiguration(const Configuration &configuration, WallTime now);
     /*! @brief Takes a pool's row as read or as written; an absent one has no value. */
@@ -66,6 +70,8 @@
     StringMap<PoolHistory> m_pools;
     // The present versions are known.
     bool m_observed{false};
+    // All versions that served since then are in the histories; empty until the first observation after a gap.
+    std::optional<WallTime> m_observedSince;
 };
 
 } // namespace guavafield
--- a/src/guavafield/protocol/settings/daemon_settings.hpp
+++ b/src/guavafield/protocol/settings/daemon_settings.hpp
@@ -89,6 +89,8 @@
     // Minimum time between the calls of successive duty holders.
     Milliseconds dutyHandoverDelay{3'000};
     std::uint32_t usageWindowSeconds{5};
+    // 1 when the whole system starts for the first time, so that no stream can have begun before.
+    std::uint32_t firstStart{0};
 };
 
 struct PeerSettings
--- a/src/guavafield/protocol/settings/settings_table.cpp
+++ b/src/guavafield/protocol/settings/settings_table.cpp
@@ -281,6 +281,7 @@
                 "machines: least time between the calls of two holders of the duties",
                 GUAVAFIELD_MEMBER(platform.dutyHandoverDelay)),
         integerRow("platform", "usage_window_s", "s", 1, 86'400, "machines: length of a billing window", GUAVAFIELD_MEMBER(platform.usageWindowSeconds)),
+        integerRow("platform", "first_start", {}, 0, 1, "machines: 1 when the whole system starts for the first time", GUAVAFIELD_MEMBER(platform.firstStart)),
         textRow("platform", "address", Address, false, "address of the platform; absent: run without it", GUAVAFIELD_MEMBER(platform.address)),
         integerRow("platform", "port", {}, 1, maxPort, "port of the platform", GUAVAFIELD_MEMBER(platform.port)),
         seedsRow(),
--- a/src/guavafield/transport/fleet/stream_origin_service.cpp
+++ b/src/guavafield/transport/fleet/stream_origin_service.cpp
@@ -74,8 +74,12 @@
 
 } // namespace internal
 
-StreamOriginService::StreamOriginService(StreamOriginDependencies dependencies, HostId host, Incarnation incarnation)
-    : m_dependencies(std::move(dependencies)), m_host(std::move(host)), m_incarnation(incarnation), m_book(internal::bookCapacity)
+StreamOriginService::StreamOriginService(StreamOriginDependencies dependencies, HostId host, Incarnation incarnation, std::optional<WallTime> completeSince)
+    : m_dependencies(std::move(dependencies))
+    , m_host(std::move(host))
+    , m_incarnation(incarnation)
+    , m_book(internal::bookCapacity)
+    , m_history(completeSince ? VersionHistory(*completeSince) : VersionHistory())
 {
 }
 
--- a/src/guavafield/transport/fleet/stream_origin_service.hpp
+++ b/src/guavafield/transport/fleet/stream_origin_service.hpp
@@ -47,7 +47,8 @@
 class StreamOriginService : public std::enable_shared_from_this<StreamOriginService>
 {
 public:
-    StreamOriginService(StreamOriginDependencies dependencies, HostId host, Incarnation incarnation);
+    /*! @param completeSince No stream began before this time anywhere; empty if that is not known. */
+    StreamOriginService(StreamOriginDependencies dependencies, HostId host, Incarnation incarnation, std::optional<WallTime> completeSince);
 
     void start();
     void stop() noexcept
--- a/test/coordination/streams/version_history_test.cpp
+++ b/test/coordination/streams/version_history_test.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(rowLostOnAFirstReadLeavesThePastUnknown);
     CPPUNIT_TEST(rowOfAnEarlierEpochLeavesThePastUnknown);
     CPPUNIT_TEST(hostThatSawItAllWritesTheRowAgainAfterALoss);
+    CPPUNIT_TEST(firstStartDoesNotOutlastAGap);
     CPPUNIT_TEST(nothingIsDueWhileTheRowSaysWhatTheTableShows);
     CPPUNIT_TEST_SUITE_END();
 
@@ -200,6 +201,18 @@
         CPPUNIT_ASSERT(history.record("text").since < start);
     }
 
+    void firstStartDoesNotOutlastAGap()
+    {
+        VersionHistory history(WallTime{});
+        history.onConfiguration(configurationOf({{"text", "1"}}), start);
+        history.onRow("text", 0, std::nullopt, start);
+        CPPUNIT_ASSERT(history.sole("text", start) == SoftwareVersion("1"));
+        history.onGap();
+        history.onConfiguration(configurationOf({{"text", "1"}}), start);
+        history.onRow("text", 0, std::nullopt, start);
+        CPPUNIT_ASSERT(!history.sole("text", start));
+    }
+
     void nothingIsDueWhileTheRowSaysWhatTheTableShows()
     {
         auto history = settledHistory();
--- a/test/transport/fleet/stream_origin_service_test.cpp
+++ b/test/transport/fleet/stream_origin_service_test.cpp
@@ -141,6 +141,7 @@
     CPPUNIT_TEST(nothingIsWrittenForStreamsOfTheOnlyVersion);
     CPPUNIT_TEST(writesDuringAReleaseAreBounded);
     CPPUNIT_TEST(rowsThatEndedLongAgoAreRemoved);
+    CPPUNIT_TEST(firstStartOfTheSystemHasNoUnknownPast);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -342,6 +343,19 @@
         CPPUNIT_ASSERT(runUntil([&] { return originRows() == 0; }));
     }
 
+    void firstStartOfTheSystemHasNoUnknownPast()
+    {
+        startHost("h0", WallTime{});
+        run(seconds{1});
+        expectOrigin("a", "1");
+        killAll();
+        startHost("h1");
+        run(seconds{1});
+        expectOrigin("b", "1");
+        m_configuration = configurationOf({"1", "2"});
+        expectUnknown("c");
+    }
+
 private:
     // A host that has known version 1 alone for longer than any stream may be taken up.
     void settle()
@@ -355,7 +369,7 @@
         CPPUNIT_ASSERT(takeUpNow("settled"));
     }
 
-    void startHost(const std::string &id)
+    void startHost(const std::string &id, std::optional<WallTime> completeSince = std::nullopt)
     {
         StreamOriginDependencies dependencies{m_io->get_executor(),
                                               m_clock,
@@ -367,7 +381,7 @@
                                               [] { return std::size_t{2}; },
                                               [] { return true; }};
         Host host;
-        host.service = std::make_shared<StreamOriginService>(std::move(dependencies), id, Incarnation{1});
+        host.service = std::make_shared<StreamOriginService>(std::move(dependencies), id, Incarnation{1}, completeSince);
         host.hooks = host.service->hooks();
         host.service->onUpstreamsConfirmed(m_clock.now());
         host.service->start();
@@ -433,14 +447,15 @@
     // Both clocks advance; the confirmations of hosts in touch go on.
     void step()
     {
-        constexpr Milliseconds length{5};
+        constexpr Milliseconds length{10};
+        constexpr Milliseconds pause{5};
         m_clock.advance(length);
         for (const auto &it : m_hosts) {
             if (!it.isCut) {
                 it.service->onUpstreamsConfirmed(m_clock.now());
             }
         }
-        m_io->run_for(length);
+        m_io->run_for(pause);
     }
     void run(Milliseconds time)
     {
