Say in the simulation that the answer to a first token is not needed

The simulation delivers no output to callers. Also: hosts wait 5 ms for each host of the fleet between two writes of stream origins, since 330 hosts would otherwise take 333 of the 300 transactions a second that one part of the store bears; 200 a second are left of it by this.

--- a/bench/simulation/baseline_scheduler.hpp
+++ b/bench/simulation/baseline_scheduler.hpp
@@ -65,7 +65,10 @@
     {
         return std::nullopt;
     }
-    void onFirstToken(std::string_view /*request*/, std::string_view /*upstream*/, SteadyTime /*now*/) { }
+    [[nodiscard]] static bool onFirstToken(std::string_view /*request*/, std::string_view /*upstream*/, SteadyTime /*now*/)
+    {
+        return true;
+    }
     void onTokens(std::string_view /*request*/, std::uint32_t /*count*/, SteadyTime /*now*/) { }
     [[nodiscard]] AttemptResolution onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end, SteadyTime now);
     void cancel(std::string_view request, SteadyTime now);
--- a/bench/simulation/data_centre_simulation.cpp
+++ b/bench/simulation/data_centre_simulation.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <tuple>
 
 namespace guavafield::bench {
 
@@ -282,7 +283,7 @@
     }
     host.apply([&](auto &it) {
         if (call.state == State::Waiting) {
-            it.onFirstToken(call.id, m_engines[engine].upstream().id, now());
+            std::ignore = it.onFirstToken(call.id, m_engines[engine].upstream().id, now());
         }
         it.onTokens(call.id, event.tokens, now());
     });
--- a/src/guavafield/transport/fleet/stream_origin_service.cpp
+++ b/src/guavafield/transport/fleet/stream_origin_service.cpp
@@ -33,7 +33,7 @@
 constexpr Milliseconds callRetry{500};
 // Between a host's calls of one kind; for each host of the fleet, since all hosts share the store's rate.
 constexpr Milliseconds leastCallInterval{250};
-constexpr Milliseconds callIntervalPerHost{3};
+constexpr Milliseconds callIntervalPerHost{5};
 // How long hosts leave news of versions to the one that writes first.
 constexpr Milliseconds otherHostsDelay{1'000};
 constexpr Milliseconds otherHostsSpread{2'000};
