End the answer to HEAD at its header

Cause: nothing that writes an answer knew the method of its request, on which its framing depends (RFC 9110, 9.3.2). Change: the answer to a caller ends with its header for HEAD, with the length that the body has, and so do 204 and 304, without a length; a stream sends neither events nor a last chunk; the length that an upstream states in its answer to HEAD is passed on. The operators' port writes the header alone.

--- a/src/guavafield/transport/http/caller_answer.cpp
+++ b/src/guavafield/transport/http/caller_answer.cpp
@@ -20,6 +20,12 @@
 
 constexpr Milliseconds defaultRetryAfter{1'000};
 
+// Answers of these statuses end with their header.
+bool isBodiless(unsigned status) noexcept
+{
+    return status == 204 || status == 304;
+}
+
 bool refusalByState(ResultCode code) noexcept
 {
     const auto status = describe(code).httpStatus;
@@ -28,8 +34,8 @@
 
 } // namespace internal
 
-CallerAnswer::CallerAnswer(std::shared_ptr<PathContext> context, std::shared_ptr<CallerStream> stream, RequestId requestId, bool keepAlive)
-    : m_context(std::move(context)), m_stream(std::move(stream)), m_requestId(std::move(requestId)), m_keepAlive(keepAlive)
+CallerAnswer::CallerAnswer(std::shared_ptr<PathContext> context, std::shared_ptr<CallerStream> stream, RequestId requestId, bool keepAlive, bool headOnly)
+    : m_context(std::move(context)), m_stream(std::move(stream)), m_requestId(std::move(requestId)), m_keepAlive(keepAlive), m_headOnly(headOnly)
 {
 }
 
@@ -52,7 +58,7 @@
     response.keep_alive(m_keepAlive);
     if (chunked) {
         response.chunked(true);
-    } else {
+    } else if (!answer.body.empty() || !(m_headOnly || internal::isBodiless(answer.status))) {
         response.content_length(answer.body.size());
     }
     std::ostringstream text;
@@ -63,7 +69,9 @@
 boost::asio::awaitable<bool> CallerAnswer::sendWhole(const ServiceAnswer &answer)
 {
     auto bytes = formatHeader(answer, false);
-    bytes += answer.body;
+    if (!m_headOnly && !internal::isBodiless(answer.status)) {
+        bytes += answer.body;
+    }
     m_started = true;
     const bool written = co_await m_stream->write(bytes);
     m_keepAlive = m_keepAlive && written;
@@ -78,7 +86,7 @@
     if (m_started) {
         m_keepAlive = false;
         const auto event = formatErrorEvent(reply);
-        const bool written = co_await m_stream->writeChunk(event);
+        const bool written = co_await sendEvents(event);
         co_await m_stream->closeGracefully();
         co_return written;
     }
@@ -116,6 +124,9 @@
 
 boost::asio::awaitable<bool> CallerAnswer::sendEvents(std::string_view events)
 {
+    if (m_headOnly) {
+        co_return true;
+    }
     const bool written = co_await m_stream->writeChunk(events);
     m_keepAlive = m_keepAlive && written;
     co_return written;
@@ -125,16 +136,18 @@
 {
     std::string event;
     appendSseEvent(event, sseDone);
-    bool written = co_await m_stream->writeChunk(event);
+    bool written = co_await sendEvents(event);
     if (written) {
-        written = co_await m_stream->writeLastChunk();
+        written = co_await endForwardedStream();
     }
-    m_keepAlive = m_keepAlive && written;
     co_return written;
 }
 
 boost::asio::awaitable<bool> CallerAnswer::endForwardedStream()
 {
+    if (m_headOnly) {
+        co_return true;
+    }
     const bool written = co_await m_stream->writeLastChunk();
     m_keepAlive = m_keepAlive && written;
     co_return written;
--- a/src/guavafield/transport/http/caller_answer.hpp
+++ b/src/guavafield/transport/http/caller_answer.hpp
@@ -24,8 +24,9 @@
      * @param stream The caller's connection.
      * @param requestId Echoed to the caller.
      * @param keepAlive The caller wants to send further requests.
+     * @param headOnly The request is a HEAD request, whose answer ends with its header.
      */
-    CallerAnswer(std::shared_ptr<PathContext> context, std::shared_ptr<CallerStream> stream, RequestId requestId, bool keepAlive);
+    CallerAnswer(std::shared_ptr<PathContext> context, std::shared_ptr<CallerStream> stream, RequestId requestId, bool keepAlive, bool headOnly);
 
     [[nodiscard]] boost::asio::awaitable<bool> sendWhole(const ServiceAnswer &answer);
     /*! @brief Sends a refusal or an error, and counts it; ends a stream that has begun with an error event and no final chunk. */
@@ -69,6 +70,7 @@
     std::shared_ptr<CallerStream> m_stream;
     RequestId m_requestId;
     bool m_keepAlive;
+    bool m_headOnly;
     bool m_started{false};
 };
 
--- a/src/guavafield/transport/http/caller_connection.cpp
+++ b/src/guavafield/transport/http/caller_connection.cpp
@@ -118,7 +118,7 @@
 asio::awaitable<void> CallerConnection::refuse(ResultCode code)
 {
     const auto self = shared_from_this();
-    CallerAnswer answer(m_context, m_stream, m_context->makeRequestId(), false);
+    CallerAnswer answer(m_context, m_stream, m_context->makeRequestId(), false, false);
     Error error{code, {}, {}};
     co_await refuseUnread(answer, std::move(error));
 }
@@ -156,9 +156,10 @@
     const bool late = m_stream->clearTimer();
     m_received = std::chrono::steady_clock::now();
     const auto id = m_context->makeRequestId();
+    const bool headOnly = parser.get().method() == http::verb::head;
     if (ec) {
         if (late || !internal::connectionEnded(ec)) {
-            CallerAnswer answer(m_context, m_stream, id, false);
+            CallerAnswer answer(m_context, m_stream, id, false, headOnly);
             Error error{internal::codeOfReadError(ec, late), ec.message(), {}};
             co_await refuseUnread(answer, std::move(error));
         }
@@ -166,7 +167,7 @@
     }
     m_context->counters->add(CounterId::RequestsReceived);
     const auto callersId = callerRequestId(parser.get(), m_context->hooks.forward ? m_context->hooks.forward->requestIdHeader : requestIdHeader);
-    CallerAnswer answer(m_context, m_stream, callersId.empty() ? id : std::string(callersId), parser.keep_alive());
+    CallerAnswer answer(m_context, m_stream, callersId.empty() ? id : std::string(callersId), parser.keep_alive(), headOnly);
     if (const auto fault = framingFault(parser.get()); !fault.empty()) {
         Error error{ResultCode::RequestMalformed, std::string(fault), {}};
         co_await refuseUnread(answer, std::move(error));
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -209,7 +209,13 @@
     }
     m_headDelivered = true;
     m_contentDelivered = !m_plan.stream;
-    m_outlet.deliver(AnswerHead{m_plan.number, status, endToEndHeaders(m_exchange.header())});
+    AnswerHead head{m_plan.number, status, endToEndHeaders(m_exchange.header())};
+    const auto length = m_exchange.header().find(boost::beast::http::field::content_length);
+    if (m_plan.request.method() == boost::beast::http::verb::head && length != m_exchange.header().end()) {
+        // That of the body which GET would get.
+        head.headers.emplace_back(length->name_string(), length->value());
+    }
+    m_outlet.deliver(std::move(head));
     m_exchange.setSilence(m_plan.silenceTime);
     if (success && m_plan.stream) {
         co_await readStream();
--- a/src/guavafield/transport/http/operator_server.cpp
+++ b/src/guavafield/transport/http/operator_server.cpp
@@ -110,7 +110,12 @@
         response.prepare_payload();
         another = parser.keep_alive();
         stream.expires_after(internal::operatorIdleTime);
-        co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, ec));
+        http::response_serializer<http::string_body> serializer(response);
+        if (parser.get().method() == http::verb::head) {
+            co_await http::async_write_header(stream, serializer, asio::redirect_error(asio::use_awaitable, ec));
+        } else {
+            co_await http::async_write(stream, serializer, asio::redirect_error(asio::use_awaitable, ec));
+        }
     }
     m_connections.fetch_sub(1, std::memory_order_relaxed);
 }
