--- /dev/null
+++ b/test/platform/request_dialect_test.cpp
@@ -0,0 +1,59 @@
+// Tests of what callers' headers are read as.
+#include "platform/request_dialect.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace guavafield::platform {
+
+class RequestDialectTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestDialectTest);
+    CPPUNIT_TEST(partIdsOfAnyLengthAreTaken);
+    CPPUNIT_TEST(textThatIsNoPartIdIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // The pages set no length for the id of a part.
+    void partIdsOfAnyLengthAreTaken()
+    {
+        for (const std::size_t length : {1U, 8U, 16U, 17U, 32U, 64U, 200U}) {
+            const std::string id(length, 'a');
+            const auto first = read(id + ":10,5:20,6:30");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(id, std::size_t{2}, first.prefixHashes.size());
+            CPPUNIT_ASSERT_EQUAL(30U, first.prefixTokens.back());
+            // The same id is the same part, and another id of its length another.
+            CPPUNIT_ASSERT(first.sharedParts == read(id + ":10,5:20,6:30").sharedParts);
+            CPPUNIT_ASSERT(first.sharedParts == read(std::string(length, 'A') + ":10,5:20,6:30").sharedParts);
+            CPPUNIT_ASSERT(first.prefixHashes.front() != read(id.substr(1) + "b:10,5:20,6:30").prefixHashes.front());
+        }
+    }
+
+    void textThatIsNoPartIdIsRefused()
+    {
+        for (const auto *parts : {":10", "xyz:10", "0x1f:10", "-1:10", "a", "a:", "a:b", "a:10,,b:20", "aaaaaaaaaaaaaaaaaaaaaaaaag:10"}) {
+            CPPUNIT_ASSERT_MESSAGE(parts, !parse(parts));
+        }
+    }
+
+private:
+    static Outcome<ForwardEnvelope> parse(std::string_view parts)
+    {
+        boost::beast::http::fields fields;
+        fields.set("X-Guavafield-Prefix-Hash", parts);
+        return capture([&] { return requestDialect().readRequest(fields); });
+    }
+    static ForwardEnvelope read(const std::string &parts)
+    {
+        auto envelope = parse(parts);
+        CPPUNIT_ASSERT_MESSAGE(parts, envelope);
+        return std::move(*envelope.value);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestDialectTest);
+
+} // namespace guavafield::platform
