Record no origin of a stream whose writer is not certain

Cause: the record of a stream's origin names the version that the upstream's entry had at the dispatch. If the entry names another process with another version by the time of the first event, either may have written it. The scheduler does not let such a stream go on within its answer; the record would have let it be taken up. Change: such a beginning is not told.

--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -122,6 +122,13 @@
     if (!begins || !m_beginning || !m_context->hooks.streams.began) {
         return;
     }
+    const auto configuration = m_context->currentConfiguration();
+    const auto it = configuration->upstreams.find(m_beginning->upstream);
+    const bool listed = it != configuration->upstreams.end();
+    if (listed && it->second.incarnation != m_beginning->incarnation && it->second.softwareVersion != m_beginning->origin.version) {
+        // Either process of the upstream may have written the event.
+        return;
+    }
     m_beginning->sinceDispatch = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - m_dispatched);
     m_context->hooks.streams.began(*m_beginning);
 }
--- a/test/transport/http/take_up_test.cpp
+++ b/test/transport/http/take_up_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(streamOfKnownOriginGoesOn);
     CPPUNIT_TEST(streamThatBeganInAnotherPoolIsNotJoined);
     CPPUNIT_TEST(beginningIsToldOnceWithTheRunThatBroughtTheFirstEvent);
+    CPPUNIT_TEST(beginningByAProcessThatWasReplacedSinceTheDispatchIsNotTold);
     CPPUNIT_TEST(takeUpIsNoBeginning);
     CPPUNIT_TEST(takeUpMeetsThePoolOfItsFirstAttempt);
     CPPUNIT_TEST(requestsThatAreNotResumedNeedNoOrigin);
@@ -87,6 +88,30 @@
         CPPUNIT_ASSERT(m_takeUps.empty());
     }
 
+    void beginningByAProcessThatWasReplacedSinceTheDispatchIsNotTold()
+    {
+        Signal replaced;
+        FakeUpstream upstream([&](FakeCall &call) {
+            CPPUNIT_ASSERT(replaced.wait());
+            sendEvents(call, 1);
+        });
+        auto fixture = makeFixture(upstream);
+        auto &entry = fixture->configuration.upstreams["u1"];
+        entry.softwareVersion = "7";
+        entry.incarnation = 5;
+        fixture->start();
+        auto client = fixture->connect();
+        client.send(forwardRequest("/resume/x", "first"));
+        CPPUNIT_ASSERT(waitUntil([&] { return upstream.calls() == 1; }));
+        entry.softwareVersion = "8";
+        entry.incarnation = 6;
+        fixture->applyConfiguration();
+        replaced.set();
+        CPPUNIT_ASSERT(client.read().has_value());
+        const std::scoped_lock lock(m_mutex);
+        CPPUNIT_ASSERT(m_beginnings.empty());
+    }
+
     void takeUpIsNoBeginning()
     {
         m_origin = StreamOrigin{"p", ""};
