--- a/test/system/machines.py
+++ b/test/system/machines.py
@@ -81,6 +81,7 @@
         self.era = 1
         # Hosts share the loopback address and can't be told apart, so faults apply to all of them.
         self.down = False
+        self.delay_s = 0.0
         self.lose_answers = 0
         self.usage = []
         self.orders = []
@@ -117,6 +118,7 @@
         url = urllib.parse.urlparse(handler.path)
         query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query).items()}
         body = handler.body()
+        time.sleep(self.delay_s)
         if self.down:
             handler.respond(503, headers=self.headers())
         elif url.path == "/rows-feed":
