Count a version that began a stream although no configuration in between named it

Cause, found by the review: a host looks at the versions of a pool between its calls to the store. A version that comes and goes meanwhile is unknown to the history although the host began streams at it, so that the other version counts as the only one. Change: the beginning of a stream enters its version into the history, present or left.

--- a/src/guavafield/coordination/streams/version_history.cpp
+++ b/src/guavafield/coordination/streams/version_history.cpp
@@ -57,6 +57,14 @@
     m_observedSince = m_observedSince.value_or(now);
 }
 
+void VersionHistory::onBegan(const PoolId &pool, const SoftwareVersion &version, WallTime now)
+{
+    const auto [it, added] = m_pools[pool].versions.try_emplace(version, now);
+    if (!added && it->second) {
+        it->second = std::max(*it->second, now);
+    }
+}
+
 void VersionHistory::takePresent(PoolHistory &pool, const internal::Versions &present, WallTime now)
 {
     for (const auto &[version, left] : present) {
--- a/src/guavafield/coordination/streams/version_history.hpp
+++ b/src/guavafield/coordination/streams/version_history.hpp
@@ -27,6 +27,8 @@
 
     /*! @brief Takes the present upstreams; only to be called while the table of upstreams is known to be up to date. */
     void onConfiguration(const Configuration &configuration, WallTime now);
+    /*! @brief A stream began at this version, which may have come and gone between two configurations. */
+    void onBegan(const PoolId &pool, const SoftwareVersion &version, WallTime now);
     /*! @brief Takes a pool's row as read or as written; an absent one has no value. */
     void onRow(const PoolId &pool, RowVersion version, const std::optional<VersionRecord> &record, WallTime now);
     /*! @brief This host has missed changes: versions may have come and gone unseen. The rows have to be read again. */
