Write the last time at which a version left, not the first

Cause, found by the review: a version that came back and left again before the row was written anew kept its first end there, since the row was compared by whether the version has left, not by when. Hosts that start later take another version for the only one too early. Change: the row is due as long as it names an earlier end. Measured: VersionHistoryTest::versionThatCameBackAndLeftAgainIsWrittenWithItsLastEnd.

--- a/src/guavafield/coordination/streams/version_history.cpp
+++ b/src/guavafield/coordination/streams/version_history.cpp
@@ -149,7 +149,7 @@
         const auto row = pool.row.value_or(VersionRecord{});
         const auto isSame = [&](const auto &own) {
             const auto it = std::ranges::find(row.versions, own.first, &VersionSpan::version);
-            return it != row.versions.end() && it->left.has_value() == own.second.has_value();
+            return it != row.versions.end() && (own.second ? it->left && *it->left >= *own.second : !it->left);
         };
         const bool stale = !pool.row || row.epoch != (pool.rowVersion >> versionBits);
         if (stale || !std::ranges::all_of(pool.versions, isSame)) {
--- a/test/coordination/streams/version_history_test.cpp
+++ b/test/coordination/streams/version_history_test.cpp
@@ -63,6 +63,8 @@
     CPPUNIT_TEST(releaseUnderWayHasNoSoleVersion);
     CPPUNIT_TEST(threeVersionsAtOnceAreAllWritten);
     CPPUNIT_TEST(versionThatWasRolledBackStillCounts);
+    CPPUNIT_TEST(versionThatCameBackAndLeftAgainIsWrittenWithItsLastEnd);
+    CPPUNIT_TEST(versionThatBeganAStreamUnseenStillCounts);
     CPPUNIT_TEST(entriesWithoutAVersionAreNotOfTheVersionBesideThem);
     CPPUNIT_TEST(poolsWithTheSameVersionTextAreToldApart);
     CPPUNIT_TEST(frozenHostTrustsItsOldKnowledgeNoMore);
@@ -147,6 +149,32 @@
         CPPUNIT_ASSERT(!history.sole("text", start));
     }
 
+    void versionThatCameBackAndLeftAgainIsWrittenWithItsLastEnd()
+    {
+        auto history = settledHistory();
+        const auto first = start + seconds{1};
+        history.onConfiguration(configurationOf({{"text", "2"}}), first);
+        history.onRow("text", 6, history.record("text"), first);
+        CPPUNIT_ASSERT(history.due().empty());
+        history.onConfiguration(configurationOf({{"text", "1"}, {"text", "2"}}), start + seconds{40});
+        const auto last = start + seconds{50};
+        history.onConfiguration(configurationOf({{"text", "2"}}), last);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, history.due().size());
+        CPPUNIT_ASSERT(history.record("text").versions.front() == (VersionSpan{"1", last}));
+    }
+
+    void versionThatBeganAStreamUnseenStillCounts()
+    {
+        auto history = settledHistory();
+        history.onBegan("text", "1", start);
+        CPPUNIT_ASSERT(history.sole("text", start) == SoftwareVersion("1"));
+        history.onBegan("text", "2", start);
+        CPPUNIT_ASSERT(!history.sole("text", start + reach));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, history.due().size());
+        history.onConfiguration(configurationOf({{"text", "1"}}), start + reach + seconds{1});
+        CPPUNIT_ASSERT(history.sole("text", start + reach + seconds{1}) == SoftwareVersion("1"));
+    }
+
     void poolsWithTheSameVersionTextAreToldApart()
     {
         VersionHistory history;
