Do not take from the store what this host knows to be uncertain

Cause, found by the review: an origin that has become uncertain, since its upstream was replaced at the dispatch or since an attempt's id began two streams, was looked for further, and the host's own earlier row named it as certain. Change: an uncertain entry ends the search, and two entries that contradict each other are uncertain.

--- a/src/guavafield/coordination/streams/origin_book.cpp
+++ b/src/guavafield/coordination/streams/origin_book.cpp
@@ -12,6 +12,7 @@
     const auto hash = stream.stream;
     const auto [it, added] = m_entries.try_emplace(hash);
     if (!added) {
+        it->second.certain = it->second.certain && it->second.stream.origin == stream.origin;
         return;
     }
     it->second.stream = std::move(stream);
@@ -28,6 +29,12 @@
     return it->second.stream.origin;
 }
 
+bool OriginBook::isUncertain(StreamHash stream) const
+{
+    const auto it = m_entries.find(stream);
+    return it != m_entries.end() && !it->second.certain;
+}
+
 void OriginBook::onConfiguration(const Configuration &configuration, SteadyTime certainUntil)
 {
     for (auto &[hash, entry] : m_entries) {
--- a/src/guavafield/coordination/streams/origin_book.hpp
+++ b/src/guavafield/coordination/streams/origin_book.hpp
@@ -37,10 +37,12 @@
 public:
     explicit OriginBook(std::size_t capacity) : m_capacity(capacity) { }
 
-    /*! @brief Enters a stream; the first entry of a stream stays. */
+    /*! @brief Enters a stream; two entries of one stream that contradict each other leave its origin uncertain. */
     void add(BegunStream stream, SteadyTime now);
     /*! @brief Returns the origin of a stream; empty if it is not known for certain. */
     [[nodiscard]] std::optional<StreamOrigin> find(StreamHash stream, SteadyTime now) const;
+    /*! @brief Returns whether the stream is known here, but not for certain where it began. */
+    [[nodiscard]] bool isUncertain(StreamHash stream) const;
     /*!
      * @brief Compares the upstreams with those at the dispatches.
      * @param certainUntil The entries of the upstreams before this configuration held at least until then; what was dispatched later may have
--- a/src/guavafield/transport/fleet/stream_origin_service.cpp
+++ b/src/guavafield/transport/fleet/stream_origin_service.cpp
@@ -358,6 +358,10 @@
         if (auto origin = m_book.find(streamHash(takeUp.resumes), m_dependencies.clock.now())) {
             return origin;
         }
+        if (m_book.isUncertain(streamHash(takeUp.resumes))) {
+            // What this host has written of it is no more certain.
+            return std::nullopt;
+        }
         source = "store";
         if (auto origin = m_index.find(streamHash(takeUp.resumes))) {
             return origin;
--- a/test/transport/fleet/stream_origin_service_test.cpp
+++ b/test/transport/fleet/stream_origin_service_test.cpp
@@ -129,6 +129,7 @@
 {
     CPPUNIT_TEST_SUITE(StreamOriginServiceTest);
     CPPUNIT_TEST(hostThatKnowsNothingFindsWhatAnotherBeganDuringARelease);
+    CPPUNIT_TEST(originThatIsNoLongerCertainIsNotTakenFromTheHostsOwnRow);
     CPPUNIT_TEST(streamThatWasNotWrittenBeforeAllHostsDiedIsNotJoined);
     CPPUNIT_TEST(streamOfAVersionThatJustLeftIsNotJoinedWithTheNewOne);
     CPPUNIT_TEST(streamOfTheOnlyVersionGoesOnThoughNobodyRemembersIt);
@@ -176,6 +177,17 @@
         expectOrigin("b", "2");
     }
 
+    void originThatIsNoLongerCertainIsNotTakenFromTheHostsOwnRow()
+    {
+        settle();
+        m_configuration = configurationOf({"1", "2"});
+        run(seconds{1});
+        begin(0, "a", "1");
+        run(seconds{1});
+        begin(0, "a", "2");
+        expectUnknown("a");
+    }
+
     void streamThatWasNotWrittenBeforeAllHostsDiedIsNotJoined()
     {
         settle();
