Let lookups of stream origins end with the reads that they wait for

Cause, found by the review: in a large fleet a lookup ended before its host might read again; a read followed new changes for as long as hosts wrote them, and went on being under way while it removed old rows; failed reads counted like others. Take-ups that could go on were refused. Change: a lookup lasts for two reads in a large fleet, a page of changes that is not full is the last, removal comes after the read, and only whole reads count. Measured: transport_fleet_test.

--- a/src/guavafield/transport/fleet/stream_origin_service.cpp
+++ b/src/guavafield/transport/fleet/stream_origin_service.cpp
@@ -42,12 +42,14 @@
 constexpr std::size_t fullRow = 64;
 // Pools whose rows are written in one transaction, which takes two entries each.
 constexpr std::size_t maxPoolsPerWrite = 40;
-// A lookup ends within this time and within its part of the time left.
+// A lookup ends within this time, or that of two reads in a large fleet, and within its part of the time left.
 constexpr Milliseconds longestLookup{1'500};
 constexpr int lookupPart = 3;
 constexpr int readsPerLookup = 3;
 constexpr Milliseconds readPoll{10};
 constexpr int maxFollowedPages = 50;
+// A page of changes with fewer rows is the last one.
+constexpr std::size_t fullPage = 500;
 // Rows that ended so long ago are removed.
 constexpr Milliseconds endedRowKept{60'000};
 constexpr Milliseconds removalInterval{10'000};
@@ -325,14 +327,15 @@
 {
     const auto self = shared_from_this();
     const auto started = m_dependencies.clock.now();
-    const auto deadline = started + std::min(internal::longestLookup, takeUp.timeLeft / internal::lookupPart);
+    const auto longest = std::max(internal::longestLookup, 2 * callInterval() + internal::callRetry);
+    const auto deadline = started + std::min(longest, takeUp.timeLeft / internal::lookupPart);
     observe();
     std::string_view source;
     auto origin = findKnown(takeUp, source);
     int reads = 0;
     while (!origin && !takeUp.resumes.empty() && reads < internal::readsPerLookup && m_dependencies.clock.now() < deadline) {
-        ++reads;
-        std::ignore = co_await awaitRead(deadline);
+        const bool complete = co_await awaitRead(deadline);
+        reads += complete ? 1 : 0;
         observe();
         origin = findKnown(takeUp, source);
     }
@@ -405,11 +408,14 @@
 
 asio::awaitable<void> StreamOriginService::readOrigins()
 {
-    const internal::FlagReset reset(m_reading);
     const auto number = ++m_readsBegun;
     // What a host in touch had not written at one read, it has at the next.
     m_nextRead = m_dependencies.clock.now() + callInterval();
-    const bool complete = co_await readPages();
+    bool complete = false;
+    {
+        const internal::FlagReset reset(m_reading);
+        complete = co_await readPages();
+    }
     m_readsEnded = number;
     if (complete) {
         m_lastCompleteRead = number;
@@ -427,7 +433,7 @@
         if (const auto *page = std::get_if<TablePage>(&reply)) {
             takeOrigins(*page);
             m_indexVersion = page->complete;
-            if (whole || page->rows.empty()) {
+            if (whole || page->rows.size() < internal::fullPage) {
                 co_return true;
             }
         } else if (std::holds_alternative<TableGap>(reply) && !whole) {
