Relay requests to another host while no upstream of their pool can be reached

Cause: a host could serve a request only at upstreams that it reached itself. A request waited an eighth of its target for one and was refused.

Now the scheduler hands a request over when every upstream of its pool that accepts work is down from here and another host says that it reaches the pool: it is sent as it came, with the caller's key, to the caller port of that host, which checks and counts it like any other. Hosts report the pools that they don't reach, so that where all upstreams are down nothing is relayed. A relayed request is marked and not relayed again, is refused by a host with an older configuration, and has the attempts that its route leaves. A broken relay may have run: it goes nowhere else and is never called not run. A refusal of the other host is its promise, passed on as it is or answered by one more host. What an upstream says of itself through another host binds this one.

Ways weighed: to accept no connections (a machine that says it is ready must accept, and a closed connection is a failed try); 503 with a short Retry-After (fails first tries).

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -51,6 +51,19 @@
     return settings;
 }
 
+RelayCandidate relayCandidate(const Member &from, const HostReport &report)
+{
+    RelayCandidate candidate;
+    candidate.dataCentre = from.dataCentre;
+    candidate.callers = from.address;
+    candidate.callers.port = report.callerPort;
+    candidate.unreachablePools = report.unreachablePools;
+    for (const auto &it : report.work) {
+        candidate.running += it.running;
+    }
+    return candidate;
+}
+
 constexpr Milliseconds storeConnectTimeout{300};
 constexpr Milliseconds dutyConnectTimeout{300};
 constexpr Milliseconds dutyReleaseTimeout{500};
@@ -79,7 +92,7 @@
 std::unique_ptr<PeerService> MachinesPlatformServices::makePeers()
 {
     PeerHooks hooks;
-    hooks.onMember = [this](const Member &) { updateFleetMembers(); };
+    hooks.onMember = [this](const Member &member) { onMember(member); };
     hooks.onReport = [this](const Member &from, const HostReport &report) { onReport(from, report); };
     hooks.onCrash = [this](const CrashRecord &record) {
         m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onCrashRecord(record, now); });
@@ -241,8 +254,9 @@
         const auto now = m_dependencies.clock.now();
         const auto hosts = m_addressBook.countResponsive(now) + 1;
         m_directory->setHosts(hosts);
+        const bool reachChanged = updateReach();
         const auto receivers = m_reportSchedule.next(hosts, {m_directory->reads(), m_duties && m_duties->fence() != 0}, now);
-        if (receivers == ReportReceivers::AllHosts) {
+        if (receivers == ReportReceivers::AllHosts || reachChanged) {
             sendReport();
         } else if (const auto holder = m_reportSchedule.dutyHolder(now); receivers == ReportReceivers::DutyHolder && holder) {
             m_peers->sendReportTo(makeReport(), *holder);
@@ -267,6 +281,19 @@
         [&](RequestScheduler &scheduler, SteadyTime now) { scheduler.setFleetClock(time.time_since_epoch() - now.time_since_epoch(), now); });
 }
 
+bool MachinesPlatformServices::updateReach()
+{
+    auto pools =
+        m_requestPath->driver().withScheduler([](const RequestScheduler &scheduler, SteadyTime now) { return scheduler.unreachablePools(now); });
+    if (pools == m_unreachablePools) {
+        return false;
+    }
+    const auto text = "reach of pools changed, unreachable=" + std::to_string(pools.size()) + " before=" + std::to_string(m_unreachablePools.size());
+    logEvent(LogLevel::Warning, "http:", {}, text);
+    m_unreachablePools = std::move(pools);
+    return true;
+}
+
 void MachinesPlatformServices::logConvictions()
 {
     const auto convicted =
@@ -289,6 +316,7 @@
     report.wall = m_dependencies.clock.wallNow();
     report.slowLink = hasSlowLink();
     report.withoutPlatform = !m_directory->reachesPlatform();
+    report.callerPort = m_requestPath->refusing() ? 0 : m_requestPath->endpoint().port();
     if (m_directory->known(DirectoryTable::Document)) {
         report.document = m_directory->knowledge(DirectoryTable::Document);
     }
@@ -298,6 +326,7 @@
     m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime schedulerNow) {
         report.work = scheduler.localWork();
         report.engineDemand = scheduler.engineDemand(schedulerNow);
+        report.unreachablePools = scheduler.unreachablePools(schedulerNow);
         report.crashes.verdicts = scheduler.crashEvidence().knowledge(schedulerNow).verdicts;
     });
     if (m_duties) {
@@ -389,6 +418,14 @@
     }
 }
 
+void MachinesPlatformServices::onMember(const Member &member)
+{
+    if (member.state == MemberState::Leaving || member.state == MemberState::Dead) {
+        m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.relayTargets().erase(member.id); });
+    }
+    updateFleetMembers();
+}
+
 void MachinesPlatformServices::onReport(const Member &from, const HostReport &report)
 {
     if (report.evidenceOnly) {
@@ -412,6 +449,7 @@
     m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
         scheduler.onPeerWork(from.id, report.work, report.engineDemand, now);
         scheduler.crashEvidence().merge(report.crashes, now);
+        scheduler.relayTargets().onReport(from.id, internal::relayCandidate(from, report), now);
     });
 }
 
--- a/apps/guavafieldd/machines_platform_services.hpp
+++ b/apps/guavafieldd/machines_platform_services.hpp
@@ -80,10 +80,13 @@
     [[nodiscard]] boost::asio::awaitable<bool> writeAddress();
     [[nodiscard]] boost::asio::awaitable<bool> readAddresses();
     void sendReport();
+    void onMember(const Member &member);
     void onReport(const Member &from, const HostReport &report);
     [[nodiscard]] bool hasSlowLink() const;
     void updateFleetMembers();
     void updateFleetClock();
+    // Logs pools that have become reachable or unreachable; returns whether there are any.
+    [[nodiscard]] bool updateReach();
     void logConvictions();
     void start();
     [[nodiscard]] std::optional<std::string> unreadyReason() const;
@@ -99,6 +102,8 @@
     std::shared_ptr<StreamOriginService> m_streams;
     AddressBook m_addressBook;
     ReportSchedule m_reportSchedule;
+    // As of the last look.
+    std::vector<std::uint64_t> m_unreachablePools;
     bool m_stopped{false};
 };
 
--- a/src/guavafield/coordination/fleet/host_report.hpp
+++ b/src/guavafield/coordination/fleet/host_report.hpp
@@ -41,6 +41,10 @@
     bool withoutPlatform{false};
     // The sender's network link is slow, so other hosts should take fleet-wide work.
     bool slowLink{false};
+    // Port at which the sender takes requests that other hosts relay; 0 if it takes none.
+    std::uint16_t callerPort{0};
+    // stableIdHash() of the pools of which the sender reaches no upstream.
+    std::vector<std::uint64_t> unreachablePools;
     // Hosts to which the receiver relays the report.
     std::vector<PeerAddress> relayTo;
     // The report contains only changes of upstreams.
--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <guavafield/coordination/request/rate_limit.hpp>
+#include <guavafield/coordination/request/relay_targets.hpp>
 #include <guavafield/state/counters.hpp>
 #include <guavafield/state/result.hpp>
 #include <guavafield/state/types.hpp>
@@ -52,6 +53,8 @@
     std::uint32_t maxAttempts{0};
     // Software version that wrote the events which the caller has; only upstreams of this version may go on. Empty for a stream from its start.
     std::optional<SoftwareVersion> origin{};
+    // Another host has relayed the request, so that it is not relayed once more.
+    bool relayed{false};
 };
 
 /*! @brief The request is queued for an upstream. */
@@ -95,6 +98,15 @@
     Refused refusal;
 };
 
+/*! @brief Relay the request to this host, since no upstream of its pool can be reached from here; the scheduler has forgotten it. */
+struct RelayAction
+{
+    RequestId request;
+    RelayTarget target;
+    // Attempts that upstreams may still execute; 0 leaves that to the other host.
+    std::uint32_t attemptsLeft{0};
+};
+
 /*! @brief Cancel the attempt at this upstream; the scheduler has already requeued the request. */
 struct PreemptAction
 {
@@ -111,7 +123,7 @@
     std::uint8_t enginePriority{0};
 };
 
-using SchedulerAction = std::variant<DispatchAction, ShedAction, PreemptAction, HedgeAction>;
+using SchedulerAction = std::variant<DispatchAction, ShedAction, RelayAction, PreemptAction, HedgeAction>;
 
 /*! @brief The attempt completed successfully. */
 struct AttemptCompleted
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -134,6 +134,16 @@
     return m_impl->localWork();
 }
 
+std::vector<std::uint64_t> RequestScheduler::unreachablePools(SteadyTime now) const
+{
+    return m_impl->unreachablePools(now);
+}
+
+RelayTargets &RequestScheduler::relayTargets() noexcept
+{
+    return m_impl->relayTargets();
+}
+
 StringMap<PoolLoad> RequestScheduler::poolLoads() const
 {
     return m_impl->poolLoads();
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -115,6 +115,11 @@
     /*! @brief Returns this host's work at upstreams of self-queueing pools, to be reported to peers. */
     [[nodiscard]] std::vector<PeerWork> localWork() const;
 
+    /*! @brief Returns the pools of which this host reaches no upstream, by stableIdHash() of their ids, in ascending order. */
+    [[nodiscard]] std::vector<std::uint64_t> unreachablePools(SteadyTime now) const;
+    /*! @brief Returns the hosts to which requests of such pools are relayed. */
+    [[nodiscard]] RelayTargets &relayTargets() noexcept;
+
     /*! @brief Returns the load of each self-queueing pool across all hosts. */
     [[nodiscard]] StringMap<PoolLoad> poolLoads() const;
 
--- a/src/guavafield/coordination/request/retry_budget.hpp
+++ b/src/guavafield/coordination/request/retry_budget.hpp
@@ -42,6 +42,13 @@
         balance = std::min(m_settings.maxBalance, balance + m_settings.retriesPerRequest);
     }
 
+    /*! @brief Takes back onRequest() for a request that another host counts. */
+    void onRelayed(const std::string &className, SteadyTime now)
+    {
+        auto &balance = balanceOf(className, now);
+        balance = std::max(0.0, balance - m_settings.retriesPerRequest);
+    }
+
     /*! @brief Returns whether take() would succeed. */
     [[nodiscard]] bool available(const std::string &className, SteadyTime now)
     {
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler_core.cpp
@@ -36,7 +36,10 @@
 } // namespace internal
 
 RequestScheduler::Impl::Impl(SchedulerSettings settings)
-    : m_settings(std::move(settings)), m_admission(m_times, m_settings.seed ^ 0x51ED270B7F5A11C3ULL), m_router(m_settings.seed)
+    : m_settings(std::move(settings))
+    , m_admission(m_times, m_settings.seed ^ 0x51ED270B7F5A11C3ULL)
+    , m_router(m_settings.seed)
+    , m_relays(m_settings.dataCentre, m_settings.seed ^ 0x2545F4914F6CDD1DULL)
 {
 }
 
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -6,6 +6,7 @@
 #include <guavafield/coordination/request/crash_tracker.hpp>
 #include <guavafield/coordination/request/demand_tracker.hpp>
 #include <guavafield/coordination/request/pool.hpp>
+#include <guavafield/coordination/request/relay_targets.hpp>
 #include <guavafield/coordination/request/request_scheduler.hpp>
 #include <guavafield/coordination/request/retry_budget.hpp>
 #include <guavafield/coordination/request/service_times.hpp>
@@ -52,6 +53,11 @@
     void onPeerWork(std::string_view host, std::span<const PeerWork> work, std::span<const EngineDemand> demand, SteadyTime now);
     [[nodiscard]] std::vector<EngineDemand> engineDemand(SteadyTime now) const;
     [[nodiscard]] std::vector<PeerWork> localWork() const;
+    [[nodiscard]] std::vector<std::uint64_t> unreachablePools(SteadyTime now) const;
+    [[nodiscard]] RelayTargets &relayTargets() noexcept
+    {
+        return m_relays;
+    }
     [[nodiscard]] StringMap<PoolLoad> poolLoads() const;
     [[nodiscard]] CrashEvidence &crashEvidence() noexcept
     {
@@ -119,6 +125,12 @@
     void applyPeerDemandTo(std::string_view pool, Placement &placement) const;
     void expirePeerWork(SteadyTime now);
 
+    // Relaying to other hosts, in scheduler_relay.cpp.
+    // Whether this host reaches no upstream of the pool that accepts work.
+    [[nodiscard]] static bool unreachable(const Pool &pool);
+    // Relays a request that no upstream takes to another host; returns whether there is one.
+    [[nodiscard]] bool relay(Pool &pool, RequestEntry &entry, SteadyTime now);
+
     // Dispatch, in scheduler_dispatch.cpp.
     void requeueHeldBack(Pool &pool);
     void shedExpired(SteadyTime now);
@@ -165,6 +177,7 @@
     // The same for self-queueing pools, whose upstreams also run the requests of other hosts.
     CrashEvidence m_evidence;
     UpstreamNotices m_notices;
+    RelayTargets m_relays;
     FleetTurn m_turn;
     // When the first paused upstream takes requests again.
     SteadyTime m_nextResume{SteadyTime::max()};
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -43,6 +43,7 @@
     settings.maxBalance = settings.reserve + 1;
     m_poolRetries.configure(settings);
     m_peerWorkTtl = std::max(internal::minPeerWorkTtl, internal::peerWorkTtlPerHost * static_cast<int>(hosts));
+    m_relays.setReportTtl(m_peerWorkTtl);
     if (m_turn.hosts != std::max(1U, hosts) || m_turn.index != hostIndex) {
         m_turn.hosts = std::max(1U, hosts);
         m_turn.index = hostIndex;
@@ -102,6 +103,8 @@
         const bool deadlineUnreachable = waits && !entry->started() && !entry->bound() && decision.seconds > internal::maxWaitFraction * left;
         if (decision.upstream != nullptr && !deadlineUnreachable) {
             dispatchTo(pool, *entry, decision, now);
+        } else if (decision.upstream == nullptr && relay(pool, *entry, now)) {
+            continue;
         } else if (deadlineUnreachable || waitIsOver(pool, *entry, now)) {
             const auto code = deadlineUnreachable ? ResultCode::FirstTokenTargetUnreachable : shortageFor(pool, *entry, now);
             pool.selfQueueing->waiting.erase(entry);
--- a/src/guavafield/protocol/peer/peer.capnp
+++ b/src/guavafield/protocol/peer/peer.capnp
@@ -123,6 +123,10 @@
   rateLimits @19 :List(RateLimit);
   reportSentUpTo @20 :UInt64;
   survivals @21 :List(FeatureAge);
+  # Port at which the sender takes requests that other hosts relay; 0 if it takes none.
+  callerPort @22 :UInt16;
+  # Hashes of the ids of pools of which the sender reaches no upstream.
+  unreachablePools @23 :List(UInt64);
 }
 
 # What an answer said of its upstream's rate limit, for all hosts together; infinite if the limit has ended.
--- a/src/guavafield/protocol/peer/peer.capnp.h
+++ b/src/guavafield/protocol/peer/peer.capnp.h
@@ -244,7 +244,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 6, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(d3542986f6c278a7, 6, 14)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1811,6 +1811,11 @@
   inline bool hasSurvivals() const;
   inline  ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>::Reader getSurvivals() const;
 
+  inline  ::uint16_t getCallerPort() const;
+
+  inline bool hasUnreachablePools() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnreachablePools() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1957,6 +1962,17 @@
   inline void adoptSurvivals(::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::guavafield::wire::FeatureAge,  ::capnp::Kind::STRUCT>> disownSurvivals();
 
+  inline  ::uint16_t getCallerPort();
+  inline void setCallerPort( ::uint16_t value);
+
+  inline bool hasUnreachablePools();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getUnreachablePools();
+  inline void setUnreachablePools( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUnreachablePools(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initUnreachablePools(unsigned int size);
+  inline void adoptUnreachablePools(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUnreachablePools();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5064,6 +5080,58 @@
       ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
+inline  ::uint16_t HostReport::Reader::getCallerPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t HostReport::Builder::getCallerPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void HostReport::Builder::setCallerPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HostReport::Reader::hasUnreachablePools() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostReport::Builder::hasUnreachablePools() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader HostReport::Reader::getUnreachablePools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder HostReport::Builder::getUnreachablePools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+inline void HostReport::Builder::setUnreachablePools( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline void HostReport::Builder::setUnreachablePools(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder HostReport::Builder::initUnreachablePools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), size);
+}
+inline void HostReport::Builder::adoptUnreachablePools(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> HostReport::Builder::disownUnreachablePools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t RateLimit::Reader::getUpstream() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/guavafield/protocol/peer/peer_codec.cpp
+++ b/src/guavafield/protocol/peer/peer_codec.cpp
@@ -139,6 +139,11 @@
     builder.setWithoutPlatform(report.withoutPlatform);
     builder.setSlowLink(report.slowLink);
     builder.setDutyFence(report.dutyFence);
+    builder.setCallerPort(report.callerPort);
+    auto unreachable = builder.initUnreachablePools(static_cast<unsigned>(report.unreachablePools.size()));
+    for (unsigned n = 0; n < unreachable.size(); ++n) {
+        unreachable.set(n, report.unreachablePools[n]);
+    }
     auto relayTo = builder.initRelayTo(static_cast<unsigned>(report.relayTo.size()));
     for (unsigned n = 0; n < relayTo.size(); ++n) {
         relayTo[n].setHigh(report.relayTo[n].high);
@@ -321,6 +326,10 @@
     report.withoutPlatform = reader.getWithoutPlatform();
     report.slowLink = reader.getSlowLink();
     report.dutyFence = reader.getDutyFence();
+    report.callerPort = reader.getCallerPort();
+    for (const auto it : limited(reader.getUnreachablePools())) {
+        report.unreachablePools.push_back(it);
+    }
     for (const auto it : limited(reader.getRelayTo())) {
         report.relayTo.push_back({it.getHigh(), it.getLow(), it.getPort()});
     }
--- a/src/guavafield/state/counters.hpp
+++ b/src/guavafield/state/counters.hpp
@@ -27,6 +27,9 @@
     RequestsPreempted,
     RequestsHedged,
     StreamsTakenUp,
+    RequestsRelayed,
+    RelayedRequestsReceived,
+    RelaysFailed,
     // configuration and keys
     ConfigurationApplied,
     ConfigurationRejected,
--- a/src/guavafield/transport/http/caller_connection.cpp
+++ b/src/guavafield/transport/http/caller_connection.cpp
@@ -5,6 +5,7 @@
 #include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/model_request.hpp>
 #include <guavafield/transport/http/path_context.hpp>
+#include <guavafield/transport/http/relay_headers.hpp>
 #include <guavafield/transport/http/service_request.hpp>
 #include <guavafield/transport/log/log.hpp>
 
@@ -317,6 +318,10 @@
         m_context->hasher.digest((grant.team != nullptr ? grant.team->id : TeamId()) + "\n" + std::string(message.target()) + "\n" + message.body());
     plan.method = message.method_string();
     plan.target = message.target();
+    plan.relayed = relayedRevision(message).has_value();
+    if (plan.relayed) {
+        m_context->counters->add(CounterId::RelayedRequestsReceived);
+    }
     plan.headers = std::move(static_cast<boost::beast::http::fields &>(message));
     plan.body = std::move(message.body());
     plan.grant = std::move(grant);
--- a/src/guavafield/transport/http/forward_access.cpp
+++ b/src/guavafield/transport/http/forward_access.cpp
@@ -2,6 +2,7 @@
 #include <guavafield/transport/http/access.hpp>
 
 #include <guavafield/transport/http/path_context.hpp>
+#include <guavafield/transport/http/relay_headers.hpp>
 
 #include <boost/beast/core/string.hpp>
 
@@ -110,6 +111,10 @@
     if (configuration.revision == 0) {
         return fail(ResultCode::ConfigurationNotReady, {});
     }
+    // A request is not handled by an older configuration than that of the host which took it.
+    if (relayedRevision(header).value_or(0) > configuration.revision) {
+        return fail(ResultCode::ConfigurationUnconfirmed, "the relaying host has a newer configuration");
+    }
     ForwardCall call;
     BOOST_LEAF_ASSIGN(call.envelope, context.hooks.forward->readRequest(header));
     const bool certain = !context.age.olderThan(internal::certainFor, context.clock->now());
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -4,10 +4,12 @@
 #include <guavafield/transport/http/event_splitter.hpp>
 #include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
+#include <guavafield/transport/http/relay_headers.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 #include <numeric>
@@ -25,12 +27,6 @@
 constexpr int maxInterimAnswers = 8;
 constexpr std::size_t maxStrayBytes = std::size_t{1} << 20U;
 
-// Statuses that promise callers that the request was not run; an upstream that does not say so must not make this host say it.
-bool promisesNotRun(unsigned status) noexcept
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 std::size_t totalSize(const std::vector<std::string> &events) noexcept
 {
     return std::accumulate(events.begin(), events.end(), std::size_t{0}, [](std::size_t sum, const std::string &it) { return sum + it.size(); });
@@ -61,6 +57,9 @@
                  ExchangeTimes{m_context->settings.upstream.tcpConnectTimeout, m_plan.firstByteTime})
     , m_outlet(strand, std::move(mailbox))
 {
+    if (m_plan.relay) {
+        m_exchange.setKeepAlive(m_context->callerLimits().idleTime);
+    }
 }
 
 void ForwardAttempt::start()
@@ -107,7 +106,11 @@
         }
         if (result == ExchangeResult::Ok) {
             facts = m_context->hooks.forward->readAnswer(m_exchange.header(), m_plan.id);
-            noteUpstream(facts);
+            if (m_plan.relay) {
+                noteRelayedUpstream(facts);
+            } else {
+                noteUpstream(facts);
+            }
             if (!facts.stray) {
                 co_return true;
             }
@@ -165,6 +168,22 @@
     }
 }
 
+void ForwardAttempt::noteRelayedUpstream(const AnswerFacts &facts)
+{
+    const UpstreamId upstream(m_exchange.header()[relayUpstreamHeader]);
+    if (!facts.ours || upstream.empty()) {
+        return;
+    }
+    if (facts.leaving && m_context->driver->onDrainAnnounced(upstream)) {
+        logEvent(LogLevel::Info, "http:", m_plan.id, "upstream announces that it leaves, upstream=" + upstream + " through=" + m_plan.upstream);
+    }
+    const bool limited = facts.rateLimit && *facts.rateLimit != unlimitedRate;
+    if (limited && m_context->driver->onRateLimit(upstream, *facts.rateLimit, m_context->clock->now())) {
+        const auto text = "upstream limits its rate, upstream=" + upstream + " per_second=" + formatRate(*facts.rateLimit) + " through=" + m_plan.upstream;
+        logEvent(LogLevel::Info, "http:", m_plan.id, text);
+    }
+}
+
 asio::awaitable<ExchangeResult> ForwardAttempt::skipAnswer()
 {
     std::string piece;
@@ -191,7 +210,7 @@
         deliverFailure(AttemptFailed{ResultCode::UpstreamFailed, RetryReason::UpstreamError}, "the answer names no request");
         co_return;
     }
-    if (facts.notExecuted || facts.misdirected) {
+    if (!m_plan.relay && (facts.notExecuted || facts.misdirected)) {
         AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
         failure.notExecuted = true;
         deliverFailure(failure, facts.misdirected ? "address belongs to another upstream" : "refused by the upstream");
@@ -201,7 +220,8 @@
         co_return;
     }
     const bool success = internal::isSuccess(status);
-    const bool truthful = success ? facts.genuine : !internal::promisesNotRun(status);
+    // An upstream that does not say so must not make this host promise that the request was not run; another host knows what it promises.
+    const bool truthful = success ? facts.genuine : m_plan.relay || !promisesNotRun(status);
     if (!truthful) {
         m_exchange.abort();
         deliverFailure(AttemptFailed{ResultCode::UpstreamFailed, RetryReason::UpstreamError}, "not a genuine answer, status " + std::to_string(status));
@@ -210,6 +230,7 @@
     m_headDelivered = true;
     m_contentDelivered = !m_plan.stream;
     AnswerHead head{m_plan.number, status, endToEndHeaders(m_exchange.header())};
+    std::erase_if(head.headers, [](const auto &it) { return boost::beast::iequals(it.first, relayUpstreamHeader); });
     const auto length = m_exchange.header().find(boost::beast::http::field::content_length);
     if (m_plan.request.method() == boost::beast::http::verb::head && length != m_exchange.header().end()) {
         // That of the body which GET would get.
--- a/src/guavafield/transport/http/forward_attempt.hpp
+++ b/src/guavafield/transport/http/forward_attempt.hpp
@@ -31,6 +31,8 @@
     Milliseconds silenceTime{0};
     // Of the upstream when the attempt was dispatched, in requests per second.
     double rateLimit{unlimitedRate};
+    // The upstream is another host, to which the request is relayed.
+    bool relay{false};
 };
 
 /*!
@@ -76,6 +78,8 @@
     // Takes up what the upstream says about itself, in whichever answer.
     void noteUpstream(const AnswerFacts &facts);
     void noteRateLimit(const AnswerFacts &facts);
+    // Takes up what the upstream behind another host says about itself, as this host passes the answer on.
+    void noteRelayedUpstream(const AnswerFacts &facts);
     [[nodiscard]] Awaitable readAnswer(const AnswerFacts &facts);
     [[nodiscard]] Awaitable readStream();
     [[nodiscard]] Awaitable readWhole();
--- a/src/guavafield/transport/http/forward_dialect.hpp
+++ b/src/guavafield/transport/http/forward_dialect.hpp
@@ -57,6 +57,16 @@
     std::optional<std::uint64_t> resumeAfter;
 };
 
+/*! @brief What changes in a caller's request that is relayed to another host. */
+struct RelayInstructions
+{
+    // Time until the answer has to be there.
+    Milliseconds left{0};
+    // The answer has to go on after this event of the attempt that began it; empty to leave what the caller wrote.
+    std::optional<std::uint64_t> resumeAfter;
+    RequestId resumes;
+};
+
 /*! @brief What an upstream's header says of its answer. */
 struct AnswerFacts
 {
@@ -84,6 +94,8 @@
     std::function<Result<ForwardEnvelope>(const boost::beast::http::fields &)> readRequest;
     // Writes the header of the request to an upstream from that of the caller.
     std::function<void(const boost::beast::http::fields &callers, const ForwardInstructions &, boost::beast::http::fields &)> writeRequest;
+    // Writes the header of the request to another host from that of the caller.
+    std::function<void(const boost::beast::http::fields &callers, const RelayInstructions &, boost::beast::http::fields &)> writeRelay;
     std::function<AnswerFacts(const boost::beast::http::response_header<> &, std::string_view requestId)> readAnswer;
     // Header of the daemon's own answers that names the request.
     std::string requestIdHeader;
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -5,7 +5,9 @@
 #include <guavafield/transport/http/event_splitter.hpp>
 #include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
+#include <guavafield/transport/http/relay_headers.hpp>
 #include <guavafield/transport/log/log.hpp>
+#include <guavafield/transport/peer/endpoints.hpp>
 
 #include <boost/beast/core/string.hpp>
 
@@ -26,6 +28,8 @@
 // A stream that can be continued elsewhere is given up after this multiple of its longest pause, and not before a least time.
 constexpr double silentPauses = 4;
 constexpr Milliseconds leastSilence{1'500};
+// Hosts that are asked in turn while each proves that it has not run the request.
+constexpr std::size_t maxRelays = 2;
 
 bool isEventStream(const ServiceAnswer &head)
 {
@@ -87,8 +91,9 @@
     info.sharedParts = envelope.sharedParts;
     info.fingerprint = m_plan.fingerprint;
     info.enginePriority = m_call.enginePriority;
-    info.maxAttempts = m_call.target.maxAttempts;
+    info.maxAttempts = m_plan.relayed ? relayedAttempts(m_plan.headers, m_call.target.maxAttempts) : m_call.target.maxAttempts;
     info.origin = m_origin;
+    info.relayed = m_plan.relayed;
     return info;
 }
 
@@ -118,7 +123,7 @@
 
 void ForwardRequest::tellBeginning()
 {
-    const bool begins = m_call.target.stream && m_call.target.repeat == Repeat::Resume && !m_call.envelope.lastEventId;
+    const bool begins = !m_relay && m_call.target.stream && m_call.target.repeat == Repeat::Resume && !m_call.envelope.lastEventId;
     if (!begins || !m_beginning || !m_context->hooks.streams.began) {
         return;
     }
@@ -152,6 +157,7 @@
         auto handled = std::visit([this](auto &it) { return on(it); }, event);
         co_await std::move(handled);
     }
+    endRelay();
     m_context->driver->forget(m_plan.id);
 }
 
@@ -166,6 +172,9 @@
         }
     } else if (const auto *shed = std::get_if<ShedAction>(&action)) {
         co_await finishWith(shed->refusal.code, shed->refusal.retryAfter);
+    } else if (const auto *relay = std::get_if<RelayAction>(&action)) {
+        m_relayAttempts = relay->attemptsLeft;
+        startRelay(relay->target);
     }
 }
 
@@ -208,6 +217,7 @@
     plan.request.method_string(m_plan.method);
     plan.request.target(m_plan.target);
     m_context->hooks.forward->writeRequest(m_plan.headers, instructions, plan.request);
+    eraseRelayHeaders(plan.request);
     plan.request.body() = m_plan.body;
     plan.request.prepare_payload();
     return plan;
@@ -253,6 +263,81 @@
     m_attempt->start();
 }
 
+ForwardAttemptPlan ForwardRequest::relayPlan(const RelayTarget &target) const
+{
+    const auto left = timeLeft();
+    ForwardAttemptPlan plan;
+    plan.number = m_nextAttempt;
+    plan.id = m_call.envelope.id;
+    plan.upstream = target.host;
+    plan.endpoint = {toIpAddress(target.callers), target.callers.port};
+    plan.stream = m_call.target.stream;
+    plan.relay = true;
+    // The other host tries as many upstreams as the route allows, so that there is nothing to try after it.
+    plan.firstByteTime = left + internal::answerGrace;
+    plan.silenceTime = left + internal::answerGrace;
+    RelayInstructions instructions{left, {}, {}};
+    if (m_lastEvent != m_call.envelope.lastEventId) {
+        instructions.resumeAfter = m_lastEvent;
+        instructions.resumes = m_call.envelope.resumes.empty() ? m_call.envelope.id : m_call.envelope.resumes;
+    }
+    plan.request.method_string(m_plan.method);
+    plan.request.target(m_plan.target);
+    m_context->hooks.forward->writeRelay(m_plan.headers, instructions, plan.request);
+    eraseRelayHeaders(plan.request);
+    plan.request.set(relayedHeader, std::to_string(m_plan.grant.configuration->revision));
+    if (m_relayAttempts > 0) {
+        plan.request.set(relayAttemptsHeader, std::to_string(m_relayAttempts));
+    }
+    plan.request.body() = m_plan.body;
+    plan.request.prepare_payload();
+    return plan;
+}
+
+void ForwardRequest::startRelay(const RelayTarget &target)
+{
+    endAttempt();
+    m_relay = target.host;
+    m_relays.push_back(target.host);
+    m_lastUpstream = target.host;
+    m_dispatched = std::chrono::steady_clock::now();
+    auto plan = relayPlan(target);
+    ++m_nextAttempt;
+    std::string text = "relayed, host=" + target.host + " address=" + formatAddress(target.callers) + " pool=" + m_call.pool;
+    text += " attempt=" + std::to_string(plan.number) + " left_ms=" + std::to_string(timeLeft().count());
+    text += " after_event=" + (m_lastEvent ? std::to_string(*m_lastEvent) : std::string("-"));
+    text += " configuration=" + std::to_string(m_plan.grant.configuration->revision);
+    text += " report_age_ms=" + std::to_string(target.reportAge.count());
+    logEvent(LogLevel::Info, "http:", m_call.envelope.id, text);
+    m_attempt = std::make_shared<ForwardAttempt>(m_context, m_strand, m_mailbox, std::move(plan));
+    m_attempt->start();
+}
+
+bool ForwardRequest::relayAgain()
+{
+    // How many attempts a host that broke off has made is not known.
+    if (m_relayMayHaveRun || m_relays.size() >= internal::maxRelays) {
+        return false;
+    }
+    const auto target = m_context->driver->nextRelayTarget(m_call.pool, m_relays);
+    if (target) {
+        startRelay(*target);
+    }
+    return target.has_value();
+}
+
+ForwardRequest::Awaitable ForwardRequest::failRelay(const AttemptFailed &failure)
+{
+    m_context->counters->add(CounterId::RelaysFailed);
+    if (failure.reason == RetryReason::ConnectFailed && m_relay) {
+        m_context->driver->onRelayUnreachable(*m_relay);
+    }
+    endAttempt();
+    if (!relayAgain()) {
+        co_await finishWith(failure.code);
+    }
+}
+
 ForwardRequest::Awaitable ForwardRequest::on(AnswerHead &event)
 {
     if (!m_attempt || m_attempt->number() != event.attempt) {
@@ -260,6 +345,9 @@
     }
     m_head.status = event.status;
     m_head.headers = std::move(event.headers);
+    if (m_plan.relayed) {
+        m_head.headers.emplace_back(relayUpstreamHeader, m_attempt->upstream());
+    }
     // An upstream's own error is the end of a run, also of a stream that has sent nothing.
     if (!m_call.target.stream || m_head.status >= 500) {
         countStarted();
@@ -271,7 +359,9 @@
         co_return;
     }
     if (!m_call.target.stream) {
-        std::ignore = m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
+        if (!m_relay) {
+            std::ignore = m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream());
+        }
         m_firstEventAt = std::chrono::steady_clock::now();
     }
 }
@@ -282,7 +372,7 @@
         co_return;
     }
     countStarted();
-    if (!std::exchange(m_firstTokenTold, true) && !m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream())) {
+    if (!m_relay && !std::exchange(m_firstTokenTold, true) && !m_context->driver->onFirstToken(m_plan.id, m_attempt->upstream())) {
         AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::AnswerIncomplete};
         co_await failAttempt(failure);
         co_return;
@@ -298,7 +388,9 @@
             tellBeginning();
         }
         m_firstEventAt = m_firstEventAt.value_or(now);
-        m_context->driver->onTokens(m_plan.id, count);
+        if (!m_relay) {
+            m_context->driver->onTokens(m_plan.id, count);
+        }
         bool written = true;
         if (!m_answer->started()) {
             written = co_await m_answer->beginStream(m_head);
@@ -359,7 +451,9 @@
     if (written) {
         written = co_await m_answer->endForwardedStream();
     }
-    std::ignore = m_context->driver->onAttemptEnded(m_plan.id, m_attempt->upstream(), AttemptCompleted{});
+    if (!m_relay) {
+        std::ignore = m_context->driver->onAttemptEnded(m_plan.id, m_attempt->upstream(), AttemptCompleted{});
+    }
     m_context->counters->add(written ? CounterId::RequestsCompleted : CounterId::RequestsAbandonedByCaller);
     m_over = true;
     logEnd(written ? "completed" : "caller gone", m_head.status, ResultCode::Ok);
@@ -368,7 +462,20 @@
 ForwardRequest::Awaitable ForwardRequest::sendWhole(AnswerCompleted &event)
 {
     m_head.body = std::move(event.body);
-    if (worthRetrying(m_head.status)) {
+    if (m_relay) {
+        const bool refused = promisesNotRun(m_head.status);
+        if (refused && m_mayHaveRun) {
+            // An earlier attempt may have run, so that the other host's promise does not hold for the request.
+            AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
+            failure.notExecuted = true;
+            co_await failAttempt(failure);
+            co_return;
+        }
+        if (refused && relayAgain()) {
+            m_context->counters->add(CounterId::RelaysFailed);
+            co_return;
+        }
+    } else if (worthRetrying(m_head.status)) {
         AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
         const auto verdict = m_context->driver->onAttemptEnded(m_plan.id, m_attempt->upstream(), failure);
         if (std::holds_alternative<RetryQueued>(verdict)) {
@@ -401,6 +508,11 @@
         if (!m_call.target.stream && m_attempt->sent() && !failure.notExecuted) {
             countStarted();
         }
+        if (m_relay) {
+            m_relayMayHaveRun = m_attempt->sent() && !failure.notExecuted;
+            co_await failRelay(failure);
+            co_return;
+        }
         endAttempt();
     }
     const auto verdict = m_context->driver->onAttemptEnded(m_plan.id, m_lastUpstream, failure);
@@ -496,7 +608,7 @@
 
 void ForwardRequest::countStarted()
 {
-    if (!std::exchange(m_counted, true) && m_plan.grant.team != nullptr && m_context->hooks.started) {
+    if (!m_relay && !std::exchange(m_counted, true) && m_plan.grant.team != nullptr && m_context->hooks.started) {
         m_context->hooks.started(m_plan.grant.team->id);
     }
 }
@@ -507,6 +619,15 @@
         m_attempt->cancel();
         m_attempt.reset();
     }
+    endRelay();
+}
+
+void ForwardRequest::endRelay()
+{
+    if (m_relay) {
+        m_context->driver->onRelayEnded(*m_relay);
+        m_relay.reset();
+    }
 }
 
 void ForwardRequest::abandon()
--- a/src/guavafield/transport/http/forward_request.hpp
+++ b/src/guavafield/transport/http/forward_request.hpp
@@ -30,6 +30,8 @@
     // As the caller sent them.
     boost::beast::http::fields headers;
     std::string body;
+    // Another host has relayed the request.
+    bool relayed{false};
 };
 
 /*!
@@ -78,6 +80,12 @@
     [[nodiscard]] Awaitable startAttempt(const DispatchAction &dispatch);
     [[nodiscard]] ForwardAttemptPlan attemptPlan(const Configuration &configuration, const DispatchAction &dispatch, const Upstream &upstream) const;
     [[nodiscard]] static std::string endpointText(const Configuration &configuration, const UpstreamId &upstream);
+    // Relays the request to another host, which counts it.
+    void startRelay(const RelayTarget &target);
+    [[nodiscard]] ForwardAttemptPlan relayPlan(const RelayTarget &target) const;
+    // Relays the request to one more host if the last one has not run it; returns whether there is one.
+    [[nodiscard]] bool relayAgain();
+    [[nodiscard]] Awaitable failRelay(const AttemptFailed &failure);
     [[nodiscard]] Awaitable failAttempt(AttemptFailed failure);
     [[nodiscard]] Awaitable finishWith(ResultCode code, std::optional<Milliseconds> retryAfter = {});
     [[nodiscard]] Awaitable sendWhole(AnswerCompleted &event);
@@ -87,6 +95,7 @@
     [[nodiscard]] bool worthRetrying(unsigned status) const;
     void countStarted();
     void endAttempt();
+    void endRelay();
     void abandon();
     void logEnd(std::string_view outcome, unsigned status, ResultCode code) const;
 
@@ -115,6 +124,14 @@
     // Of the running attempt; empty if the entry of its upstream changed between choice and dispatch.
     std::optional<StreamBeginning> m_beginning;
     SteadyTime m_dispatched{};
+    // Host of the running attempt; empty if that is at an upstream.
+    std::optional<HostId> m_relay;
+    // Hosts to which the request was relayed.
+    std::vector<HostId> m_relays;
+    // Attempts that the host may make; 0 leaves that to it.
+    std::uint32_t m_relayAttempts{0};
+    // A host may have run the request without answering it.
+    bool m_relayMayHaveRun{false};
     // An upstream may have run the request in an attempt that is over.
     bool m_mayHaveRun{false};
     // The running attempt has been counted as started.
--- a/src/guavafield/transport/http/headers.cpp
+++ b/src/guavafield/transport/http/headers.cpp
@@ -103,6 +103,11 @@
     return !named.empty() && named != requestId;
 }
 
+bool promisesNotRun(unsigned status) noexcept
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 bool isEventStream(std::string_view contentType) noexcept
 {
     constexpr std::string_view type = "text/event-stream";
--- a/src/guavafield/transport/http/headers.hpp
+++ b/src/guavafield/transport/http/headers.hpp
@@ -35,6 +35,9 @@
 /*! @brief Returns whether an answer names another request, e.g. one that was given up or has been answered before. */
 [[nodiscard]] bool answersAnother(const boost::beast::http::fields &answer, std::string_view requestId);
 
+/*! @brief Returns whether an answer's status promises callers that the request was not run and will not be. */
+[[nodiscard]] bool promisesNotRun(unsigned status) noexcept;
+
 /*! @brief Returns whether a Content-Type is that of a stream of events. */
 [[nodiscard]] bool isEventStream(std::string_view contentType) noexcept;
 
--- a/src/guavafield/transport/http/request_driver.cpp
+++ b/src/guavafield/transport/http/request_driver.cpp
@@ -94,6 +94,21 @@
     });
 }
 
+std::optional<RelayTarget> RequestDriver::nextRelayTarget(std::string_view pool, std::span<const HostId> tried)
+{
+    return withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { return scheduler.relayTargets().choose(stableIdHash(pool), tried, now); });
+}
+
+void RequestDriver::onRelayEnded(std::string_view host)
+{
+    withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.relayTargets().onEnded(host); });
+}
+
+void RequestDriver::onRelayUnreachable(std::string_view host)
+{
+    withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.relayTargets().onUnreachable(host, now); });
+}
+
 void RequestDriver::onLoadReport(std::string_view upstream, const LoadReport &report)
 {
     withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onLoadReport(upstream, report, now); });
@@ -165,6 +180,7 @@
     std::visit(Overloaded{
                    [&](const DispatchAction &) { m_counters->add(CounterId::RequestsDispatched); },
                    [](const ShedAction &) {},
+                   [&](const RelayAction &) { m_counters->add(CounterId::RequestsRelayed); },
                    [&](const PreemptAction &it) {
                        m_counters->add(CounterId::RequestsPreempted);
                        m_counters->addRetry(it.reason);
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -41,6 +41,13 @@
     /*! @brief Ends a request whose last attempt has ended; a scheduler that still holds it, e.g. preempted at the last moment, drops it. */
     void forget(std::string_view request);
 
+    /*! @brief Returns another host for a relayed request that the tried ones did not serve; see RelayTargets::choose(). */
+    [[nodiscard]] std::optional<RelayTarget> nextRelayTarget(std::string_view pool, std::span<const HostId> tried);
+    /*! @brief Ends a relayed request. */
+    void onRelayEnded(std::string_view host);
+    /*! @brief Notes that no connection to a host could be made. */
+    void onRelayUnreachable(std::string_view host);
+
     void onLoadReport(std::string_view upstream, const LoadReport &report);
     void onCacheEvents(std::string_view upstream, std::span<const CacheEvent> events);
     /*! @brief Takes an upstream's announcement that it leaves; returns whether that is new. */
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -148,6 +148,7 @@
     m_timer.cancel();
     const bool reusable = m_state->connection && !m_state->sending && m_parser && complete() && m_parser->keep_alive() && !m_aborted;
     if (reusable) {
+        m_state->connection->keepAlive = m_keepAlive ? m_keepAlive : m_state->connection->keepAlive;
         m_state->connection->keepFor(m_parser->get());
         m_pool->giveBack(m_target.connection, std::move(m_state->connection));
     }
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstream_exchange.hpp
@@ -78,6 +78,11 @@
     {
         m_times.silence = time;
     }
+    /*! @brief Sets how long the other side keeps an idle connection if its answer doesn't say so. */
+    void setKeepAlive(Milliseconds time) noexcept
+    {
+        m_keepAlive = time;
+    }
     /*! @brief Reads the header of the answer. */
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> readHeader();
     /*!
@@ -148,6 +153,7 @@
     std::array<char, std::size_t{16} * 1024> m_piece;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
     std::size_t m_earlierRequests{0};
+    std::optional<Milliseconds> m_keepAlive;
     bool m_aborted{false};
     bool m_sent{false};
     bool m_endMarked{false};
--- a/test/coordination/request/queued_stream_version_test.cpp
+++ b/test/coordination/request/queued_stream_version_test.cpp
@@ -169,6 +169,11 @@
         checkVersion(action.request, action.upstream);
         continued += m_streams.at(action.request).origin ? 1 : 0;
     }
+    void perform(const RelayAction &action)
+    {
+        CPPUNIT_FAIL("request " + action.request + " is relayed although no other host is known");
+    }
+
     void perform(const HedgeAction &action)
     {
         checkVersion(action.request, action.upstream);
--- a/test/coordination/request/scheduler_fixture.hpp
+++ b/test/coordination/request/scheduler_fixture.hpp
@@ -160,6 +160,11 @@
     {
         running.erase(action.request);
     }
+    void perform(const RelayAction &action)
+    {
+        CPPUNIT_FAIL("request " + action.request + " is relayed although no other host is known");
+    }
+
     void perform(const HedgeAction &action)
     {
         (void)action;
--- a/test/protocol/peer/peer_codec_test.cpp
+++ b/test/protocol/peer/peer_codec_test.cpp
@@ -92,6 +92,7 @@
             made.crashes.crashes.push_back({{word(), word()}, Milliseconds(below(8'000)), {{word(), {word(), word()}, true}, {word(), {}, false}}});
             made.crashes.survivals.push_back({word(), Milliseconds(below(8'000))});
             made.crashes.verdicts.push_back({word(), Milliseconds(below(600'000))});
+            made.unreachablePools.push_back(word());
             made.rateLimits.push_back({word(), word(), below(2) == 0 ? unlimitedRate : 0.5 * below(100), Milliseconds(below(10'000))});
         }
         return made;
@@ -176,6 +177,8 @@
                 CPPUNIT_ASSERT_EQUAL(message.report->windows.size(), decoded.value->report->windows.size());
                 checkCrashes(message.report->crashes, decoded.value->report->crashes);
                 CPPUNIT_ASSERT(message.report->rateLimits == decoded.value->report->rateLimits);
+                CPPUNIT_ASSERT_EQUAL(message.report->callerPort, decoded.value->report->callerPort);
+                CPPUNIT_ASSERT(message.report->unreachablePools == decoded.value->report->unreachablePools);
             }
         }
         CPPUNIT_ASSERT(fitting > 1000);
