Tell crashes of upstreams from lost links by new connections

Callers that poll one request were refused at all hosts for 600 s (code 3010) after one or several hosts had lost their links: each broken connection counted as a crash of its upstream, three made the request one that crashes upstreams, and the hosts believed each other. Upstreams that get only requests that may not be repeated were not used again after a failed connection, and after a cut each upstream waited for its next probe by a request, some 3 s.

Cause: a failure of the observer was taken for one of the observed. What differs is not the number of breaks: an upstream whose process has ended refuses new connections while others are reached, or its entry names another process; one behind a lost link does neither, or all are lost.

A broken attempt is now kept open until that is known, at most 2.5 s. New connections without a request probe the upstream and two others, at growing intervals, at most eight at once; one that is made is kept for the next request and brings an upstream back whose links were lost. A host that reaches the process after a crash that another host reports refutes it, and the verdicts that rest on it end everywhere.

Tests: LostLinksTest; with the mechanism off (each break counts at once) equalRequestsAreNotRefusedAfterAllLinksWereLost and equalRequestsAreNotRefusedAfterAllConnectionsWereReset refuse the request, as the host did before. Three tests took a dropped connection for a crash though the process went on listening: retries_test and two of hazards_test now end the process.

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -283,8 +283,7 @@
 
 bool MachinesPlatformServices::updateReach()
 {
-    auto pools =
-        m_requestPath->driver().withScheduler([](const RequestScheduler &scheduler, SteadyTime now) { return scheduler.unreachablePools(now); });
+    auto pools = m_requestPath->driver().withScheduler([](const RequestScheduler &scheduler, SteadyTime now) { return scheduler.unreachablePools(now); });
     if (pools == m_unreachablePools) {
         return false;
     }
@@ -430,7 +429,7 @@
 {
     if (report.evidenceOnly) {
         m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
-            scheduler.crashEvidence().merge(report.crashes, now);
+            scheduler.onPeerCrashes(report.crashes, now);
             scheduler.onPeerRateLimits(report.rateLimits, now);
         });
         return;
@@ -448,7 +447,7 @@
     }
     m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
         scheduler.onPeerWork(from.id, report.work, report.engineDemand, now);
-        scheduler.crashEvidence().merge(report.crashes, now);
+        scheduler.onPeerCrashes(report.crashes, now);
         scheduler.relayTargets().onReport(from.id, internal::relayCandidate(from, report), now);
     });
 }
--- a/src/guavafield/coordination/request/crash_evidence.cpp
+++ b/src/guavafield/coordination/request/crash_evidence.cpp
@@ -215,6 +215,29 @@
     }
 }
 
+void CrashEvidence::refute(const CrashObservation &crash, SteadyTime now)
+{
+    m_crashes.erase(crash.crash);
+    m_ownCrashes.erase(crash.crash);
+    for (const auto &suspect : crash.suspects) {
+        acquit(suspect.request, now - crash.age, now);
+        for (const auto part : suspect.parts) {
+            acquit(part, now - crash.age, now);
+        }
+    }
+}
+
+void CrashEvidence::acquit(std::uint64_t feature, SteadyTime since, SteadyTime now)
+{
+    const auto verdict = m_verdicts.find(feature);
+    if (verdict != m_verdicts.end() && verdict->second >= since) {
+        // The other hosts learn it like any other survival.
+        m_ownSurvivals[feature] = now;
+        m_acquitted[feature] = now;
+        addSurvival(feature, now);
+    }
+}
+
 bool CrashEvidence::isSuspected(std::uint64_t feature) const
 {
     return m_verdicts.contains(feature) || std::ranges::any_of(m_crashes, [feature](const auto &it) {
@@ -312,6 +335,7 @@
     expire(m_crashes, now);
     expire(m_ownCrashes, now);
     std::erase_if(m_verdicts, [now](const auto &it) { return now - it.second > retention; });
+    std::erase_if(m_acquitted, [now](const auto &it) { return now - it.second > internal::reportedFor; });
     while (convictPart(now)) { }
     convictRequests(now);
 }
@@ -376,6 +400,9 @@
     internal::limitNewest(result.crashes, internal::maxReportedCrashes);
     internal::limitWords(result.crashes);
     std::set<std::uint64_t> open;
+    for (const auto &[feature, at] : m_acquitted) {
+        open.insert(feature);
+    }
     for (const auto &[id, crash] : m_crashes) {
         for (const auto *suspect : openSuspects(crash)) {
             open.insert(suspect->request);
--- a/src/guavafield/coordination/request/crash_evidence.hpp
+++ b/src/guavafield/coordination/request/crash_evidence.hpp
@@ -113,6 +113,9 @@
     /*! @brief Records that an answer to a request of this host is complete, or got past its beginning. */
     void onSurvived(const CrashSuspect &suspect, SteadyTime now);
 
+    /*! @brief Takes back what a crash said that was none, and the verdicts on its suspects since. */
+    void refute(const CrashObservation &crash, SteadyTime now);
+
     /*! @brief Returns for how long a request is refused; empty if it is not. */
     [[nodiscard]] std::optional<Milliseconds> refusedFor(const CrashSuspect &suspect, SteadyTime now) const;
 
@@ -150,6 +153,8 @@
     static void expire(Crashes &crashes, SteadyTime now);
     void dropWidespreadFailure(std::size_t upstreams, SteadyTime now);
     void addSurvival(std::uint64_t feature, SteadyTime at);
+    // Ends a verdict that was reached at this time or later.
+    void acquit(std::uint64_t feature, SteadyTime since, SteadyTime now);
     [[nodiscard]] bool isSuspected(std::uint64_t feature) const;
     // Returns the suspects that the verdicts leave: none if a convicted part explains the crash, else the convicted requests, else all.
     [[nodiscard]] std::vector<const CrashSuspect *> openSuspects(const Crash &crash) const;
@@ -176,6 +181,8 @@
     std::unordered_map<std::uint64_t, SteadyTime> m_ownSurvivals;
     // When a part or a request was convicted.
     std::map<std::uint64_t, SteadyTime> m_verdicts;
+    // Features whose verdicts were taken back lately; reported as survivals.
+    std::map<std::uint64_t, SteadyTime> m_acquitted;
     std::vector<CrashConviction> m_convicted;
 };
 
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -154,6 +154,21 @@
     return m_impl->crashEvidence();
 }
 
+void RequestScheduler::onPeerCrashes(CrashKnowledge knowledge, SteadyTime now)
+{
+    m_impl->onPeerCrashes(std::move(knowledge), now);
+}
+
+std::vector<ProbeTarget> RequestScheduler::dueProbes(SteadyTime now)
+{
+    return m_impl->dueProbes(now);
+}
+
+void RequestScheduler::onProbe(std::string_view upstream, ProbeResult result, SteadyTime now)
+{
+    m_impl->onProbe(upstream, result, now);
+}
+
 void RequestScheduler::onCrashRecord(const CrashRecord &record, SteadyTime now)
 {
     m_impl->crashes().quarantine(record.fingerprint, record.remaining, now);
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -1,6 +1,7 @@
 // Request scheduling: admission, queueing, routing, retries and preemption. Performs no I/O; the time is passed in.
 #pragma once
 
+#include <guavafield/coordination/request/connection_probes.hpp>
 #include <guavafield/coordination/request/crash_evidence.hpp>
 #include <guavafield/coordination/request/placement.hpp>
 #include <guavafield/coordination/request/request_info.hpp>
@@ -25,6 +26,14 @@
     std::uint64_t seed{1};
 };
 
+/*! @brief An upstream that is probed by a new connection. */
+struct ProbeTarget
+{
+    UpstreamId upstream;
+    std::string address;
+    std::uint16_t port{0};
+};
+
 /*!
  * @brief Decides which request runs next and on which upstream.
  *
@@ -126,6 +135,13 @@
     /*! @brief Returns the evidence of crashes in self-queueing pools, which hosts exchange. */
     [[nodiscard]] CrashEvidence &crashEvidence() noexcept;
 
+    /*! @brief Takes the crashes that a peer reports; those of processes that this host reaches are refuted. */
+    void onPeerCrashes(CrashKnowledge knowledge, SteadyTime now);
+
+    /*! @brief Returns the upstreams to which a connection is to be opened now; the result of each is told by onProbe(). */
+    [[nodiscard]] std::vector<ProbeTarget> dueProbes(SteadyTime now);
+    void onProbe(std::string_view upstream, ProbeResult result, SteadyTime now);
+
     void onCrashRecord(const CrashRecord &record, SteadyTime now);
     /*! @brief Returns the active crash records, newest first. */
     [[nodiscard]] std::vector<CrashRecord> crashRecords(SteadyTime now) const;
--- a/src/guavafield/coordination/request/scheduler_checks.cpp
+++ b/src/guavafield/coordination/request/scheduler_checks.cpp
@@ -30,6 +30,7 @@
         }
     }
     expirePeerWork(now);
+    takeCrashes(now);
     for (auto &[id, upstream] : m_upstreams) {
         upstream.adaptLimit(now);
     }
@@ -127,6 +128,7 @@
                 entry->previousUpstream = entry->previousUpstream == &it->second ? nullptr : entry->previousUpstream;
             }
             m_upstreamsByIdHash.erase(it->second.idHash);
+            m_probes.erase(it->second.idHash);
             it = m_upstreams.erase(it);
         } else {
             ++it;
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler_core.cpp
@@ -39,6 +39,7 @@
     : m_settings(std::move(settings))
     , m_admission(m_times, m_settings.seed ^ 0x51ED270B7F5A11C3ULL)
     , m_router(m_settings.seed)
+    , m_probes(m_settings.seed ^ 0x9FB21C651E98DF25ULL)
     , m_relays(m_settings.dataCentre, m_settings.seed ^ 0x2545F4914F6CDD1DULL)
 {
 }
@@ -62,6 +63,9 @@
     for (auto &[id, upstream] : m_upstreams) {
         const auto it = configuration.upstreams.find(id);
         if (it == configuration.upstreams.end() || !used(it->second)) {
+            if (!upstream.leaving()) {
+                m_broken.onReplaced({upstream.idHash, upstream.upstream.incarnation});
+            }
             // Receives no new work; the state is erased once its attempts have ended.
             upstream.upstream.leaving = true;
             upstream.upstream.models.clear();
@@ -85,6 +89,7 @@
             pool.queue.tier(tier).eraseIdleTeams(teams);
         }
     }
+    takeCrashes(now);
     eraseRemovedUpstreams();
     refreshSlots();
 }
@@ -95,6 +100,7 @@
     auto &state = it->second;
     const bool restarted = !added && state.upstream.incarnation != upstream.incarnation;
     if (restarted) {
+        m_broken.onReplaced({state.idHash, state.upstream.incarnation});
         m_router.prefixes().removeAll(state);
         state.markUp();
         state.latencyRatio = 1;
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <guavafield/coordination/request/admission_control.hpp>
+#include <guavafield/coordination/request/broken_attempts.hpp>
 #include <guavafield/coordination/request/crash_evidence.hpp>
 #include <guavafield/coordination/request/crash_tracker.hpp>
 #include <guavafield/coordination/request/demand_tracker.hpp>
@@ -53,6 +54,9 @@
     void onPeerWork(std::string_view host, std::span<const PeerWork> work, std::span<const EngineDemand> demand, SteadyTime now);
     [[nodiscard]] std::vector<EngineDemand> engineDemand(SteadyTime now) const;
     [[nodiscard]] std::vector<PeerWork> localWork() const;
+    void onPeerCrashes(CrashKnowledge knowledge, SteadyTime now);
+    [[nodiscard]] std::vector<ProbeTarget> dueProbes(SteadyTime now);
+    void onProbe(std::string_view upstream, ProbeResult result, SteadyTime now);
     [[nodiscard]] std::vector<std::uint64_t> unreachablePools(SteadyTime now) const;
     [[nodiscard]] RelayTargets &relayTargets() noexcept
     {
@@ -125,6 +129,13 @@
     void applyPeerDemandTo(std::string_view pool, Placement &placement) const;
     void expirePeerWork(SteadyTime now);
 
+    // Reach of upstreams, in scheduler_reach.cpp.
+    // Notes that an answer of the upstream, or a new connection to it, has reached this host.
+    void noteReached(UpstreamState &upstream, SteadyTime now);
+    // Has an upstream whose connection failed, and a few others of its pool, probed.
+    void probeAfterFailure(const Pool &pool, const UpstreamState &upstream, SteadyTime now);
+    void takeCrashes(SteadyTime now);
+
     // Relaying to other hosts, in scheduler_relay.cpp.
     // Whether this host reaches no upstream of the pool that accepts work.
     [[nodiscard]] static bool unreachable(const Pool &pool);
@@ -176,6 +187,8 @@
     CrashTracker m_crashes;
     // The same for self-queueing pools, whose upstreams also run the requests of other hosts.
     CrashEvidence m_evidence;
+    BrokenAttempts m_broken;
+    ConnectionProbes m_probes;
     UpstreamNotices m_notices;
     RelayTargets m_relays;
     FleetTurn m_turn;
--- /dev/null
+++ b/src/guavafield/coordination/request/scheduler_reach.cpp
@@ -0,0 +1,110 @@
+// Which upstreams this host reaches, and whether those that it does not reach have crashed.
+#include <guavafield/coordination/request/scheduler_core.hpp>
+
+#include <algorithm>
+
+namespace guavafield {
+
+namespace internal {
+
+// An upstream that has crashed refuses connections by then, and others have had time to show that the links work.
+constexpr Milliseconds crashCheckDelay{150};
+constexpr Milliseconds witnessDelay{30};
+constexpr std::size_t witnesses = 2;
+// An answer that arrives so soon after a crash may have been sent before it.
+constexpr Milliseconds answerInFlight{250};
+
+} // namespace internal
+
+void RequestScheduler::Impl::noteReached(UpstreamState &upstream, SteadyTime now)
+{
+    upstream.lastReached = now;
+    m_broken.onReached(upstream.idHash, now);
+}
+
+void RequestScheduler::Impl::probeAfterFailure(const Pool &pool, const UpstreamState &upstream, SteadyTime now)
+{
+    m_probes.schedule(upstream.idHash, now + internal::crashCheckDelay);
+    std::vector<const UpstreamState *> others;
+    pool.upstreams.forEach([&](const UpstreamState &it) {
+        if (&it != &upstream && it.accepting() && !it.downSince && now - it.lastReached > internal::witnessDelay) {
+            others.push_back(&it);
+        }
+    });
+    for (std::size_t n = 0; n < std::min(internal::witnesses, others.size()); ++n) {
+        const auto k = (m_nextDispatch + n) % others.size();
+        m_probes.schedule(others[k]->idHash, now + internal::witnessDelay);
+    }
+}
+
+std::vector<ProbeTarget> RequestScheduler::Impl::dueProbes(SteadyTime now)
+{
+    std::vector<ProbeTarget> targets;
+    for (const auto hash : m_probes.takeDue(now)) {
+        const auto it = m_upstreamsByIdHash.find(hash);
+        if (it == m_upstreamsByIdHash.end()) {
+            m_probes.erase(hash);
+            continue;
+        }
+        const auto &upstream = it->second->upstream;
+        targets.push_back({upstream.id, upstream.address, upstream.port});
+    }
+    return targets;
+}
+
+void RequestScheduler::Impl::onProbe(std::string_view upstream, ProbeResult result, SteadyTime now)
+{
+    auto *state = findUpstream(upstream);
+    if (state == nullptr) {
+        return;
+    }
+    if (result == ProbeResult::Connected) {
+        m_probes.onConnected(state->idHash, now);
+        noteReached(*state, now);
+        m_broken.onConnected(state->idHash);
+        if (state->linkLost) {
+            state->markUp();
+        }
+    } else {
+        m_probes.onFailed(state->idHash, now);
+        if (result == ProbeResult::Refused) {
+            m_broken.onRefused(state->idHash);
+        }
+        if (!state->downSince) {
+            state->markDown(now);
+            state->linkLost = true;
+            m_router.prefixes().removeAll(*state);
+        }
+    }
+    takeCrashes(now);
+    refreshSlots();
+}
+
+void RequestScheduler::Impl::takeCrashes(SteadyTime now)
+{
+    for (const auto &it : m_broken.takeCrashed(now)) {
+        m_evidence.onCrash(it.crash, it.suspect, it.upstreams, it.at);
+    }
+}
+
+void RequestScheduler::Impl::onPeerCrashes(CrashKnowledge knowledge, SteadyTime now)
+{
+    const auto lives = [&](const CrashObservation &crash) {
+        const auto it = m_upstreamsByIdHash.find(crash.crash.upstream);
+        return it != m_upstreamsByIdHash.end() && it->second->upstream.incarnation == crash.crash.incarnation
+            && it->second->lastReached > now - crash.age + internal::answerInFlight;
+    };
+    std::vector<CrashObservation> refuted;
+    for (const auto &it : knowledge.crashes) {
+        if (lives(it)) {
+            refuted.push_back(it);
+        }
+    }
+    std::erase_if(knowledge.crashes, lives);
+    m_evidence.merge(knowledge, now);
+    for (const auto &it : refuted) {
+        m_evidence.refute(it, now);
+    }
+}
+
+} // namespace guavafield
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -195,13 +195,19 @@
         upstream.outlier.eject(now);
     } else if (!upstream.downSince && (unreachable || (!failure.notExecuted && ++upstream.consecutiveFailures >= internal::failuresBeforeDown))) {
         upstream.markDown(now);
+        upstream.linkLost = unreachable;
         m_router.prefixes().removeAll(upstream);
     }
+    if (unreachable || failure.upstreamCrashed) {
+        probeAfterFailure(poolOf(entry), upstream, now);
+    } else {
+        noteReached(upstream, now);
+    }
     entry.attemptsRun += failure.notExecuted ? 0 : 1;
     const auto suspect = failure.upstreamCrashed && !upstream.leaving() ? suspectOfBreak(entry, upstream, now) : std::nullopt;
     endAttempt(entry, upstream, now);
     if (suspect) {
-        m_evidence.onCrash({upstream.idHash, upstream.upstream.incarnation}, *suspect, poolOf(entry).upstreams.size(), now);
+        m_broken.add({{upstream.idHash, upstream.upstream.incarnation}, *suspect, poolOf(entry).upstreams.size(), now});
     }
     // An answer that was broken off would crash the next upstream by going on there.
     if (const auto remaining = m_evidence.refusedFor(crashSuspectOf(entry.info), now)) {
--- a/src/guavafield/coordination/request/upstream_state.cpp
+++ b/src/guavafield/coordination/request/upstream_state.cpp
@@ -90,6 +90,7 @@
 void UpstreamState::markUp() noexcept
 {
     consecutiveFailures = 0;
+    linkLost = false;
     if (downSince) {
         downSince.reset();
         outlier.restore();
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -39,6 +39,10 @@
     std::optional<SharedRateLimit> rateLimit;
     // Set when attempts fail consecutively or the process died; reset by a later report or a successful probe.
     std::optional<SteadyTime> downSince;
+    // It is down since its connections failed, not its answers.
+    bool linkLost{false};
+    // When an answer or a new connection last reached this host from it.
+    SteadyTime lastReached{};
     std::uint32_t consecutiveFailures{0};
     LoadReport report;
     // Measurement time of the report; empty before the first report.
--- /dev/null
+++ b/src/guavafield/transport/http/connection_prober.cpp
@@ -0,0 +1,111 @@
+// Connecting under a time limit.
+#include <guavafield/transport/http/connection_prober.hpp>
+
+#include <guavafield/transport/http/engine_probe.hpp>
+#include <guavafield/transport/http/path_context.hpp>
+#include <guavafield/transport/log/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace guavafield {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+// How often the scheduler is asked for probes.
+constexpr Milliseconds probeTick{50};
+
+std::string_view nameOf(ProbeResult result) noexcept
+{
+    switch (result) {
+    case ProbeResult::Connected:
+        return "connected";
+    case ProbeResult::Refused:
+        return "refused";
+    case ProbeResult::Unreachable:
+        break;
+    }
+    return "unreachable";
+}
+
+ProbeResult resultOf(const boost::system::error_code &ec) noexcept
+{
+    if (!ec) {
+        return ProbeResult::Connected;
+    }
+    return ec == asio::error::connection_refused ? ProbeResult::Refused : ProbeResult::Unreachable;
+}
+
+} // namespace internal
+
+ConnectionProber::ConnectionProber(std::shared_ptr<PathContext> context)
+    : m_context(std::move(context)), m_strand(asio::make_strand(m_context->executor)), m_timer(m_strand)
+{
+}
+
+void ConnectionProber::start()
+{
+    asio::co_spawn(
+        m_strand, [self = shared_from_this()] { return self->run(); }, asio::detached);
+}
+
+void ConnectionProber::stop()
+{
+    asio::post(m_strand, [self = shared_from_this()] {
+        self->m_stopped = true;
+        self->m_timer.cancel();
+    });
+}
+
+ConnectionProber::Awaitable ConnectionProber::run()
+{
+    const auto self = shared_from_this();
+    boost::system::error_code ec;
+    while (!m_stopped) {
+        for (auto &it : m_context->driver->dueProbes()) {
+            asio::co_spawn(
+                m_strand, [self, target = std::move(it)] { return self->probe(target); }, asio::detached);
+        }
+        m_timer.expires_after(internal::probeTick);
+        co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+ConnectionProber::Awaitable ConnectionProber::probe(ProbeTarget target)
+{
+    const auto self = shared_from_this();
+    const auto endpoint = endpointOf(target.address, target.port);
+    boost::system::error_code ec = asio::error::invalid_argument;
+    if (endpoint) {
+        auto connection = std::make_shared<std::unique_ptr<UpstreamConnection>>(m_context->pool.makeUnconnected());
+        asio::steady_timer limit(m_strand, m_context->settings.upstream.tcpConnectTimeout);
+        limit.async_wait([connection](const boost::system::error_code &expired) {
+            if (!expired && *connection) {
+                boost::system::error_code ignored;
+                (*connection)->socket.close(ignored);
+            }
+        });
+        co_await (*connection)->socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, ec));
+        limit.cancel();
+        if (!ec) {
+            (*connection)->socket.set_option(asio::ip::tcp::no_delay(true), ec);
+            (*connection)->detectDeadPeer();
+            m_context->pool.giveBack({target.upstream, *endpoint}, std::move(*connection));
+            ec = {};
+        }
+    }
+    const auto result = internal::resultOf(ec);
+    logEvent(LogLevel::Info, "http:", {}, "connection probe, upstream=" + target.upstream + " result=" + std::string(internal::nameOf(result)));
+    m_context->driver->onProbe(target.upstream, result);
+}
+
+} // namespace guavafield
--- /dev/null
+++ b/src/guavafield/transport/http/connection_prober.hpp
@@ -0,0 +1,39 @@
+// Opens connections to upstreams only to see whether they can be reached.
+#pragma once
+
+#include <guavafield/coordination/request/request_scheduler.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace guavafield {
+
+struct PathContext;
+
+/*! @brief Performs the probes that the scheduler asks for; a connection that is made is kept for the next request. */
+class ConnectionProber : public std::enable_shared_from_this<ConnectionProber>
+{
+public:
+    explicit ConnectionProber(std::shared_ptr<PathContext> context);
+
+    void start();
+    /*! @brief Ends the probes; may be called from any thread. */
+    void stop();
+
+private:
+    using Awaitable = boost::asio::awaitable<void>;
+
+    [[nodiscard]] Awaitable run();
+    [[nodiscard]] Awaitable probe(ProbeTarget target);
+
+    std::shared_ptr<PathContext> m_context;
+    boost::asio::any_io_executor m_strand;
+    boost::asio::steady_timer m_timer;
+    // Used on the strand.
+    bool m_stopped{false};
+};
+
+} // namespace guavafield
--- a/src/guavafield/transport/http/request_driver.cpp
+++ b/src/guavafield/transport/http/request_driver.cpp
@@ -94,6 +94,17 @@
     });
 }
 
+std::vector<ProbeTarget> RequestDriver::dueProbes()
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_scheduler.dueProbes(m_clock->now());
+}
+
+void RequestDriver::onProbe(std::string_view upstream, ProbeResult result)
+{
+    withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onProbe(upstream, result, now); });
+}
+
 std::optional<RelayTarget> RequestDriver::nextRelayTarget(std::string_view pool, std::span<const HostId> tried)
 {
     return withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { return scheduler.relayTargets().choose(stableIdHash(pool), tried, now); });
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -41,6 +41,9 @@
     /*! @brief Ends a request whose last attempt has ended; a scheduler that still holds it, e.g. preempted at the last moment, drops it. */
     void forget(std::string_view request);
 
+    [[nodiscard]] std::vector<ProbeTarget> dueProbes();
+    void onProbe(std::string_view upstream, ProbeResult result);
+
     /*! @brief Returns another host for a relayed request that the tried ones did not serve; see RelayTargets::choose(). */
     [[nodiscard]] std::optional<RelayTarget> nextRelayTarget(std::string_view pool, std::span<const HostId> tried);
     /*! @brief Ends a relayed request. */
--- a/src/guavafield/transport/http/request_path.cpp
+++ b/src/guavafield/transport/http/request_path.cpp
@@ -34,6 +34,7 @@
     , m_server(std::make_shared<CallerServer>(
           m_context, asio::ip::tcp::endpoint(asio::ip::make_address(dependencies.settings.listen.address), dependencies.settings.listen.callerPort)))
     , m_poller(std::make_shared<LoadPoller>(m_context))
+    , m_prober(std::make_shared<ConnectionProber>(m_context))
 {
 }
 
@@ -41,6 +42,7 @@
 {
     configurationChanged();
     m_server->start();
+    m_prober->start();
     asio::co_spawn(
         asio::make_strand(m_context->executor), [self = shared_from_this()] { return self->runMaintenance(); }, asio::detached);
     const auto local = m_server->endpoint();
@@ -120,6 +122,7 @@
     m_server->closeIdle();
     std::ignore = co_await waitUntil([this] { return m_server->connections() == 0; }, internal::endingTime);
     m_poller->stop();
+    m_prober->stop();
     m_context->driver->stop();
     m_context->pool.clear();
     co_return drained;
--- a/src/guavafield/transport/http/request_path.hpp
+++ b/src/guavafield/transport/http/request_path.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <guavafield/transport/http/caller_server.hpp>
+#include <guavafield/transport/http/connection_prober.hpp>
 #include <guavafield/transport/http/load_poller.hpp>
 #include <guavafield/transport/http/path_context.hpp>
 
@@ -92,6 +93,7 @@
     std::shared_ptr<PathContext> m_context;
     std::shared_ptr<CallerServer> m_server;
     std::shared_ptr<LoadPoller> m_poller;
+    std::shared_ptr<ConnectionProber> m_prober;
     std::mutex m_applyMutex;
     // Guarded by m_applyMutex.
     std::shared_ptr<const Configuration> m_applied;
--- /dev/null
+++ b/test/coordination/request/lost_links_test.cpp
@@ -0,0 +1,244 @@
+// Tests of a host that loses its links to upstreams: what it believes of requests, and how it comes back.
+#include "coordination/request/placement_fixture.hpp"
+
+#include <guavafield/coordination/request/broken_attempts.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace guavafield::test {
+
+namespace {
+
+constexpr CrashId process{7, 1};
+
+BrokenAttempt brokenAt(SteadyTime at)
+{
+    return {process, CrashSuspect{42, {}, false}, 12, at};
+}
+
+} // namespace
+
+class LostLinksTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LostLinksTest);
+    CPPUNIT_TEST(refusedConnectionAloneIsNoCrash);
+    CPPUNIT_TEST(refusedConnectionWhileAnotherUpstreamIsReachedIsACrash);
+    CPPUNIT_TEST(processThatTakesConnectionsHasNotCrashed);
+    CPPUNIT_TEST(replacedProcessHasCrashed);
+    CPPUNIT_TEST(breakThatNothingExplainsIsForgotten);
+    CPPUNIT_TEST(equalRequestsAreNotRefusedAfterAllLinksWereLost);
+    CPPUNIT_TEST(equalRequestsAreNotRefusedAfterAllConnectionsWereReset);
+    CPPUNIT_TEST(crashThatIsNoneIsRefutedByAHostThatReachesTheUpstream);
+    CPPUNIT_TEST(upstreamThatGetsNoRepeatableRequestsIsUsedAgainAfterAFailedConnection);
+    CPPUNIT_TEST(upstreamsThatCannotBeReachedAreProbedLessAndLessOften);
+    CPPUNIT_TEST(firstConnectionAfterACutHasAllOthersProbedAtOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void refusedConnectionAloneIsNoCrash()
+    {
+        BrokenAttempts broken;
+        broken.add(brokenAt(m_now));
+        broken.onRefused(process.upstream);
+        // Reached again only after the cut.
+        broken.onReached(8, m_now + Milliseconds{1'000});
+        CPPUNIT_ASSERT(broken.takeCrashed(m_now + Milliseconds{1'000}).empty());
+    }
+
+    void refusedConnectionWhileAnotherUpstreamIsReachedIsACrash()
+    {
+        BrokenAttempts broken;
+        broken.add(brokenAt(m_now));
+        broken.onReached(process.upstream, m_now + Milliseconds{100});
+        broken.onRefused(process.upstream);
+        CPPUNIT_ASSERT(broken.takeCrashed(m_now + Milliseconds{100}).empty());
+        broken.onReached(8, m_now + Milliseconds{100});
+        broken.onRefused(process.upstream);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, broken.takeCrashed(m_now + Milliseconds{150}).size());
+        CPPUNIT_ASSERT(broken.takeCrashed(m_now + Milliseconds{150}).empty());
+    }
+
+    void processThatTakesConnectionsHasNotCrashed()
+    {
+        BrokenAttempts broken;
+        broken.add(brokenAt(m_now));
+        broken.onReached(8, m_now + Milliseconds{100});
+        broken.onConnected(process.upstream);
+        broken.onRefused(process.upstream);
+        CPPUNIT_ASSERT(broken.takeCrashed(m_now + Milliseconds{150}).empty());
+    }
+
+    void replacedProcessHasCrashed()
+    {
+        BrokenAttempts broken;
+        broken.add(brokenAt(m_now));
+        broken.onReplaced({process.upstream, process.incarnation + 1});
+        CPPUNIT_ASSERT(broken.takeCrashed(m_now).empty());
+        broken.onReplaced(process);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, broken.takeCrashed(m_now).size());
+    }
+
+    void breakThatNothingExplainsIsForgotten()
+    {
+        BrokenAttempts broken;
+        broken.add(brokenAt(m_now));
+        CPPUNIT_ASSERT(broken.takeCrashed(m_now + Milliseconds{3'000}).empty());
+        broken.onReplaced(process);
+        CPPUNIT_ASSERT(broken.takeCrashed(m_now + Milliseconds{3'000}).empty());
+    }
+
+    void equalRequestsAreNotRefusedAfterAllLinksWereLost()
+    {
+        PlacementFixture host(1, 3);
+        breakEqualRequests(host);
+        host.now += Milliseconds{200};
+        probeAll(host, ProbeResult::Refused);
+        CPPUNIT_ASSERT(host.scheduler.crashEvidence().knowledge(host.now).crashes.empty());
+        host.now += Milliseconds{200};
+        probeAll(host, ProbeResult::Connected);
+        CPPUNIT_ASSERT(host.send(equalRequest(host, "after")).has_value());
+    }
+
+    void equalRequestsAreNotRefusedAfterAllConnectionsWereReset()
+    {
+        PlacementFixture host(1, 3);
+        breakEqualRequests(host);
+        host.now += Milliseconds{200};
+        probeAll(host, ProbeResult::Connected);
+        CPPUNIT_ASSERT(host.scheduler.crashEvidence().knowledge(host.now).crashes.empty());
+        CPPUNIT_ASSERT(host.send(equalRequest(host, "after")).has_value());
+    }
+
+    // A host may reach some upstreams, and take those behind a cut for crashed.
+    void crashThatIsNoneIsRefutedByAHostThatReachesTheUpstream()
+    {
+        PlacementFixture cut(1, 4);
+        PlacementFixture sound(2, 4);
+        const auto broken = breakEqualRequests(cut);
+        cut.now += Milliseconds{200};
+        for (const auto &[id, it] : cut.configuration.upstreams) {
+            const bool lost = std::ranges::find(broken, id) != broken.end();
+            if (!lost) {
+                cut.scheduler.onProbe(id, ProbeResult::Connected, cut.now);
+            }
+        }
+        for (const auto &id : broken) {
+            cut.scheduler.onProbe(id, ProbeResult::Refused, cut.now);
+        }
+        const auto knowledge = cut.scheduler.crashEvidence().knowledge(cut.now);
+        CPPUNIT_ASSERT_EQUAL(broken.size(), knowledge.crashes.size());
+        CPPUNIT_ASSERT(!cut.send(equalRequest(cut, "refused")).has_value());
+        sound.now = cut.now;
+        sound.scheduler.onPeerCrashes(knowledge, sound.now);
+        cut.now += Milliseconds{500};
+        sound.now = cut.now;
+        probeAll(sound, ProbeResult::Connected);
+        sound.scheduler.onPeerCrashes(cut.scheduler.crashEvidence().knowledge(cut.now), sound.now);
+        CPPUNIT_ASSERT(sound.send(equalRequest(sound, "sound")).has_value());
+        cut.now = sound.now + Milliseconds{200};
+        cut.scheduler.onPeerCrashes(sound.scheduler.crashEvidence().knowledge(sound.now), cut.now);
+        CPPUNIT_ASSERT(cut.send(equalRequest(cut, "after")).has_value());
+    }
+
+    void upstreamThatGetsNoRepeatableRequestsIsUsedAgainAfterAFailedConnection()
+    {
+        PlacementFixture host(1, 1);
+        auto info = equalRequest(host, "first");
+        info.repeatable = false;
+        info.resumable = false;
+        const auto first = host.send(info);
+        CPPUNIT_ASSERT(first.has_value());
+        AttemptFailed failure{ResultCode::UpstreamUnreachable, RetryReason::ConnectFailed};
+        failure.notExecuted = true;
+        (void)host.scheduler.onAttemptEnded(first->request, first->upstream, failure, host.now);
+        host.scheduler.cancel(first->request, host.now);
+        host.now += Milliseconds{10'000};
+        const auto due = host.scheduler.dueProbes(host.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, due.size());
+        CPPUNIT_ASSERT_EQUAL(first->upstream, due.front().upstream);
+        host.scheduler.onProbe(first->upstream, ProbeResult::Connected, host.now);
+        info.id = "second";
+        CPPUNIT_ASSERT(host.send(info).has_value());
+    }
+
+    void upstreamsThatCannotBeReachedAreProbedLessAndLessOften()
+    {
+        ConnectionProbes probes(1);
+        for (std::uint64_t n = 0; n < 100; ++n) {
+            probes.schedule(n, m_now);
+        }
+        std::size_t count = 0;
+        std::size_t most = 0;
+        for (auto now = m_now; now < m_now + std::chrono::seconds{20}; now += Milliseconds{50}) {
+            const auto due = probes.takeDue(now);
+            count += due.size();
+            most = std::max(most, due.size());
+            for (const auto it : due) {
+                probes.onFailed(it, now);
+            }
+        }
+        CPPUNIT_ASSERT(most <= 8);
+        CPPUNIT_ASSERT(count <= 100 * 16);
+        CPPUNIT_ASSERT(count >= 100 * 6);
+    }
+
+    void firstConnectionAfterACutHasAllOthersProbedAtOnce()
+    {
+        ConnectionProbes probes(1);
+        for (std::uint64_t n = 0; n < 6; ++n) {
+            probes.schedule(n, m_now);
+        }
+        auto now = m_now;
+        for (int n = 0; n < 6; ++n, now += std::chrono::seconds{5}) {
+            for (const auto it : probes.takeDue(now)) {
+                probes.onFailed(it, now);
+            }
+        }
+        now -= std::chrono::seconds{5};
+        CPPUNIT_ASSERT(probes.takeDue(now).empty());
+        probes.onConnected(0, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, probes.takeDue(now).size());
+    }
+
+private:
+    static RequestInfo equalRequest(PlacementFixture &host, const std::string &id)
+    {
+        auto info = host.request(42);
+        info.id = id;
+        info.fingerprint = {};
+        return info;
+    }
+
+    // Breaks the connections of three equal requests at three upstreams at once; returns the upstreams.
+    static std::vector<UpstreamId> breakEqualRequests(PlacementFixture &host)
+    {
+        std::vector<UpstreamId> upstreams;
+        auto info = equalRequest(host, "polled");
+        info.maxAttempts = 4;
+        auto dispatch = host.send(info);
+        while (dispatch && upstreams.size() < 3) {
+            upstreams.push_back(dispatch->upstream);
+            const auto end = host.scheduler.onAttemptEnded(dispatch->request, dispatch->upstream, brokenConnection(), host.now);
+            dispatch = std::holds_alternative<RetryQueued>(end) ? host.step() : std::nullopt;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, upstreams.size());
+        host.scheduler.cancel(info.id, host.now);
+        return upstreams;
+    }
+
+    static void probeAll(PlacementFixture &host, ProbeResult result)
+    {
+        for (const auto &[id, it] : host.configuration.upstreams) {
+            host.scheduler.onProbe(id, result, host.now);
+        }
+    }
+
+    SteadyTime m_now{std::chrono::seconds{1'000}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LostLinksTest);
+
+} // namespace guavafield::test
--- a/test/coordination/request/placement_fixture.hpp
+++ b/test/coordination/request/placement_fixture.hpp
@@ -98,6 +98,18 @@
         (void)scheduler.onAttemptEnded(dispatch.request, dispatch.upstream, AttemptCompleted{}, now);
     }
 
+    /*! @brief Lets the scheduler find out that the upstream's process has ended: others are reached, it refuses connections. */
+    void endProcess(const UpstreamId &upstream)
+    {
+        now += Milliseconds{200};
+        for (const auto &[id, it] : configuration.upstreams) {
+            if (id != upstream) {
+                scheduler.onProbe(id, ProbeResult::Connected, now);
+            }
+        }
+        scheduler.onProbe(upstream, ProbeResult::Refused, now);
+    }
+
     Configuration configuration;
     RequestScheduler scheduler;
     SteadyTime now{std::chrono::seconds{1'000}};
--- a/test/coordination/request/retries_test.cpp
+++ b/test/coordination/request/retries_test.cpp
@@ -80,6 +80,7 @@
             const auto dispatch = host.send(info);
             CPPUNIT_ASSERT(dispatch.has_value());
             (void)host.scheduler.onAttemptEnded(dispatch->request, dispatch->upstream, brokenConnection(), host.now);
+            host.endProcess(dispatch->upstream);
             for (auto &other : hosts) {
                 other.scheduler.crashEvidence().merge(host.scheduler.crashEvidence().knowledge(host.now), other.now);
             }
--- a/test/transport/http/hazards_test.cpp
+++ b/test/transport/http/hazards_test.cpp
@@ -123,15 +123,16 @@
     // An upstream may send the header before it crashes on the first event; the request is stopped all the same.
     void requestThatCrashesUpstreamsAfterTheHeaderIsStopped()
     {
-        const auto handler = [](FakeCall &call) {
-            beginEvents(call);
-            call.drop();
-        };
         std::vector<std::unique_ptr<FakeUpstream>> upstreams;
         std::vector<FakeUpstream *> pointers;
-        constexpr int upstreamCount = 8;
+        constexpr std::size_t upstreamCount = 14;
+        upstreams.reserve(upstreamCount);
         pointers.reserve(upstreamCount);
-        for (int n = 0; n < upstreamCount; ++n) {
+        for (std::size_t n = 0; n < upstreamCount; ++n) {
+            const auto handler = [&upstreams, n](FakeCall &call) {
+                beginEvents(call);
+                upstreams[n]->crash();
+            };
             pointers.push_back(upstreams.emplace_back(std::make_unique<FakeUpstream>(handler)).get());
         }
         auto fixture = makeForwardFixture(pointers);
@@ -139,6 +140,8 @@
         std::size_t calls = 0;
         for (int n = 0; n < 6; ++n) {
             std::ignore = fixture->call(forwardRequest("/resume/x", "again" + std::to_string(n)));
+            // Until new connections have shown that the processes have ended.
+            std::this_thread::sleep_for(std::chrono::milliseconds(600));
         }
         for (const auto &it : upstreams) {
             calls += it->calls();
@@ -151,21 +154,22 @@
     void requestsThatCrashUpstreamsInTheirAnswerAreStopped()
     {
         for (const auto *path : {"/resume/x", "/stream/x", "/call/x"}) {
-            const auto handler = [&](FakeCall &call) {
-                if (!call.path().starts_with("/call/")) {
-                    beginEvents(call);
-                    const auto last = call.request()["Last-Event-ID"];
-                    call.send(chunk(event(last.empty() ? 1 : std::stoi(std::string(last)) + 1)));
-                } else {
-                    call.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n" + echo(call) + "\r\nhalf");
-                }
-                call.drop();
-            };
             std::vector<std::unique_ptr<FakeUpstream>> upstreams;
             std::vector<FakeUpstream *> pointers;
-            constexpr int upstreamCount = 8;
+            constexpr std::size_t upstreamCount = 14;
+            upstreams.reserve(upstreamCount);
             pointers.reserve(upstreamCount);
-            for (int n = 0; n < upstreamCount; ++n) {
+            for (std::size_t n = 0; n < upstreamCount; ++n) {
+                const auto handler = [&upstreams, n](FakeCall &call) {
+                    if (!call.path().starts_with("/call/")) {
+                        beginEvents(call);
+                        const auto last = call.request()["Last-Event-ID"];
+                        call.send(chunk(event(last.empty() ? 1 : std::stoi(std::string(last)) + 1)));
+                    } else {
+                        call.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n" + echo(call) + "\r\nhalf");
+                    }
+                    upstreams[n]->crash();
+                };
                 pointers.push_back(upstreams.emplace_back(std::make_unique<FakeUpstream>(handler)).get());
             }
             auto fixture = makeForwardFixture(pointers);
@@ -186,7 +190,9 @@
             }
             const auto before = calls();
             for (int n = 0; n < 4; ++n) {
-                std::ignore = fixture->call(forwardRequest(path, "refused" + std::to_string(n)));
+                const auto reply = fixture->call(forwardRequest(path, "refused" + std::to_string(n)));
+                CPPUNIT_ASSERT(reply.has_value());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(path, static_cast<unsigned>(ResultCode::CrashSuspectNotRun), codeOf(reply->body()));
             }
             CPPUNIT_ASSERT_EQUAL_MESSAGE(path, before, calls());
         }
