Let a test program run one suite

A suite of transport_http_test could only be run with the hundred others, which take one to three minutes. The argument names a suite or a test; without it all run as before.

--- a/test/support/main.cpp
+++ b/test/support/main.cpp
@@ -1,4 +1,4 @@
-// Entry point of every test program: runs the registered CppUnit suites and sets the exit code.
+// Entry point of every test program: runs the registered CppUnit suites, or the one named by the argument, and sets the exit code.
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestResult.h>
@@ -8,7 +8,7 @@
 
 #include <iostream>
 
-int main()
+int main(int argc, char **argv)
 {
     CppUnit::TestResult controller;
     CppUnit::TestResultCollector results;
@@ -18,7 +18,7 @@
 
     CppUnit::TestRunner runner;
     runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-    runner.run(controller);
+    runner.run(controller, argc > 1 ? argv[1] : "");
 
     CppUnit::CompilerOutputter outputter(&results, std::cerr);
     outputter.write();
