Keep connections to upstreams that are silent for a second or so

Callers lost requests that may not be repeated, and streams, when a sound upstream was silent for somewhat more than a second at the wrong moment: 502, though the upstream went on.

Cause: TCP_USER_TIMEOUT was 1,000 ms beside keep-alive probes after 1 s, every second, 2 of them. With a user timeout the number of probes means nothing: the connection ends at the first look after that time at which a probe or bytes are unanswered. One probe lost in a silence of 1.3 s ended it, and so did bytes that were not acknowledged for 1 s.

The time is now 2.5 s: two probes have to be lost, and an upstream that has lost power is still noticed within 3 s. Retransmissions come at even intervals, since growing ones would wait beyond the end of a silence and find the time over.

--- a/src/guavafield/transport/http/connection_pool.cpp
+++ b/src/guavafield/transport/http/connection_pool.cpp
@@ -16,10 +16,10 @@
 
 namespace internal {
 
-// Unacknowledged bytes end a connection after this time; two lost packets in a row are still repeated within it.
-constexpr int unacknowledgedMilliseconds = 1'000;
+// Without a sign of life a connection ends after this time, whatever the number of probes: a sound upstream may be silent for more than a second, and two
+// probes have to be lost.
+constexpr int silenceMilliseconds = 2'500;
 constexpr int probeSeconds = 1;
-constexpr int probeCount = 2;
 // A connection is given up before the upstream closes it, so that no request crosses its close.
 constexpr Milliseconds closingMargin{1'000};
 
@@ -42,8 +42,9 @@
     socket.set_option(boost::asio::socket_base::keep_alive(true), ec);
     internal::setTcpOption(handle, TCP_KEEPIDLE, internal::probeSeconds);
     internal::setTcpOption(handle, TCP_KEEPINTVL, internal::probeSeconds);
-    internal::setTcpOption(handle, TCP_KEEPCNT, internal::probeCount);
-    internal::setTcpOption(handle, TCP_USER_TIMEOUT, internal::unacknowledgedMilliseconds);
+    internal::setTcpOption(handle, TCP_USER_TIMEOUT, internal::silenceMilliseconds);
+    // Growing pauses between retransmissions would miss the end of a silence.
+    internal::setTcpOption(handle, TCP_THIN_LINEAR_TIMEOUTS, 1);
 }
 
 void UpstreamConnection::keepFor(const boost::beast::http::fields &header)
--- a/test/transport/http/fake_upstream.cpp
+++ b/test/transport/http/fake_upstream.cpp
@@ -1,6 +1,9 @@
 // Blocking sockets and threads of the fake upstream.
 #include "transport/http/fake_upstream.hpp"
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -99,6 +102,19 @@
     return true;
 }
 
+void FakeCall::losePackets(bool lose)
+{
+    sock_filter dropAll{BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program{1, &dropAll};
+    const auto handle = m_socket.native_handle();
+    if (lose) {
+        ::setsockopt(handle, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+    } else {
+        const int unused = 0;
+        ::setsockopt(handle, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
+    }
+}
+
 void FakeCall::drop()
 {
     boost::system::error_code ec;
--- a/test/transport/http/fake_upstream.hpp
+++ b/test/transport/http/fake_upstream.hpp
@@ -65,6 +65,8 @@
     [[nodiscard]] bool writable(std::chrono::milliseconds time);
     /*! @brief Waits until the other side closes the connection. */
     bool waitForClose();
+    /*! @brief Has the system drop all packets that arrive on the connection, unacknowledged, as if they were lost; or ends that. */
+    void losePackets(bool lose);
     /*! @brief Closes the connection. */
     void drop();
     /*! @brief Resets the connection. */
