--- a/src/guavafield/coordination/request/connection_probes.hpp
+++ b/src/guavafield/coordination/request/connection_probes.hpp
@@ -18,6 +18,8 @@
     Refused,
     // No answer in time, or another failure of the network.
     Unreachable,
+    // This host could not try.
+    NotTried,
 };
 
 /*!
@@ -35,7 +37,7 @@
     /*! @brief Returns the upstreams to be probed now; the result of each is to be told. */
     [[nodiscard]] std::vector<std::uint64_t> takeDue(SteadyTime now);
     void onFailed(std::uint64_t upstream, SteadyTime now);
-    /*! @brief Ends the probes of an upstream. The others are due at once, as the fault may have been this host's own. */
+    /*! @brief Ends the probes of an upstream. If one had failed, the others are due at once, as the fault may have been this host's own. */
     void onConnected(std::uint64_t upstream, SteadyTime now);
     void erase(std::uint64_t upstream);
 
@@ -45,6 +47,8 @@
         SteadyTime next{};
         Milliseconds interval{0};
         bool underWay{false};
+        // A probe has failed since the schedule began.
+        bool failed{false};
     };
 
     SplitMix m_random;
--- a/src/guavafield/transport/http/connection_prober.cpp
+++ b/src/guavafield/transport/http/connection_prober.cpp
@@ -23,6 +23,8 @@
 
 // How often the scheduler is asked for probes.
 constexpr Milliseconds probeTick{50};
+// An upstream may close a connection soon on which nothing was sent.
+constexpr Milliseconds unusedConnectionTime{2'000};
 
 std::string_view nameOf(ProbeResult result) noexcept
 {
@@ -32,9 +34,11 @@
     case ProbeResult::Refused:
         return "refused";
     case ProbeResult::Unreachable:
+        return "unreachable";
+    case ProbeResult::NotTried:
         break;
     }
-    return "unreachable";
+    return "not tried";
 }
 
 ProbeResult resultOf(const boost::system::error_code &ec) noexcept
@@ -42,7 +46,12 @@
     if (!ec) {
         return ProbeResult::Connected;
     }
-    return ec == asio::error::connection_refused ? ProbeResult::Refused : ProbeResult::Unreachable;
+    if (ec == asio::error::connection_refused) {
+        return ProbeResult::Refused;
+    }
+    const bool local = ec == asio::error::no_descriptors || ec == asio::error::no_buffer_space || ec == asio::error::no_memory
+        || ec == boost::system::errc::address_not_available || ec == boost::system::errc::too_many_files_open_in_system;
+    return local ? ProbeResult::NotTried : ProbeResult::Unreachable;
 }
 
 } // namespace internal
@@ -99,6 +108,7 @@
         if (!ec) {
             (*connection)->socket.set_option(asio::ip::tcp::no_delay(true), ec);
             (*connection)->detectDeadPeer();
+            (*connection)->keepAlive = internal::unusedConnectionTime;
             m_context->pool.giveBack({target.upstream, *endpoint}, std::move(*connection));
             ec = {};
         }
