Count a relayed request when it is sent, and relay for lost links only

A request whose caller left before its relay began was counted at the other host for ever; a pool whose upstreams were down for bad answers counted as unreachable; an attempt that was cancelled before its coroutine ran would still have sent its bytes, and the request been called not run (today coroutines start at once, so that this can't be shown).

--- a/src/guavafield/coordination/request/relay_targets.cpp
+++ b/src/guavafield/coordination/request/relay_targets.cpp
@@ -57,11 +57,17 @@
     auto *first = found[m_random.below(found.size())];
     auto *second = found[m_random.below(found.size())];
     auto *chosen = cost(second->second) < cost(first->second) ? second : first;
-    ++chosen->second.relayed;
     const auto age = std::chrono::duration_cast<Milliseconds>(now - chosen->second.reportedAt);
     return RelayTarget{chosen->first, chosen->second.candidate.callers, age};
 }
 
+void RelayTargets::onStarted(std::string_view host) noexcept
+{
+    if (const auto it = m_hosts.find(host); it != m_hosts.end()) {
+        ++it->second.relayed;
+    }
+}
+
 void RelayTargets::onEnded(std::string_view host) noexcept
 {
     if (const auto it = m_hosts.find(host); it != m_hosts.end() && it->second.relayed > 0) {
--- a/src/guavafield/coordination/request/relay_targets.hpp
+++ b/src/guavafield/coordination/request/relay_targets.hpp
@@ -56,12 +56,13 @@
     }
 
     /*!
-     * @brief Returns the host for one more request and counts the request there until onEnded(); empty if there is no host.
+     * @brief Returns the host for one more request; empty if there is no host.
      * @param pool stableIdHash() of the pool.
      * @param tried Hosts that did not serve the request.
      */
     [[nodiscard]] std::optional<RelayTarget> choose(std::uint64_t pool, std::span<const HostId> tried, SteadyTime now);
-    /*! @brief Ends a request that choose() has counted. */
+    /*! @brief Counts a request at its host until onEnded(). */
+    void onStarted(std::string_view host) noexcept;
     void onEnded(std::string_view host) noexcept;
     /*! @brief Notes that a host could not be reached; it is not chosen for a while. */
     void onUnreachable(std::string_view host, SteadyTime now);
--- a/src/guavafield/coordination/request/scheduler_relay.cpp
+++ b/src/guavafield/coordination/request/scheduler_relay.cpp
@@ -11,7 +11,7 @@
     std::size_t down = 0;
     pool.upstreams.forEach([&](const UpstreamState &it) {
         accepting += it.accepting() ? 1 : 0;
-        down += it.accepting() && it.downSince ? 1 : 0;
+        down += it.accepting() && it.downSince && it.linkLost ? 1 : 0;
     });
     return accepting > 0 && down == accepting;
 }
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -298,6 +298,7 @@
 {
     endAttempt();
     m_relay = target.host;
+    m_context->driver->onRelayStarted(target.host);
     m_relays.push_back(target.host);
     m_lastUpstream = target.host;
     m_dispatched = std::chrono::steady_clock::now();
--- a/src/guavafield/transport/http/request_driver.cpp
+++ b/src/guavafield/transport/http/request_driver.cpp
@@ -110,6 +110,11 @@
     return withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { return scheduler.relayTargets().choose(stableIdHash(pool), tried, now); });
 }
 
+void RequestDriver::onRelayStarted(std::string_view host)
+{
+    withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.relayTargets().onStarted(host); });
+}
+
 void RequestDriver::onRelayEnded(std::string_view host)
 {
     withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.relayTargets().onEnded(host); });
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -46,6 +46,7 @@
 
     /*! @brief Returns another host for a relayed request that the tried ones did not serve; see RelayTargets::choose(). */
     [[nodiscard]] std::optional<RelayTarget> nextRelayTarget(std::string_view pool, std::span<const HostId> tried);
+    void onRelayStarted(std::string_view host);
     /*! @brief Ends a relayed request. */
     void onRelayEnded(std::string_view host);
     /*! @brief Notes that no connection to a host could be made. */
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -68,6 +68,9 @@
     if (connected != ExchangeResult::Ok) {
         co_return connected;
     }
+    if (m_aborted) {
+        co_return ExchangeResult::Aborted;
+    }
     m_sent = true;
     startTimer(m_times.silence);
     boost::system::error_code ec;
@@ -84,6 +87,9 @@
     if (connected != ExchangeResult::Ok) {
         co_return connected;
     }
+    if (m_aborted) {
+        co_return ExchangeResult::Aborted;
+    }
     m_sent = true;
     m_state->sending = true;
     const auto executor = co_await asio::this_coro::executor;
