End the notice of a brittle upstream for hosts that have no part of it

Found by a review by reading. A host without a part sends nothing, so that no answer could end the notice: it ends 10 s after it was last stated.

--- a/src/guavafield/coordination/request/brittle_room.cpp
+++ b/src/guavafield/coordination/request/brittle_room.cpp
@@ -11,7 +11,7 @@
 
 constexpr double growthPerSecond = 1;
 constexpr double minRejectionPauseSeconds = 1;
-constexpr double maxRejectionPauseSeconds = 10;
+constexpr double maxRejectionPauseSeconds = 600;
 
 } // namespace internal
 
@@ -25,6 +25,12 @@
     return std::min<double>(m_share, m_limit + internal::growthPerSecond * std::max(0.0, secondsBetween(m_limitTime, now)));
 }
 
+void BrittleRoom::resize(std::uint32_t share, std::uint32_t hosts) noexcept
+{
+    m_share = share;
+    m_hosts = std::max(1U, hosts);
+}
+
 bool BrittleRoom::available(std::uint32_t outstanding, SteadyTime now) const noexcept
 {
     return now >= m_notBefore && outstanding + 1 <= limitAt(now);
--- a/src/guavafield/coordination/request/brittle_room.hpp
+++ b/src/guavafield/coordination/request/brittle_room.hpp
@@ -24,6 +24,8 @@
      */
     BrittleRoom(double rejectionsPerSecond, std::uint32_t share, std::uint32_t hosts, SteadyTime now) noexcept;
 
+    /*! @brief Changes the part and the number of hosts; a pause and a smaller limit stay. */
+    void resize(std::uint32_t share, std::uint32_t hosts) noexcept;
     /*! @brief Returns whether one more request may be sent. */
     [[nodiscard]] bool available(std::uint32_t outstanding, SteadyTime now) const noexcept;
     void onRejected(SteadyTime now) noexcept;
--- a/src/guavafield/coordination/request/scheduler_checks.cpp
+++ b/src/guavafield/coordination/request/scheduler_checks.cpp
@@ -31,6 +31,9 @@
     }
     expirePeerWork(now);
     takeCrashes(now);
+    if (m_notices.expireRejectionLimits(now)) {
+        divideBrittleRoom(now);
+    }
     for (auto &[id, upstream] : m_upstreams) {
         upstream.adaptLimit(now);
     }
--- a/src/guavafield/coordination/request/upstream_notices.cpp
+++ b/src/guavafield/coordination/request/upstream_notices.cpp
@@ -13,6 +13,7 @@
 constexpr Milliseconds rateNewsTime{10'000};
 // Fits into one datagram.
 constexpr std::size_t maxRateNews = 32;
+constexpr Milliseconds rejectionLimitTime{10'000};
 
 } // namespace internal
 
@@ -61,6 +62,18 @@
     return perSecond != before;
 }
 
+bool UpstreamNotices::expireRejectionLimits(SteadyTime now)
+{
+    bool any = false;
+    for (auto &[upstream, record] : m_records) {
+        any |= record.notice.rejectionLimit != unlimitedRate;
+        if (now - record.rejectionsStatedAt > internal::rejectionLimitTime) {
+            record.notice.rejectionLimit = unlimitedRate;
+        }
+    }
+    return any;
+}
+
 void UpstreamNotices::announceRate(const UpstreamId &upstream, SteadyTime now)
 {
     if (const auto it = m_records.find(upstream); it != m_records.end()) {
--- a/src/guavafield/coordination/request/upstream_notices.hpp
+++ b/src/guavafield/coordination/request/upstream_notices.hpp
@@ -48,6 +48,11 @@
     bool limitRate(const UpstreamId &upstream, Incarnation incarnation, double perSecond, SteadyTime statedAt, SteadyTime now);
     /*! @brief Records in the same way how many requests a second the upstream can reject before it falls over. */
     bool limitRejections(const UpstreamId &upstream, Incarnation incarnation, double perSecond, SteadyTime statedAt, SteadyTime now);
+    /*!
+     * @brief Ends the limits of rejections that were not stated again lately; a host that owns no part of an upstream gets no answers from it.
+     * @returns Whether any were in force.
+     */
+    bool expireRejectionLimits(SteadyTime now);
     /*! @brief Records that this host found a limit changed, for its reports. */
     void announceRate(const UpstreamId &upstream, SteadyTime now);
     /*! @brief Returns the latest changes of limits that this host found, newest first; bounded in number. */
--- a/test/coordination/request/brittle_upstream_test.cpp
+++ b/test/coordination/request/brittle_upstream_test.cpp
@@ -116,6 +116,8 @@
         mostRejections = std::max(mostRejections, server.rejections.size());
         AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
         failure.notExecuted = true;
+        failure.answered = true;
+        failure.rejected = true;
         tell(host, dispatch.upstream);
         std::ignore = host.scheduler.onAttemptEnded(dispatch.request, dispatch.upstream, failure, host.now);
     }
