Let only answers prove that an upstream has not crashed

One refutation then acquitted the part on all hosts, whatever other crashes said.

Now only an answer to an attempt that was dispatched after the crash, to the incarnation that is said to have crashed, refutes it, and a verdict falls only if the other crashes don't bear it. Breaks stay open for 6 s, so that the entry of the next process still tells; witnesses come from all pools. An upstream whose connections broke counts as one with lost links, so that a connection that gets through brings it back, also under requests that may not be repeated.

--- a/src/guavafield/coordination/request/broken_attempts.cpp
+++ b/src/guavafield/coordination/request/broken_attempts.cpp
@@ -7,8 +7,8 @@
 
 namespace internal {
 
-// Requests that crash upstreams have to be known to all hosts soon after.
-constexpr Milliseconds maxOpenTime{2'500};
+// The entry of the process that follows may come so late.
+constexpr Milliseconds maxOpenTime{6'000};
 // What arrives so soon after a break may have been sent before the links were lost.
 constexpr Milliseconds sentEarlier{20};
 constexpr std::size_t maxOpen = 256;
@@ -17,9 +17,10 @@
 
 void BrokenAttempts::add(BrokenAttempt attempt)
 {
-    if (m_open.size() < internal::maxOpen) {
-        m_open.push_back({std::move(attempt)});
+    if (m_open.size() >= internal::maxOpen) {
+        m_open.erase(m_open.begin());
     }
+    m_open.push_back({std::move(attempt)});
 }
 
 void BrokenAttempts::onReached(std::uint64_t upstream, SteadyTime now)
--- a/src/guavafield/coordination/request/crash_evidence.cpp
+++ b/src/guavafield/coordination/request/crash_evidence.cpp
@@ -219,22 +219,30 @@
 {
     m_crashes.erase(crash.crash);
     m_ownCrashes.erase(crash.crash);
-    for (const auto &suspect : crash.suspects) {
-        acquit(suspect.request, now - crash.age, now);
-        for (const auto part : suspect.parts) {
-            acquit(part, now - crash.age, now);
+    std::vector<std::uint64_t> lifted;
+    const auto lift = [&](std::uint64_t feature) {
+        const auto verdict = m_verdicts.find(feature);
+        if (verdict != m_verdicts.end() && verdict->second >= now - crash.age) {
+            m_verdicts.erase(verdict);
+            lifted.push_back(feature);
         }
+    };
+    for (const auto &suspect : crash.suspects) {
+        lift(suspect.request);
+        std::ranges::for_each(suspect.parts, lift);
     }
-}
-
-void CrashEvidence::acquit(std::uint64_t feature, SteadyTime since, SteadyTime now)
-{
-    const auto verdict = m_verdicts.find(feature);
-    if (verdict != m_verdicts.end() && verdict->second >= since) {
-        // The other hosts learn it like any other survival.
-        m_ownSurvivals[feature] = now;
-        m_acquitted[feature] = now;
-        addSurvival(feature, now);
+    if (lifted.empty()) {
+        return;
+    }
+    // What the other crashes show without this one stays.
+    evaluate(now);
+    for (const auto it : lifted) {
+        if (!m_verdicts.contains(it)) {
+            // The other hosts learn it like any other survival.
+            m_ownSurvivals[it] = now;
+            m_acquitted[it] = now;
+            addSurvival(it, now);
+        }
     }
 }
 
--- a/src/guavafield/coordination/request/crash_evidence.hpp
+++ b/src/guavafield/coordination/request/crash_evidence.hpp
@@ -153,8 +153,6 @@
     static void expire(Crashes &crashes, SteadyTime now);
     void dropWidespreadFailure(std::size_t upstreams, SteadyTime now);
     void addSurvival(std::uint64_t feature, SteadyTime at);
-    // Ends a verdict that was reached at this time or later.
-    void acquit(std::uint64_t feature, SteadyTime since, SteadyTime now);
     [[nodiscard]] bool isSuspected(std::uint64_t feature) const;
     // Returns the suspects that the verdicts leave: none if a convicted part explains the crash, else the convicted requests, else all.
     [[nodiscard]] std::vector<const CrashSuspect *> openSuspects(const Crash &crash) const;
--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -140,6 +140,10 @@
     bool answerStarted{false};
     // It is certain, e.g. stated by the upstream, that the request was not and will not be executed.
     bool notExecuted{false};
+    // Bytes of an answer to this request have arrived.
+    bool answered{false};
+    // The upstream itself refused the request.
+    bool rejected{false};
 };
 /*! @brief The caller disconnected or its key was withdrawn. */
 struct AttemptAbandoned
--- a/src/guavafield/coordination/request/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler_attempts.cpp
@@ -149,7 +149,7 @@
             continue;
         }
         noteProgress(*entry, *it.upstream, now);
-        noteReached(*it.upstream, now);
+        noteAnswered(*entry, *it.upstream, now);
         it.upstream->markUp();
         const bool first = entry->lastTokens == SteadyTime{};
         if (auto &selfQueueing = poolOf(*entry).selfQueueing; selfQueueing && first) {
@@ -233,7 +233,7 @@
     if (poolOf(*entry).selfQueueing) {
         m_evidence.onSurvived(crashSuspectOf(entry->info), now);
     }
-    noteReached(*state, now);
+    noteAnswered(*entry, *state, now);
     state->markUp();
     erase(*entry, now);
     return RequestDone{};
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler_core.cpp
@@ -102,6 +102,7 @@
     const bool restarted = !added && state.upstream.incarnation != upstream.incarnation;
     if (restarted) {
         m_broken.onReplaced({state.idHash, state.upstream.incarnation});
+        state.answeredDispatch = {};
         m_router.prefixes().removeAll(state);
         state.markUp();
         state.latencyRatio = 1;
@@ -171,6 +172,9 @@
             return;
         }
         brittle.emplace_back(&it, limit);
+        if (!it.accepting() || it.downSince) {
+            return;
+        }
         total += hostShareOfSlots(it.upstream.slots, m_turn.hosts, m_turn.index, it.idHash);
     });
     for (std::size_t n = 0; n < brittle.size(); ++n) {
@@ -178,9 +182,10 @@
         auto share = hostShareOfSlots(upstream->upstream.slots, m_turn.hosts, m_turn.index, upstream->idHash);
         // Where there are more hosts than slots, those without a part use one upstream for one request at a time.
         share += total == 0 && n == m_turn.index % brittle.size() ? 1 : 0;
-        if (!upstream->room || upstream->room->rejectionsPerSecond() != limit || upstream->room->share() != share) {
+        if (!upstream->room || upstream->room->rejectionsPerSecond() != limit) {
             upstream->room.emplace(limit, share, m_turn.hosts, now);
         }
+        upstream->room->resize(share, m_turn.hosts);
     }
 }
 
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -134,10 +134,10 @@
     void expirePeerWork(SteadyTime now);
 
     // Reach of upstreams, in scheduler_reach.cpp.
-    // Notes that an answer of the upstream, or a new connection to it, has reached this host.
-    void noteReached(UpstreamState &upstream, SteadyTime now);
-    // Has an upstream whose connection failed, and a few others of its pool, probed.
-    void probeAfterFailure(const Pool &pool, const UpstreamState &upstream, SteadyTime now);
+    // Notes that the upstream has answered an attempt of the request.
+    void noteAnswered(const RequestEntry &entry, UpstreamState &upstream, SteadyTime now);
+    // Has an upstream whose connection failed, and a few others, probed.
+    void probeAfterFailure(const UpstreamState &upstream, SteadyTime now);
     void takeCrashes(SteadyTime now);
 
     // Relaying to other hosts, in scheduler_relay.cpp.
--- a/src/guavafield/coordination/request/scheduler_reach.cpp
+++ b/src/guavafield/coordination/request/scheduler_reach.cpp
@@ -11,29 +11,31 @@
 constexpr Milliseconds crashCheckDelay{150};
 constexpr Milliseconds witnessDelay{30};
 constexpr std::size_t witnesses = 2;
-// An answer that arrives so soon after a crash may have been sent before it.
-constexpr Milliseconds answerInFlight{250};
+// An attempt that was dispatched so soon after a crash may have been on its way before it, as the clocks of hosts are compared by ages.
+constexpr Milliseconds ageTolerance{250};
 
 } // namespace internal
 
-void RequestScheduler::Impl::noteReached(UpstreamState &upstream, SteadyTime now)
+void RequestScheduler::Impl::noteAnswered(const RequestEntry &entry, UpstreamState &upstream, SteadyTime now)
 {
-    upstream.lastReached = now;
     m_broken.onReached(upstream.idHash, now);
+    const auto attempt = std::ranges::find(entry.attempts, &upstream, &Attempt::upstream);
+    if (attempt != entry.attempts.end() && attempt->incarnation == upstream.upstream.incarnation) {
+        upstream.answeredDispatch = std::max(upstream.answeredDispatch, attempt->dispatched);
+    }
 }
 
-void RequestScheduler::Impl::probeAfterFailure(const Pool &pool, const UpstreamState &upstream, SteadyTime now)
+void RequestScheduler::Impl::probeAfterFailure(const UpstreamState &upstream, SteadyTime now)
 {
     m_probes.schedule(upstream.idHash, now + internal::crashCheckDelay);
-    std::vector<const UpstreamState *> others;
-    pool.upstreams.forEach([&](const UpstreamState &it) {
-        if (&it != &upstream && it.accepting() && !it.downSince && now - it.lastReached > internal::witnessDelay) {
-            others.push_back(&it);
+    std::vector<std::uint64_t> others;
+    for (const auto &[id, it] : m_upstreams) {
+        if (&it != &upstream && it.accepting() && !it.downSince) {
+            others.push_back(it.idHash);
         }
-    });
+    }
     for (std::size_t n = 0; n < std::min(internal::witnesses, others.size()); ++n) {
-        const auto k = (m_nextDispatch + n) % others.size();
-        m_probes.schedule(others[k]->idHash, now + internal::witnessDelay);
+        m_probes.schedule(others[(m_nextDispatch + n) % others.size()], now + internal::witnessDelay);
     }
 }
 
@@ -60,7 +62,7 @@
     }
     if (result == ProbeResult::Connected) {
         m_probes.onConnected(state->idHash, now);
-        noteReached(*state, now);
+        m_broken.onReached(state->idHash, now);
         m_broken.onConnected(state->idHash);
         if (state->linkLost) {
             state->markUp();
@@ -70,10 +72,12 @@
         if (result == ProbeResult::Refused) {
             m_broken.onRefused(state->idHash);
         }
-        if (!state->downSince) {
-            state->markDown(now);
+        if (result != ProbeResult::NotTried) {
+            if (!state->downSince) {
+                state->markDown(now);
+                m_router.prefixes().removeAll(*state);
+            }
             state->linkLost = true;
-            m_router.prefixes().removeAll(*state);
         }
     }
     takeCrashes(now);
@@ -92,7 +96,7 @@
     const auto lives = [&](const CrashObservation &crash) {
         const auto it = m_upstreamsByIdHash.find(crash.crash.upstream);
         return it != m_upstreamsByIdHash.end() && it->second->upstream.incarnation == crash.crash.incarnation
-            && it->second->lastReached > now - crash.age + internal::answerInFlight;
+            && it->second->answeredDispatch > now - crash.age + internal::ageTolerance;
     };
     std::vector<CrashObservation> refuted;
     for (const auto &it : knowledge.crashes) {
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -196,15 +196,17 @@
         upstream.outlier.eject(now);
     } else if (!upstream.downSince && (unreachable || (!failure.notExecuted && ++upstream.consecutiveFailures >= internal::failuresBeforeDown))) {
         upstream.markDown(now);
-        upstream.linkLost = unreachable;
+        upstream.linkLost = unreachable || failure.upstreamCrashed;
+        m_probes.schedule(upstream.idHash, upstream.outlier.nextProbe());
         m_router.prefixes().removeAll(upstream);
     }
     if (unreachable || failure.upstreamCrashed) {
-        probeAfterFailure(poolOf(entry), upstream, now);
-    } else {
-        noteReached(upstream, now);
+        probeAfterFailure(upstream, now);
     }
-    if (failure.notExecuted && !unreachable && upstream.room) {
+    if (failure.answered) {
+        noteAnswered(entry, upstream, now);
+    }
+    if (failure.rejected && upstream.room) {
         upstream.room->onRejected(now);
     }
     entry.attemptsRun += failure.notExecuted ? 0 : 1;
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -44,8 +44,8 @@
     std::optional<SteadyTime> downSince;
     // It is down since its connections failed, not its answers.
     bool linkLost{false};
-    // When an answer or a new connection last reached this host from it.
-    SteadyTime lastReached{};
+    // When the latest attempt was dispatched that the current incarnation has answered.
+    SteadyTime answeredDispatch{};
     std::uint32_t consecutiveFailures{0};
     LoadReport report;
     // Measurement time of the report; empty before the first report.
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -112,6 +112,7 @@
                 noteUpstream(facts);
             }
             if (!facts.stray) {
+                m_answered = facts.ours && !facts.misdirected;
                 co_return true;
             }
             logEvent(LogLevel::Warning,
@@ -231,6 +232,7 @@
     if (!m_plan.relay && (facts.notExecuted || facts.misdirected)) {
         AttemptFailed failure{ResultCode::UpstreamFailed, RetryReason::UpstreamError};
         failure.notExecuted = true;
+        failure.rejected = !facts.misdirected;
         deliverFailure(failure, facts.misdirected ? "address belongs to another upstream" : "refused by the upstream");
         if (!facts.misdirected) {
             std::ignore = co_await skipAnswer();
@@ -358,6 +360,7 @@
     if (m_outlet.closed()) {
         return;
     }
+    failure.answered = m_answered;
     std::string text = "attempt failed, cause=\"" + std::string(cause) + "\" upstream=" + m_plan.upstream;
     text += " attempt=" + std::to_string(m_plan.number) + " reason=" + std::string(describe(failure.reason));
     text += m_exchange.earlierRequests() > 0 ? " connection=kept" : m_exchange.sent() ? " connection=new" : " connection=-";
--- a/src/guavafield/transport/http/forward_attempt.hpp
+++ b/src/guavafield/transport/http/forward_attempt.hpp
@@ -93,6 +93,8 @@
     UpstreamExchange m_exchange;
     AttemptOutlet m_outlet;
     SteadyTime m_startedAt{};
+    // An answer to this request has begun.
+    bool m_answered{false};
     // The header of the answer has been passed on.
     bool m_headDelivered{false};
     // So has an event with data, or the header of an answer that is no stream.
