Let streams begin and go on only at the process that its entry names

What callers saw: a stream that was begun by one software version and went on with the events of another one (ORDER), where a process had been replaced in place and the entry of the new one was late.

Cause: the table of upstreams tells which version an id had when its entry was written; what writes is a process. Neither the age of the table nor the id in an answer tells one process from the next.

Change: a connection belongs to one process for as long as it lives. Before a resumable stream is sent, the process at the other end is asked once which one it is (its own report, by its start time); the connection remembers it. If it is not the one that the entry names, nothing is sent, the upstream gets no resumable stream until the entry follows, and the request goes elsewhere without using up the retry budget. A begun stream waits for the entry within its time. Where no upstream of a pool has the process of its entry, streams begin all the same and are told as uncertain, so that nobody goes on with them. Upstreams that name no start time are judged by their entries as before. The origin of a stream whose process has named itself stays certain whatever entry follows. Dispatches log the process, retries have reasons of their own.

--- a/src/guavafield/coordination/request/placement.cpp
+++ b/src/guavafield/coordination/request/placement.cpp
@@ -197,11 +197,13 @@
     const auto prefix = findPrefix(upstreams, entry, range, now);
     const bool probeAllowed = entry.info.repeatable && !entry.started();
     const double prompt = entry.info.promptTokens;
+    const bool allReplaced = guavafield::allReplaced(upstreams);
     PlacementDecision best;
     double lowestCost = std::numeric_limits<double>::infinity();
     upstreams.forEach([&](UpstreamState &it) {
         const bool probe = probeAllowed && internal::probeDue(it, now);
-        if ((!it.usable() && !probe) || !it.withinRate(now) || !it.hasRoom(now) || entry.hasTried(it.idHash) || !mayRunOn(entry, it)) {
+        const bool takes = (it.usable() || probe) && it.withinRate(now) && it.hasRoom(now) && !entry.hasTried(it.idHash);
+        if (!takes || !mayRunOn(entry, it) || !mayBeginOn(entry, it, allReplaced)) {
             return;
         }
         const double confirmedTokens = indexedPrefixTokens(it, prefixes, entry);
--- a/src/guavafield/coordination/request/request_entry.hpp
+++ b/src/guavafield/coordination/request/request_entry.hpp
@@ -22,6 +22,8 @@
     SoftwareVersion softwareVersion{};
     // Of the first token; empty before.
     std::optional<SteadyTime> answerBegan{};
+    // The process that runs it has named itself as this incarnation.
+    bool identified{false};
     // The answer has gone on for longer than CrashEvidence::answerBeginning.
     bool survived{false};
 };
--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -89,6 +89,9 @@
     double rateLimit{unlimitedRate};
     // Of the upstream, as its entry names it at the dispatch.
     SoftwareVersion softwareVersion{};
+    Incarnation incarnation{0};
+    // Another process than that of the entry may run it, since there is none at any upstream; the stream then can't go on elsewhere.
+    bool anyProcess{false};
 };
 
 /*! @brief Refuse a queued request. */
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -54,6 +54,16 @@
     m_impl->onTokens(request, count, now);
 }
 
+void RequestScheduler::onProcessIdentified(std::string_view request, std::string_view upstream)
+{
+    m_impl->onProcessIdentified(request, upstream);
+}
+
+void RequestScheduler::onProcessReplaced(std::string_view upstream, Incarnation listed)
+{
+    m_impl->onProcessReplaced(upstream, listed);
+}
+
 AttemptResolution RequestScheduler::onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end, SteadyTime now)
 {
     return m_impl->onAttemptEnded(request, upstream, end, now);
--- a/src/guavafield/coordination/request/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler_attempts.cpp
@@ -210,6 +210,24 @@
     }
 }
 
+void RequestScheduler::Impl::onProcessIdentified(std::string_view request, std::string_view upstream)
+{
+    auto *entry = find(request);
+    if (entry == nullptr) {
+        return;
+    }
+    for (auto &it : entry->attempts) {
+        it.identified |= it.upstream->upstream.id == upstream;
+    }
+}
+
+void RequestScheduler::Impl::onProcessReplaced(std::string_view upstream, Incarnation listed)
+{
+    if (auto *state = findUpstream(upstream)) {
+        state->replacedIncarnation = listed;
+    }
+}
+
 AttemptResolution RequestScheduler::Impl::onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end, SteadyTime now)
 {
     auto *entry = find(request);
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -37,6 +37,8 @@
     [[nodiscard]] std::optional<SteadyTime> nextWakeup() const;
     [[nodiscard]] bool onFirstToken(std::string_view request, std::string_view upstream, SteadyTime now);
     void onTokens(std::string_view request, std::uint32_t count, SteadyTime now);
+    void onProcessIdentified(std::string_view request, std::string_view upstream);
+    void onProcessReplaced(std::string_view upstream, Incarnation listed);
     [[nodiscard]] AttemptResolution onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end, SteadyTime now);
     [[nodiscard]] bool mayMove(std::string_view request, SteadyTime now);
     void cancel(std::string_view request, SteadyTime now);
@@ -116,6 +118,8 @@
     [[nodiscard]] Admission submitSelfQueueing(Pool &pool, std::unique_ptr<RequestEntry> entry, SteadyTime now);
     void dispatchSelfQueueing(Pool &pool, SteadyTime now);
     void dispatchTo(Pool &pool, RequestEntry &entry, const PlacementDecision &decision, SteadyTime now);
+    // Lets a request wait for an upstream for its time from now on.
+    static void waitAgain(RequestEntry &entry, SteadyTime now);
     // Whether a request that no upstream takes now is refused; a stream that has begun waits longer, as fewer upstreams may go on with it.
     [[nodiscard]] static bool waitIsOver(const Pool &pool, const RequestEntry &entry, SteadyTime now);
     // Returns why no upstream of the pool takes the request now.
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -80,7 +80,7 @@
         return Refused{ResultCode::CrashSuspectRefused, *remaining};
     }
     entry->suspect = false;
-    entry->latestStart = now + std::chrono::duration_cast<Milliseconds>(entry->info.firstTokenTarget * internal::noUpstreamWaitFraction);
+    waitAgain(*entry, now);
     m_poolRetries.onRequest(entry->info.className, now);
     entry->queued = true;
     pool.selfQueueing->waiting.insert(entry.get());
@@ -89,6 +89,11 @@
     return Queued{};
 }
 
+void RequestScheduler::Impl::waitAgain(RequestEntry &entry, SteadyTime now)
+{
+    entry.latestStart = now + std::chrono::duration_cast<Milliseconds>(entry.info.firstTokenTarget * internal::noUpstreamWaitFraction);
+}
+
 void RequestScheduler::Impl::dispatchSelfQueueing(Pool &pool, SteadyTime now)
 {
     if (!pool.selfQueueing) {
@@ -172,6 +177,8 @@
     action.expected = std::chrono::duration_cast<Milliseconds>(Seconds(decision.seconds));
     action.rateLimit = upstream.rateLimit ? upstream.rateLimit->perSecond() : unlimitedRate;
     action.softwareVersion = upstream.upstream.softwareVersion;
+    action.incarnation = upstream.upstream.incarnation;
+    action.anyProcess = upstream.replaced() && !entry.bound();
     m_actions.emplace_back(std::move(action));
 }
 
@@ -189,6 +196,13 @@
 
 AttemptResolution RequestScheduler::Impl::onSelfQueueingFailure(RequestEntry &entry, UpstreamState &upstream, const AttemptFailed &failure, SteadyTime now)
 {
+    if (failure.reason == RetryReason::UpstreamReplaced) {
+        // Nothing has failed; it may be chosen again once the entry of its process has come.
+        std::erase(entry.tried, upstream.idHash);
+        endAttempt(entry, upstream, now);
+        waitAgain(entry, now);
+        return retry(entry, failure, true, now);
+    }
     upstream.failures.add(1, now);
     const bool unreachable = failure.reason == RetryReason::ConnectFailed;
     const bool probe = upstream.downSince && upstream.outlier.probeDue(now);
@@ -223,7 +237,7 @@
     if (!entry.attempts.empty()) {
         return RetryQueued{};
     }
-    entry.latestStart = now + std::chrono::duration_cast<Milliseconds>(entry.info.firstTokenTarget * internal::noUpstreamWaitFraction);
+    waitAgain(entry, now);
     return retry(entry, failure, unreachable, now);
 }
 
--- a/src/guavafield/coordination/request/stream_binding.cpp
+++ b/src/guavafield/coordination/request/stream_binding.cpp
@@ -8,28 +8,53 @@
 // The process at the other end is not certain if another one has taken the upstream's id since the dispatch.
 bool writerCertain(const Attempt &attempt) noexcept
 {
-    const auto &current = attempt.upstream->upstream;
-    return current.incarnation == attempt.incarnation || current.softwareVersion == attempt.softwareVersion;
+    if (attempt.identified) {
+        return true;
+    }
+    const auto &state = *attempt.upstream;
+    if (state.replacedIncarnation != 0 && state.replacedIncarnation == attempt.incarnation) {
+        return false;
+    }
+    return state.upstream.incarnation == attempt.incarnation || state.upstream.softwareVersion == attempt.softwareVersion;
+}
+
+// Whether the version that the upstream's entry names may go on with the request.
+bool versionFits(const RequestEntry &entry, const UpstreamState &upstream) noexcept
+{
+    return !entry.originUncertain && (!entry.origin || *entry.origin == upstream.upstream.softwareVersion);
 }
 
 } // namespace internal
 
 bool mayRunOn(const RequestEntry &entry, const UpstreamState &upstream) noexcept
 {
-    return !entry.originUncertain && (!entry.origin || *entry.origin == upstream.upstream.softwareVersion);
+    const bool known = !entry.bound() || !upstream.replaced();
+    return known && internal::versionFits(entry, upstream);
+}
+
+bool mayBeginOn(const RequestEntry &entry, const UpstreamState &upstream, bool allReplaced) noexcept
+{
+    return allReplaced || entry.bound() || !entry.info.resumable || !upstream.replaced();
+}
+
+bool allReplaced(const PoolUpstreams &upstreams) noexcept
+{
+    bool listed = false;
+    upstreams.forEach([&](const UpstreamState &it) { listed |= !it.leaving() && !it.replaced(); });
+    return !listed;
 }
 
 bool anyMayRun(const RequestEntry &entry, const PoolUpstreams &upstreams) noexcept
 {
     bool found = false;
-    upstreams.forEach([&](const UpstreamState &it) { found |= mayRunOn(entry, it); });
+    upstreams.forEach([&](const UpstreamState &it) { found |= internal::versionFits(entry, it); });
     return found;
 }
 
 bool worthWaiting(const RequestEntry &entry, const PoolUpstreams &upstreams) noexcept
 {
     bool found = false;
-    upstreams.forEach([&](const UpstreamState &it) { found |= mayRunOn(entry, it) && !it.leaving() && !entry.hasTried(it.idHash); });
+    upstreams.forEach([&](const UpstreamState &it) { found |= internal::versionFits(entry, it) && !it.leaving() && !entry.hasTried(it.idHash); });
     return found;
 }
 
--- a/src/guavafield/coordination/request/stream_binding.hpp
+++ b/src/guavafield/coordination/request/stream_binding.hpp
@@ -6,10 +6,20 @@
 
 namespace guavafield {
 
-/*! @brief Whether the upstream's software version allows it to run the request; each does if no stream has begun. */
+/*! @brief Whether the software version of the upstream's process is known to allow it to run the request; each does if no stream has begun. */
 [[nodiscard]] bool mayRunOn(const RequestEntry &entry, const UpstreamState &upstream) noexcept;
 
-/*! @brief Whether an upstream that may run the request is listed, be it leaving, paused or down. */
+/*!
+ * @brief Whether a stream may begin at the upstream, so that it can be told which version began it; see allReplaced().
+ *
+ * Where a version that nobody knows began a stream, another host could take it for that of the pool's other upstreams.
+ */
+[[nodiscard]] bool mayBeginOn(const RequestEntry &entry, const UpstreamState &upstream, bool allReplaced) noexcept;
+
+/*! @brief Whether no upstream that stays has the process which its entry names, so that nothing could go on there anyway. */
+[[nodiscard]] bool allReplaced(const PoolUpstreams &upstreams) noexcept;
+
+/*! @brief Whether an upstream that may run the request is listed, be it leaving, paused, down or without its process's entry. */
 [[nodiscard]] bool anyMayRun(const RequestEntry &entry, const PoolUpstreams &upstreams) noexcept;
 
 /*! @brief Whether an upstream takes the request now or may do so after a pause, a limit or a failure. */
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -42,6 +42,8 @@
     std::optional<BrittleRoom> room;
     // Set when attempts fail consecutively or the process died; reset by a later report or a successful probe.
     std::optional<SteadyTime> downSince;
+    // Of a process that no longer listens at the address, as the one that does has said; its entry may stand for some time.
+    Incarnation replacedIncarnation{0};
     // It is down since its connections failed, not its answers.
     bool linkLost{false};
     // When the latest attempt was dispatched that the current incarnation has answered.
@@ -89,6 +91,11 @@
     {
         return accepting() && !downSince && !outlier.ejected();
     }
+    /*! @brief Whether another process has taken the address, so that the software version there is not known. */
+    [[nodiscard]] bool replaced() const noexcept
+    {
+        return replacedIncarnation != 0 && upstream.incarnation == replacedIncarnation;
+    }
     /*! @brief Whether its rate limit, if it has one, allows this host a request now. */
     [[nodiscard]] bool withinRate(SteadyTime now) const noexcept
     {
--- a/src/guavafield/coordination/streams/origin_book.cpp
+++ b/src/guavafield/coordination/streams/origin_book.cpp
@@ -12,7 +12,8 @@
     const auto hash = stream.stream;
     const auto [it, added] = m_entries.try_emplace(hash);
     if (!added) {
-        it->second.certain = it->second.certain && it->second.stream.origin == stream.origin;
+        auto &known = it->second.stream;
+        known.certain = known.certain && stream.certain && known.origin == stream.origin;
         return;
     }
     it->second.stream = std::move(stream);
@@ -23,7 +24,7 @@
 std::optional<StreamOrigin> OriginBook::find(StreamHash stream, SteadyTime now) const
 {
     const auto it = m_entries.find(stream);
-    if (it == m_entries.end() || !it->second.certain || it->second.stream.until <= now) {
+    if (it == m_entries.end() || !it->second.stream.certain || it->second.stream.until <= now) {
         return std::nullopt;
     }
     return it->second.stream.origin;
@@ -32,18 +33,18 @@
 bool OriginBook::isUncertain(StreamHash stream) const
 {
     const auto it = m_entries.find(stream);
-    return it != m_entries.end() && !it->second.certain;
+    return it != m_entries.end() && !it->second.stream.certain;
 }
 
 void OriginBook::onConfiguration(const Configuration &configuration, SteadyTime certainUntil)
 {
     for (auto &[hash, entry] : m_entries) {
         const auto upstream = configuration.upstreams.find(entry.stream.upstream);
-        if (upstream == configuration.upstreams.end() || entry.stream.dispatched <= certainUntil) {
+        if (entry.stream.identified || upstream == configuration.upstreams.end() || entry.stream.dispatched <= certainUntil) {
             continue;
         }
         const bool replaced = upstream->second.incarnation != entry.stream.incarnation && upstream->second.softwareVersion != entry.stream.origin.version;
-        entry.certain = entry.certain && !replaced;
+        entry.stream.certain = entry.stream.certain && !replaced;
     }
 }
 
@@ -53,7 +54,7 @@
     std::deque<StreamHash> kept;
     for (const auto hash : m_unsaved) {
         const auto it = m_entries.find(hash);
-        if (it == m_entries.end() || it->second.saved || !it->second.certain || it->second.stream.until <= now) {
+        if (it == m_entries.end() || it->second.saved || !it->second.stream.certain || it->second.stream.until <= now) {
             continue;
         }
         if (taken.size() < limit && wanted(it->second.stream)) {
--- a/src/guavafield/coordination/streams/origin_book.hpp
+++ b/src/guavafield/coordination/streams/origin_book.hpp
@@ -25,6 +25,10 @@
     SteadyTime until{};
     // Its route leads to several pools, so that only a record tells which one it began in.
     bool split{false};
+    // The process has named itself as the incarnation, so that no later entry makes the origin uncertain.
+    bool identified{false};
+    // It is known which version began it.
+    bool certain{true};
 };
 
 /*!
@@ -61,7 +65,6 @@
     {
         BegunStream stream;
         bool saved{false};
-        bool certain{true};
     };
 
     void dropOld(SteadyTime now);
--- a/src/guavafield/state/counters.cpp
+++ b/src/guavafield/state/counters.cpp
@@ -56,6 +56,8 @@
     "first_token_late",
     "upstream_reclaimed",
     "preempted",
+    "upstream_replaced",
+    "upstream_unidentified",
 };
 
 std::size_t indexOf(ResultCode code) noexcept
--- a/src/guavafield/state/counters.hpp
+++ b/src/guavafield/state/counters.hpp
@@ -70,6 +70,8 @@
     FirstTokenLate,
     UpstreamReclaimed,
     Preempted,
+    UpstreamReplaced,
+    UpstreamUnidentified,
     // not a reason
     Count,
 };
--- a/src/guavafield/transport/fleet/stream_origin_service.cpp
+++ b/src/guavafield/transport/fleet/stream_origin_service.cpp
@@ -319,7 +319,11 @@
     stream.incarnation = beginning.incarnation;
     stream.dispatched = now - beginning.sinceDispatch;
     stream.split = beginning.split;
-    m_history.onBegan(stream.origin.pool, stream.origin.version, m_dependencies.wallTime());
+    stream.identified = beginning.identified;
+    stream.certain = beginning.certain;
+    if (stream.certain) {
+        m_history.onBegan(stream.origin.pool, stream.origin.version, m_dependencies.wallTime());
+    }
     m_book.add(std::move(stream), now);
 }
 
--- a/src/guavafield/transport/http/connection_pool.hpp
+++ b/src/guavafield/transport/http/connection_pool.hpp
@@ -39,6 +39,13 @@
     }
 };
 
+/*! @brief What the process at the other end of a connection says of itself; a connection belongs to one process for as long as it lives. */
+struct ProcessIdentity
+{
+    // Empty if the process does not name it.
+    std::optional<Incarnation> incarnation;
+};
+
 /*! @brief A connection to an upstream; used by one exchange at a time. */
 struct UpstreamConnection
 {
@@ -51,6 +58,8 @@
     SteadyTime idleSince{};
     // The upstream closes the connection when it was idle for this long; empty if it did not say.
     std::optional<Milliseconds> keepAlive;
+    // Empty until the process at the other end was asked which one it is.
+    std::optional<ProcessIdentity> process;
     // Hashes of the ids of all requests sent on it. A late copy of an answer is told by its id, so that no id may be sent a second time.
     std::vector<std::uint64_t> requests;
 
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forward_attempt.cpp
@@ -26,6 +26,10 @@
 // Interim answers announce the final one and are not passed on.
 constexpr int maxInterimAnswers = 8;
 constexpr std::size_t maxStrayBytes = std::size_t{1} << 20U;
+// Connections on which an attempt asks for the process at the other end.
+constexpr int maxConnections = 3;
+// An upstream answers the question at once, however busy it is; a sound one may be silent for a second.
+constexpr Milliseconds processAnswerTime{1'500};
 
 std::size_t totalSize(const std::vector<std::string> &events) noexcept
 {
@@ -78,6 +82,11 @@
 ForwardAttempt::Awaitable ForwardAttempt::run()
 {
     const auto self = shared_from_this();
+    const bool connected = m_plan.incarnation == 0 || co_await connectToProcess();
+    if (!connected) {
+        m_exchange.finish();
+        co_return;
+    }
     const auto result = co_await m_exchange.sendConcurrently(m_plan.request, self);
     if (result == ExchangeResult::Ok) {
         AnswerFacts facts;
@@ -91,6 +100,70 @@
     m_exchange.finish();
 }
 
+asio::awaitable<bool> ForwardAttempt::connectToProcess()
+{
+    for (int n = 0; n < internal::maxConnections; ++n) {
+        const auto identity = co_await askProcess(n > 0);
+        if (!identity) {
+            if (m_askResult != ExchangeResult::Broken) {
+                break;
+            }
+            continue;
+        }
+        m_identified = identity->incarnation == m_plan.incarnation;
+        if (m_identified || !identity->incarnation) {
+            logProcess();
+            co_return true;
+        }
+        if (!m_exchange.kept()) {
+            reportReplaced(*identity->incarnation);
+            co_return false;
+        }
+        // The connection may be a former process's.
+    }
+    reportUnidentified();
+    co_return false;
+}
+
+asio::awaitable<std::optional<ProcessIdentity>> ForwardAttempt::askProcess(bool freshConnection)
+{
+    m_askResult = co_await m_exchange.connect(m_plan.request.method() == boost::beast::http::verb::head, freshConnection);
+    if (m_askResult == ExchangeResult::Ok) {
+        m_askResult = co_await m_exchange.identify(m_context->hooks.forward->process, internal::processAnswerTime);
+    }
+    co_return m_askResult == ExchangeResult::Ok ? std::optional(m_exchange.process()) : std::nullopt;
+}
+
+void ForwardAttempt::logProcess() const
+{
+    if (!m_exchange.kept()) {
+        const auto text = "process of an upstream asked, upstream=" + m_plan.upstream + " listed=" + std::to_string(m_plan.incarnation);
+        logEvent(LogLevel::Info, "http:", m_plan.id, text + " answer=" + (m_identified ? "the same" : "none"));
+    }
+}
+
+void ForwardAttempt::reportReplaced(Incarnation seen)
+{
+    m_context->driver->onProcessReplaced(m_plan.upstream, m_plan.incarnation);
+    const auto text = "upstream's process replaced, upstream=" + m_plan.upstream + " listed=" + std::to_string(m_plan.incarnation);
+    logEvent(LogLevel::Warning, "http:", m_plan.id, text + " seen=" + std::to_string(seen));
+    AttemptFailed failure{ResultCode::UpstreamUnreachable, RetryReason::UpstreamReplaced};
+    failure.notExecuted = true;
+    deliverFailure(failure, "another process than the entry names");
+}
+
+void ForwardAttempt::reportUnidentified()
+{
+    AttemptFailed failure{ResultCode::UpstreamUnreachable, RetryReason::ConnectFailed};
+    failure.notExecuted = true;
+    if (m_askResult == ExchangeResult::ConnectFailed) {
+        deliverFailure(failure, "no connection");
+    } else if (m_askResult != ExchangeResult::Aborted) {
+        failure.reason = RetryReason::UpstreamUnidentified;
+        deliverFailure(failure, "the process did not say which one it is");
+    }
+}
+
 asio::awaitable<bool> ForwardAttempt::readHeader(AnswerFacts &facts)
 {
     int interim = 0;
@@ -111,7 +184,9 @@
             } else {
                 noteUpstream(facts);
             }
-            if (!facts.stray) {
+            const bool unnamed = !facts.ours && !facts.stray;
+            const bool copyOfIdentity = unnamed && m_exchange.asked() && !facts.genuine && m_exchange.header().result() == boost::beast::http::status::ok;
+            if (!facts.stray && !copyOfIdentity) {
                 m_answered = facts.ours && !facts.misdirected;
                 co_return true;
             }
--- a/src/guavafield/transport/http/forward_attempt.hpp
+++ b/src/guavafield/transport/http/forward_attempt.hpp
@@ -33,6 +33,8 @@
     double rateLimit{unlimitedRate};
     // The upstream is another host, to which the request is relayed.
     bool relay{false};
+    // Of the upstream's process as its entry names it. Another process must not get the request; 0 if any may.
+    Incarnation incarnation{0};
 };
 
 /*!
@@ -67,11 +69,23 @@
     {
         return m_exchange.sent();
     }
+    /*! @brief Returns whether the process that runs the request has named itself as the plan's incarnation. */
+    [[nodiscard]] bool identified() const noexcept
+    {
+        return m_identified;
+    }
 
 private:
     using Awaitable = boost::asio::awaitable<void>;
 
     [[nodiscard]] Awaitable run();
+    // Connects to the process that the plan names; false if that failed, which has been reported.
+    [[nodiscard]] boost::asio::awaitable<bool> connectToProcess();
+    // Asks the process at the other end; empty if the connection can't be used.
+    [[nodiscard]] boost::asio::awaitable<std::optional<ProcessIdentity>> askProcess(bool freshConnection);
+    void logProcess() const;
+    void reportReplaced(Incarnation seen);
+    void reportUnidentified();
     // Reads headers until one answers this request; false if there is none, which has been reported.
     [[nodiscard]] boost::asio::awaitable<bool> readHeader(AnswerFacts &facts);
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> skipAnswer();
@@ -93,6 +107,9 @@
     UpstreamExchange m_exchange;
     AttemptOutlet m_outlet;
     SteadyTime m_startedAt{};
+    // What ended the last try to find out which process is at the other end.
+    ExchangeResult m_askResult{ExchangeResult::Ok};
+    bool m_identified{false};
     // An answer to this request has begun.
     bool m_answered{false};
     // The header of the answer has been passed on.
--- a/src/guavafield/transport/http/forward_dialect.hpp
+++ b/src/guavafield/transport/http/forward_dialect.hpp
@@ -4,6 +4,7 @@
 #include <guavafield/coordination/request/rate_limit.hpp>
 #include <guavafield/coordination/request/request_info.hpp>
 #include <guavafield/state/result.hpp>
+#include <guavafield/transport/http/process_question.hpp>
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
@@ -101,6 +102,8 @@
     std::function<AnswerFacts(const boost::beast::http::response_header<> &, std::string_view requestId)> readAnswer;
     // Header of the daemon's own answers that names the request.
     std::string requestIdHeader;
+    // How an upstream's process is asked which one it is.
+    ProcessQuestion process;
 };
 
 } // namespace guavafield
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -130,7 +130,9 @@
     const auto configuration = m_context->currentConfiguration();
     const auto it = configuration->upstreams.find(m_beginning->upstream);
     const bool listed = it != configuration->upstreams.end();
-    if (listed && it->second.incarnation != m_beginning->incarnation && it->second.softwareVersion != m_beginning->origin.version) {
+    m_beginning->identified = m_attempt->identified();
+    m_beginning->certain = m_beginning->certain || m_beginning->identified;
+    if (!m_beginning->identified && listed && it->second.incarnation != m_beginning->incarnation && it->second.softwareVersion != m_beginning->origin.version) {
         // Either process of the upstream may have written the event.
         return;
     }
@@ -213,6 +215,9 @@
         instructions.fetchFrom = endpointText(configuration, dispatch.fetchFrom);
     }
     instructions.resumeAfter = m_lastEvent;
+    if (target.stream && target.repeat == Repeat::Resume && !dispatch.anyProcess && !m_context->hooks.forward->process.target.empty()) {
+        plan.incarnation = dispatch.incarnation;
+    }
     plan.rateLimit = dispatch.rateLimit;
     plan.request.method_string(m_plan.method);
     plan.request.target(m_plan.target);
@@ -235,12 +240,10 @@
         co_await failAttempt(failure);
         co_return;
     }
-    m_beginning.reset();
     m_dispatched = std::chrono::steady_clock::now();
-    if (it->second.softwareVersion == dispatch.softwareVersion) {
-        const StreamOrigin origin{m_call.pool, dispatch.softwareVersion};
-        m_beginning = StreamBeginning{m_call.envelope.id, origin, dispatch.upstream, it->second.incarnation, {}, internal::leadsToSeveralPools(m_call.target)};
-    }
+    const StreamOrigin origin{m_call.pool, dispatch.softwareVersion};
+    m_beginning = StreamBeginning{m_call.envelope.id, origin, dispatch.upstream, dispatch.incarnation, {}, internal::leadsToSeveralPools(m_call.target)};
+    m_beginning->certain = !dispatch.anyProcess && it->second.softwareVersion == dispatch.softwareVersion;
     auto plan = attemptPlan(*configuration, dispatch, it->second);
     ++m_nextAttempt;
     std::string text = "dispatched, upstream=" + dispatch.upstream + " pool=" + m_call.pool + " route=" + m_call.route;
@@ -250,6 +253,7 @@
     text += " fetch_from=" + (dispatch.fetchFrom.empty() ? std::string("-") : dispatch.fetchFrom);
     text += " rate_limit=" + formatRate(dispatch.rateLimit);
     text += " version=" + (dispatch.softwareVersion.empty() ? std::string("-") : dispatch.softwareVersion);
+    text += " incarnation=" + (dispatch.anyProcess ? std::string("any") : std::to_string(dispatch.incarnation));
     text += " resumes=" + (m_call.envelope.resumes.empty() ? std::string("-") : m_call.envelope.resumes);
     text += " after_event=" + (m_lastEvent ? std::to_string(*m_lastEvent) : std::string("-"));
     text += " configuration=" + std::to_string(m_plan.grant.configuration->revision);
@@ -346,6 +350,9 @@
     }
     m_head.status = event.status;
     m_head.headers = std::move(event.headers);
+    if (m_attempt->identified()) {
+        m_context->driver->onProcessIdentified(m_plan.id, m_attempt->upstream());
+    }
     if (m_plan.relayed) {
         m_head.headers.emplace_back(relayUpstreamHeader, m_attempt->upstream());
     }
--- a/src/guavafield/transport/http/forward_request.hpp
+++ b/src/guavafield/transport/http/forward_request.hpp
@@ -121,7 +121,7 @@
     UpstreamId m_lastUpstream;
     // Of the stream that the caller takes up, if it does.
     std::optional<SoftwareVersion> m_origin;
-    // Of the running attempt; empty if the entry of its upstream changed between choice and dispatch.
+    // Of the running attempt; empty before the first one.
     std::optional<StreamBeginning> m_beginning;
     SteadyTime m_dispatched{};
     // Host of the running attempt; empty if that is at an upstream.
--- a/src/guavafield/transport/http/path_hooks.hpp
+++ b/src/guavafield/transport/http/path_hooks.hpp
@@ -79,6 +79,10 @@
     Milliseconds sinceDispatch{0};
     // The route leads to several pools.
     bool split{false};
+    // The process has named itself as this incarnation on the stream's own connection.
+    bool identified{false};
+    // Another process than that of the entry may have brought the event.
+    bool certain{true};
 };
 
 /*! @brief A caller takes up a stream that broke. */
--- a/src/guavafield/transport/http/request_driver.cpp
+++ b/src/guavafield/transport/http/request_driver.cpp
@@ -48,6 +48,16 @@
     withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onTokens(request, count, now); });
 }
 
+void RequestDriver::onProcessIdentified(std::string_view request, std::string_view upstream)
+{
+    withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.onProcessIdentified(request, upstream); });
+}
+
+void RequestDriver::onProcessReplaced(std::string_view upstream, Incarnation listed)
+{
+    withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.onProcessReplaced(upstream, listed); });
+}
+
 AttemptResolution RequestDriver::onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end)
 {
     auto verdict = withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -32,6 +32,10 @@
     /*! @brief Tells the scheduler of an attempt's first output; returns whether the caller may get it. */
     [[nodiscard]] bool onFirstToken(std::string_view request, std::string_view upstream);
     void onTokens(std::string_view request, std::uint32_t count);
+    /*! @brief Tells the scheduler that the process at which an attempt runs is the one that the upstream's entry named at the dispatch. */
+    void onProcessIdentified(std::string_view request, std::string_view upstream);
+    /*! @brief Tells the scheduler that another process than this one listens at the upstream's address. */
+    void onProcessReplaced(std::string_view upstream, Incarnation listed);
     /*! @brief Tells the scheduler that an attempt ended. The request is over unless the verdict is RetryQueued or another attempt runs. */
     [[nodiscard]] AttemptResolution onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end);
     /*! @brief Returns whether the request could go on at another upstream now. */
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -20,9 +20,16 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint32_t answerHeaderLimit = 32 * 1024;
+constexpr std::size_t identityLimit = std::size_t{64} * 1024;
 // Fits into the send buffer of the system, so that sending it cannot wait for the upstream.
 constexpr std::size_t smallRequestBytes = std::size_t{8} * 1024;
 
+// Whether the status says nothing about whether the upstream knows the target.
+bool isTransient(unsigned status) noexcept
+{
+    return status == 408 || status == 429 || status >= 500;
+}
+
 // Whether an error is due to the bytes received, not to the connection.
 bool isMalformed(const boost::system::error_code &ec)
 {
@@ -38,13 +45,27 @@
 {
 }
 
-asio::awaitable<ExchangeResult> UpstreamExchange::connect(const UpstreamRequest &request, bool freshConnection)
+asio::awaitable<ExchangeResult> UpstreamExchange::connectFor(const UpstreamRequest &request, bool freshConnection)
 {
-    m_target.connection.headOnly = request.method() == http::verb::head;
+    if (m_state->connection) {
+        co_return ExchangeResult::Ok;
+    }
+    auto connected = connect(request.method() == http::verb::head, freshConnection);
+    co_return co_await std::move(connected);
+}
+
+asio::awaitable<ExchangeResult> UpstreamExchange::connect(bool headOnly, bool freshConnection)
+{
+    m_state->close();
+    m_state->connection.reset();
+    m_state->timedOut = false;
+    m_earlierRequests = 0;
+    m_target.connection.headOnly = headOnly;
     if (!freshConnection) {
         m_state->connection = m_pool->takeIdle(m_target.connection, m_target.request);
     }
-    if (m_state->connection) {
+    m_kept = m_state->connection != nullptr;
+    if (m_kept) {
         m_earlierRequests = m_state->connection->requests.size();
         m_state->connection->carry(m_target.request);
         co_return ExchangeResult::Ok;
@@ -62,9 +83,47 @@
     co_return result == ExchangeResult::TimedOut ? ExchangeResult::ConnectFailed : result;
 }
 
+asio::awaitable<ExchangeResult> UpstreamExchange::identify(const ProcessQuestion &question, Milliseconds limit)
+{
+    if (m_state->connection->process) {
+        co_return ExchangeResult::Ok;
+    }
+    const auto silence = std::exchange(m_times.silence, limit);
+    const auto result = co_await readIdentity(question);
+    m_times.silence = silence;
+    co_return result;
+}
+
+asio::awaitable<ExchangeResult> UpstreamExchange::readIdentity(const ProcessQuestion &question)
+{
+    UpstreamRequest request(http::verb::get, question.target, 11);
+    request.set(http::field::host, m_target.connection.endpoint.address().to_string());
+    startTimer(m_times.silence);
+    boost::system::error_code ec;
+    co_await http::async_write(m_state->connection->socket, request, asio::redirect_error(asio::use_awaitable, ec));
+    auto result = resultOf(ec, ExchangeResult::Broken);
+    if (result == ExchangeResult::Ok) {
+        result = co_await readHeader();
+    }
+    std::string body;
+    while (result == ExchangeResult::Ok && !ended()) {
+        result = co_await readSome(body);
+        result = body.size() > identityLimit ? ExchangeResult::Malformed : result;
+    }
+    if (result != ExchangeResult::Ok) {
+        co_return result;
+    }
+    const auto status = m_parser->get().result_int();
+    if (isTransient(status) || !complete() || !m_parser->keep_alive()) {
+        co_return ExchangeResult::Broken;
+    }
+    m_state->connection->process = ProcessIdentity{status == 200 ? question.readIncarnation(body) : std::nullopt};
+    co_return ExchangeResult::Ok;
+}
+
 asio::awaitable<ExchangeResult> UpstreamExchange::send(const UpstreamRequest &request, bool freshConnection)
 {
-    const auto connected = co_await connect(request, freshConnection);
+    const auto connected = co_await connectFor(request, freshConnection);
     if (connected != ExchangeResult::Ok) {
         co_return connected;
     }
@@ -83,7 +142,7 @@
     if (request.body().size() <= smallRequestBytes) {
         co_return co_await send(request, false);
     }
-    const auto connected = co_await connect(request, false);
+    const auto connected = co_await connectFor(request, false);
     if (connected != ExchangeResult::Ok) {
         co_return connected;
     }
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstream_exchange.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <guavafield/transport/http/connection_pool.hpp>
+#include <guavafield/transport/http/process_question.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -62,14 +63,29 @@
 public:
     UpstreamExchange(ConnectionPool &pool, const boost::asio::any_io_executor &strand, ExchangeTarget target, ExchangeTimes times);
 
+    /*! @brief Connects; the request is then sent on this connection. Any earlier connection of the exchange is closed. */
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> connect(bool headOnly, bool freshConnection);
+    /*! @brief Asks the process at the other end which one it is, unless the connection knows; see process(). */
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> identify(const ProcessQuestion &question, Milliseconds limit);
+    /*! @brief Returns what the process at the other end said; valid after identify() succeeded. */
+    [[nodiscard]] const ProcessIdentity &process() const
+    {
+        return *m_state->connection->process;
+    }
+    /*! @brief Returns whether the connection's process has been asked, so that a copy of that answer may arrive. */
+    [[nodiscard]] bool asked() const noexcept
+    {
+        return m_state->connection && m_state->connection->process;
+    }
+
     /*!
-     * @brief Connects and sends the request.
+     * @brief Connects, unless connect() has, and sends the request.
      * @param request Has its payload prepared.
      * @param freshConnection Takes no idle connection, since the upstream may just be closing it.
      */
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> send(const UpstreamRequest &request, bool freshConnection);
     /*!
-     * @brief Connects and begins to send; a request that is not small goes on while the answer is read, which may come before its end.
+     * @brief Connects, unless connect() has, and begins to send; a request that is not small goes on while the answer is read, which may come before its end.
      * @param owner Keeps the request and the exchange alive.
      */
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> sendConcurrently(const UpstreamRequest &request, std::shared_ptr<void> owner);
@@ -111,6 +127,11 @@
     {
         return m_sent;
     }
+    /*! @brief Returns whether the connection is an earlier one, be it that it has carried no request. */
+    [[nodiscard]] bool kept() const noexcept
+    {
+        return m_kept;
+    }
     /*! @brief Returns the number of requests that the connection has carried before. */
     [[nodiscard]] std::size_t earlierRequests() const noexcept
     {
@@ -138,7 +159,8 @@
         void interrupt();
     };
 
-    [[nodiscard]] boost::asio::awaitable<ExchangeResult> connect(const UpstreamRequest &request, bool freshConnection);
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> connectFor(const UpstreamRequest &request, bool freshConnection);
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> readIdentity(const ProcessQuestion &question);
     // Closes the connection when the time is over.
     void startTimer(Milliseconds time);
     // Ends the operation under way when the time is over.
@@ -153,6 +175,7 @@
     std::array<char, std::size_t{16} * 1024> m_piece;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
     std::size_t m_earlierRequests{0};
+    bool m_kept{false};
     std::optional<Milliseconds> m_keepAlive;
     bool m_aborted{false};
     bool m_sent{false};
--- a/test/coordination/request/stream_version_test.cpp
+++ b/test/coordination/request/stream_version_test.cpp
@@ -278,6 +278,10 @@
     CPPUNIT_TEST(streamOfAnUncertainWriterGoesOnNowhere);
     CPPUNIT_TEST(staleEntryDoesNotAppendAnotherVersion);
     CPPUNIT_TEST(eventsOfAnAttemptThatWasMovedAreNotPassedOn);
+    CPPUNIT_TEST(streamDoesNotBeginAtAProcessWithoutAnEntry);
+    CPPUNIT_TEST(begunStreamWaitsForTheEntryOfANewProcess);
+    CPPUNIT_TEST(streamOfAProcessWithoutAnEntryGoesOnNowhere);
+    CPPUNIT_TEST(streamOfANamedProcessGoesOnThoughAnotherHasFollowedIt);
     CPPUNIT_TEST(begunStreamWaitsForAPausedUpstreamOfItsVersion);
     CPPUNIT_TEST(takenUpStreamIsNotRefusedWhileItsVersionIsPaused);
     CPPUNIT_TEST(streamOfAVersionThatIsGoneDoesNotWait);
@@ -372,6 +376,69 @@
         CPPUNIT_ASSERT(host.scheduler.onFirstToken(second->request, second->upstream, host.now));
     }
 
+    // Guards against a stream whose beginning nobody can tell the version of.
+    void streamDoesNotBeginAtAProcessWithoutAnEntry()
+    {
+        VersionedHost host({oldVersion, oldVersion, oldVersion});
+        host.scheduler.onProcessReplaced("u1", 1);
+        for (std::uint64_t prefix = 0; prefix < 30; ++prefix) {
+            const auto dispatch = host.send(host.request(prefix));
+            CPPUNIT_ASSERT(dispatch && dispatch->upstream != "u1" && !dispatch->anyProcess);
+            host.complete(*dispatch, Milliseconds{50});
+        }
+        auto repeatable = host.request(1);
+        repeatable.resumable = false;
+        host.configuration.upstreams.erase("u0");
+        host.configuration.upstreams.erase("u2");
+        host.apply();
+        CPPUNIT_ASSERT_EQUAL(UpstreamId("u1"), host.send(repeatable)->upstream);
+    }
+
+    // Guards against a join at an address that a new process has taken, and against a refusal though its entry comes in time.
+    void begunStreamWaitsForTheEntryOfANewProcess()
+    {
+        VersionedHost host({oldVersion, newVersion, oldVersion});
+        const auto first = host.sendTo(oldVersion);
+        host.begin(first);
+        const UpstreamId other = first.upstream == "u0" ? "u2" : "u0";
+        (void)host.breakOff(first);
+        const auto second = host.step();
+        CPPUNIT_ASSERT_EQUAL(other, second->upstream);
+        host.scheduler.onProcessReplaced(other, second->incarnation);
+        AttemptFailed failure{ResultCode::UpstreamUnreachable, RetryReason::UpstreamReplaced};
+        failure.notExecuted = true;
+        failure.answerStarted = true;
+        CPPUNIT_ASSERT(std::holds_alternative<RetryQueued>(host.scheduler.onAttemptEnded(second->request, other, failure, host.now)));
+        host.now += Milliseconds{1'000};
+        CPPUNIT_ASSERT(!host.step() && !host.refused);
+        host.replaceProcess(other, oldVersion);
+        CPPUNIT_ASSERT_EQUAL(other, host.step()->upstream);
+    }
+
+    // Guards against a version that is guessed where a stream had to begin at a process that no entry names.
+    void streamOfAProcessWithoutAnEntryGoesOnNowhere()
+    {
+        VersionedHost host({oldVersion, oldVersion});
+        host.scheduler.onProcessReplaced("u0", 1);
+        host.scheduler.onProcessReplaced("u1", 1);
+        const auto first = host.send(host.request(1));
+        CPPUNIT_ASSERT(first && first->anyProcess);
+        host.begin(*first);
+        CPPUNIT_ASSERT(std::holds_alternative<Refused>(host.breakOff(*first)));
+    }
+
+    // Guards against a stream that ends though the process that wrote it is known.
+    void streamOfANamedProcessGoesOnThoughAnotherHasFollowedIt()
+    {
+        VersionedHost host({oldVersion, newVersion, newVersion, oldVersion});
+        const auto first = host.sendTo(oldVersion);
+        host.scheduler.onProcessIdentified(first.request, first.upstream);
+        host.replaceProcess(first.upstream, newVersion);
+        host.begin(first);
+        (void)host.breakOff(first);
+        CPPUNIT_ASSERT_EQUAL(oldVersion, host.step()->softwareVersion);
+    }
+
     // Guards against a stream that is broken off though its version takes requests again in time.
     void begunStreamWaitsForAPausedUpstreamOfItsVersion()
     {
--- a/test/coordination/streams/origin_book_test.cpp
+++ b/test/coordination/streams/origin_book_test.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST(bookDoesNotGrowBeyondItsCapacity);
     CPPUNIT_TEST(streamOfAnUpstreamReplacedAtItsDispatchIsNeitherFoundNorWritten);
     CPPUNIT_TEST(streamThatBeganLongBeforeItsUpstreamWasReplacedIsFound);
+    CPPUNIT_TEST(streamOfANamedProcessIsFoundWhateverEntryFollows);
+    CPPUNIT_TEST(streamOfAProcessWithoutAnEntryIsUncertain);
     CPPUNIT_TEST(upstreamRestartedWithItsVersionKeepsItsStreams);
     CPPUNIT_TEST(failedWriteIsRepeatedAndADoneOneIsNot);
     CPPUNIT_TEST(storeThatCameBackOlderIsWrittenAgain);
@@ -105,6 +107,27 @@
         CPPUNIT_ASSERT(book.find(streamHash("a"), start));
     }
 
+    void streamOfANamedProcessIsFoundWhateverEntryFollows()
+    {
+        OriginBook book(capacity);
+        auto stream = streamOf("a", "1");
+        stream.identified = true;
+        book.add(stream, start);
+        book.onConfiguration(configurationWith(2, "2"), start - std::chrono::seconds{1});
+        CPPUNIT_ASSERT(book.find(streamHash("a"), start));
+    }
+
+    void streamOfAProcessWithoutAnEntryIsUncertain()
+    {
+        OriginBook book(capacity);
+        auto stream = streamOf("a", "1");
+        stream.certain = false;
+        book.add(stream, start);
+        CPPUNIT_ASSERT(!book.find(streamHash("a"), start));
+        CPPUNIT_ASSERT(book.isUncertain(streamHash("a")));
+        CPPUNIT_ASSERT(book.takeUnsaved(everyStream, capacity, start).empty());
+    }
+
     void upstreamRestartedWithItsVersionKeepsItsStreams()
     {
         OriginBook book(capacity);
--- a/test/platform/directory_codec_test.cpp
+++ b/test/platform/directory_codec_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(serverEntryNamesTheVersionOfItsSoftware);
     CPPUNIT_TEST(rejectsInvalidServerEntries);
     CPPUNIT_TEST(survivesCorruptedInput);
+    CPPUNIT_TEST(reportNamesTheStartOfItsProcess);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -156,6 +157,15 @@
         }
     }
 
+    // Guards against a report that is taken for another process's because of what it leaves out or writes otherwise.
+    void reportNamesTheStartOfItsProcess()
+    {
+        CPPUNIT_ASSERT_EQUAL(Incarnation{1'700'000'000'123}, platform::readStartTime(R"({"waiting":1,"born":1700000000123})").value_or(0));
+        for (const auto *it : {"", "{", "[]", "7", "{}", R"({"born":null})", R"({"born":"7"})", R"({"born":-1})", R"({"born":0})", R"({"born":1e300})"}) {
+            CPPUNIT_ASSERT_MESSAGE(it, !platform::readStartTime(it));
+        }
+    }
+
 private:
     DirectoryCodec m_codec{platform::directoryCodec(KeyHasher("secret"))};
 };
--- a/test/system/machines.py
+++ b/test/system/machines.py
@@ -56,14 +56,16 @@
 
 
 class HttpService:
-    """An HTTP server on an ephemeral port; subclasses implement handle()."""
+    """An HTTP server on an ephemeral port, or on one that a former server has had; subclasses implement handle()."""
 
-    def __init__(self):
-        self.server = QuietHttpServer(("127.0.0.1", 0), RequestHandler)
+    STOP_POLL_S = 0.02
+
+    def __init__(self, port=0):
+        self.server = QuietHttpServer(("127.0.0.1", port), RequestHandler)
         self.server.daemon_threads = True
         self.server.service = self
         self.port = self.server.server_address[1]
-        self.thread = threading.Thread(target=self.server.serve_forever, daemon=True)
+        self.thread = threading.Thread(target=self.server.serve_forever, args=(self.STOP_POLL_S,), daemon=True)
         self.thread.start()
 
     def stop(self):
--- a/test/system/streams.py
+++ b/test/system/streams.py
@@ -33,7 +33,7 @@
 class StreamServer(HttpService):
     """A server of one software version whose events name that version; it serves until it crashes."""
 
-    def __init__(self, name, version):
+    def __init__(self, name, version, port=0):
         self.name = name
         # None if the server's entry names no version.
         self.version = version
@@ -44,7 +44,7 @@
         self.running_ids = set()
         # Requests that ran when the server crashed.
         self.cut_ids = set()
-        super().__init__()
+        super().__init__(port)
 
     def entry(self, service="s", zone="a"):
         fields = {"service": service, "address": f"127.0.0.1:{self.port}", "zone": zone, "slots": SERVER_SLOTS, "state": "ready", "coldLeftMs": 0,
@@ -79,6 +79,9 @@
                 handler.close_connection = True
                 return
             self.connections.add(handler.connection)
+        if handler.path == "/report":
+            handler.respond(200, {"stage": "both", "models": [], "busy": False, "seqNo": 1, "waiting": 0, "running": len(self.running_ids), "born": self.born_ms})
+            return
         if handler.headers["X-Guavafield-Expect-Instance"] != self.name:
             handler.respond(421, headers=[("X-Guavafield-Instance-Id", self.name), ("X-Guavafield-Not-Executed", "1")])
             return
@@ -285,6 +288,14 @@
             it.stop()
         self.crashed_servers += crashed
 
+    def replace_in_place(self, names, version, entry_delay_s):
+        """Replaces the processes of servers by those of another version at the same addresses; their entries follow later."""
+        ports = {name: self.servers[name].port for name in names}
+        self.crash_servers(names)
+        for name, port in ports.items():
+            server = self.servers[name] = StreamServer(name, version, port)
+            threading.Timer(entry_delay_s, self.store.write, ("servers", name, server.entry())).start()
+
     def remove_entries(self, names):
         """Removes the entries of servers, which serve on."""
         for name in names:
--- a/test/system/streams_test.py
+++ b/test/system/streams_test.py
@@ -83,6 +83,28 @@
         assert_half_went_on(outcome)
 
 
+def test_streams_do_not_go_on_at_a_process_whose_entry_is_still_that_of_its_predecessor():
+    with StreamsFixture(SEED + 7) as fixture:
+        start_streams(fixture, ("v1",), 6, clients=120, events=4)
+        fixture.replace_in_place(fixture.servers_of("v1", 3), "v2", entry_delay_s=4.0)
+        restart_all_hosts(fixture)
+        outcome = fixture.finish()
+        assert_none_joined(outcome)
+        assert_half_went_on(outcome)
+
+
+def test_streams_begun_at_a_process_whose_entry_is_still_that_of_its_predecessor_do_not_go_on_at_the_old_version():
+    with StreamsFixture(SEED + 8) as fixture:
+        start_streams(fixture, ("v1",), 6, clients=0, events=0)
+        replaced = fixture.servers_of("v1", 3)
+        fixture.replace_in_place(replaced, "v2", entry_delay_s=6.0)
+        restart_all_hosts(fixture)
+        fixture.start_clients(120)
+        fixture.wait_for_events(4)
+        fixture.crash_servers(replaced[:2] + fixture.servers_of("v1", 1))
+        assert_none_joined(fixture.finish())
+
+
 def test_kill_of_one_host_ends_few_streams_and_joins_no_versions():
     with StreamsFixture(SEED + 4) as fixture:
         # More than a second passes between the first of these events and the last.
--- a/test/transport/http/fake_upstream.cpp
+++ b/test/transport/http/fake_upstream.cpp
@@ -174,6 +174,33 @@
     m_incarnation.store(incarnation);
 }
 
+void FakeUpstream::nameIncarnation(unsigned incarnation, unsigned copies)
+{
+    m_reportCopies.store(copies);
+    m_namedIncarnation.store(incarnation);
+}
+
+void FakeUpstream::closeOnReport()
+{
+    m_closesOnReport.store(true);
+}
+
+void FakeUpstream::report(FakeCall &call)
+{
+    if (m_closesOnReport.load()) {
+        call.drop();
+        return;
+    }
+    const auto incarnation = m_namedIncarnation.load();
+    if (incarnation == 0) {
+        call.reply(404, "{}");
+        return;
+    }
+    for (unsigned n = 0; n < m_reportCopies.load(); ++n) {
+        call.reply(200, R"({"running":0,"born":)" + std::to_string(incarnation) + "}");
+    }
+}
+
 void FakeUpstream::crash()
 {
     if (m_stopping.exchange(true)) {
@@ -251,6 +278,10 @@
         call.reply(200, R"({"events":[],"next":0})");
         return;
     }
+    if (call.path() == "/report") {
+        report(call);
+        return;
+    }
     {
         const std::scoped_lock lock(m_mutex);
         ++m_calls;
--- a/test/transport/http/fake_upstream.hpp
+++ b/test/transport/http/fake_upstream.hpp
@@ -101,6 +101,10 @@
     void crash();
     /*! @brief Sets the incarnation in load reports. */
     void setIncarnation(unsigned incarnation);
+    /*! @brief Answers /report with this incarnation from now on, so many times each; before, such requests are answered 404. */
+    void nameIncarnation(unsigned incarnation, unsigned copies = 1);
+    /*! @brief Closes the connections of such requests from now on. */
+    void closeOnReport();
 
 private:
     using Socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
@@ -108,6 +112,7 @@
     void accept();
     void serve(const Socket &socket);
     void handle(FakeCall &call);
+    void report(FakeCall &call);
 
     Handler m_handler;
     boost::asio::io_context m_io;
@@ -115,6 +120,10 @@
     std::uint16_t m_port;
     std::atomic<bool> m_stopping{false};
     std::atomic<unsigned> m_incarnation{1};
+    // 0 if it names none.
+    std::atomic<unsigned> m_namedIncarnation{0};
+    std::atomic<unsigned> m_reportCopies{1};
+    std::atomic<bool> m_closesOnReport{false};
     mutable std::mutex m_mutex;
     // Guarded by m_mutex.
     std::string m_received;
