Take a version for the only one by a table that is read after the take-up

What callers saw: at a host that was out of step for a moment (cut off, standing still, or fed by delayed reports of its peers), a stream that had begun at a version which had just joined was taken up and sent on to the old one (ORDER).

Cause: a host answered by the version that its table of upstreams knew alone as long as that table counted as at most 2 s old. That age is reckoned by clocks: a report that was on its way for long, or lay in the buffer of a host that stood still, makes the table newer than it is, and 2 s suffice for a version to join and begin a stream at another host.

Change: the version counts as the only one by a table that is read from the platform after the take-up has arrived. What began the stream was in the table by then. Take-ups share the reads, four a second a host at the most and fewer in a large fleet, as the reads of origins already did; both are SharedRead now. While the platform's store is away the take-up is refused as not run.

--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -169,7 +169,8 @@
                                           [this] { return m_dependencies.configuration.load(); },
                                           [this] { return fleetTime(); },
                                           [this] { return m_addressBook.countResponsive(m_dependencies.clock.now()) + 1; },
-                                          [this] { return m_directory->reads(); }};
+                                          [this] { return m_directory->reads(); },
+                                          [this] { return m_directory->readUpstreams(); }};
     const auto &settings = m_dependencies.settings;
     const auto completeSince = settings.platform.firstStart != 0 ? std::optional(WallTime{}) : std::nullopt;
     return std::make_shared<StreamOriginService>(std::move(dependencies), settings.host.id, m_dependencies.incarnation, completeSince);
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -175,6 +175,22 @@
     }
 }
 
+asio::awaitable<bool> DirectoryService::readUpstreams()
+{
+    const auto self = shared_from_this();
+    constexpr auto table = DirectoryTable::Upstreams;
+    if (!mirror(table).hasBeenRead()) {
+        co_return false;
+    }
+    auto call = m_dependencies.feed.follow(m_dependencies.tables[static_cast<std::size_t>(table)], mirror(table).complete(), Milliseconds{0});
+    auto reply = co_await std::move(call);
+    const bool read = std::holds_alternative<TablePage>(reply);
+    if (read) {
+        take(table, std::move(reply), m_dependencies.clock.now() - internal::answerDelay, false);
+    }
+    co_return read;
+}
+
 void DirectoryService::noteSource(DirectoryTable table, bool available, const std::string &cause)
 {
     auto &before = m_available[static_cast<std::size_t>(table)];
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -69,6 +69,8 @@
     {
         return mirror(table).hasBeenRead();
     }
+    /*! @brief Reads what is new of the upstreams from the platform and puts it in force; false if that failed. */
+    [[nodiscard]] boost::asio::awaitable<bool> readUpstreams();
     /*! @brief Writes for a peer what it lacks. */
     [[nodiscard]] std::string format(DirectoryTable table, RowVersion after);
     /*! @brief Returns reports with the latest changes of the upstreams, for the peers to apply in this order; empty if others read for them. */
--- a/src/guavafield/transport/fleet/stream_origin_service.cpp
+++ b/src/guavafield/transport/fleet/stream_origin_service.cpp
@@ -46,7 +46,6 @@
 constexpr Milliseconds longestLookup{1'500};
 constexpr int lookupPart = 3;
 constexpr int readsPerLookup = 3;
-constexpr Milliseconds readPoll{10};
 constexpr int maxFollowedPages = 50;
 // A page of changes with fewer rows is the last one.
 constexpr std::size_t fullPage = 500;
@@ -55,20 +54,6 @@
 constexpr Milliseconds removalInterval{10'000};
 constexpr std::size_t maxRemovals = 40;
 
-// Sets a flag back at the end of a scope.
-struct FlagReset
-{
-    explicit FlagReset(bool &it) : flag(&it) { }
-    FlagReset(const FlagReset &) = delete;
-    FlagReset &operator=(const FlagReset &) = delete;
-    ~FlagReset()
-    {
-        *flag = false;
-    }
-
-    bool *flag;
-};
-
 std::string orDash(const std::string &text)
 {
     return text.empty() ? "-" : text;
@@ -87,6 +72,17 @@
 
 void StreamOriginService::start()
 {
+    const auto interval = [self = weak_from_this()] {
+        const auto service = self.lock();
+        return service ? service->callInterval() : internal::leastCallInterval;
+    };
+    const auto origins = [self = weak_from_this()]() -> asio::awaitable<bool> {
+        const auto service = self.lock();
+        co_return service &&co_await service->readOrigins();
+    };
+    // What a host in touch had not written at one read, it has at the next.
+    m_originReads = std::make_shared<SharedRead>(SharedReadDependencies{m_dependencies.strand, m_dependencies.clock, interval, origins});
+    m_upstreamReads = std::make_shared<SharedRead>(SharedReadDependencies{m_dependencies.strand, m_dependencies.clock, interval, m_dependencies.readUpstreams});
     spawnLoop(m_dependencies.strand, [self = shared_from_this()] { return self->run(); });
 }
 
@@ -335,19 +331,25 @@
     const auto deadline = started + std::min(longest, takeUp.timeLeft / internal::lookupPart);
     observe();
     std::string_view source;
-    auto origin = findKnown(takeUp, source);
+    auto origin = findRecorded(takeUp, source);
+    if (!origin) {
+        origin = co_await findSole(takeUp, source, deadline);
+    }
     int reads = 0;
     while (!origin && !takeUp.resumes.empty() && reads < internal::readsPerLookup && m_dependencies.clock.now() < deadline) {
-        const bool complete = co_await awaitRead(deadline);
+        const bool complete = co_await m_originReads->next(deadline);
         reads += complete ? 1 : 0;
         observe();
-        origin = findKnown(takeUp, source);
+        origin = findRecorded(takeUp, source);
+        if (!origin) {
+            origin = co_await findSole(takeUp, source, deadline);
+        }
     }
     const auto took = std::chrono::duration_cast<Milliseconds>(m_dependencies.clock.now() - started);
     std::string text = origin ? "origin of a stream found, source=" + std::string(source) : std::string("origin of a stream not known,");
     text += " resumes=" + internal::orDash(takeUp.resumes) + " pool=" + (origin ? origin->pool : takeUp.pool);
     text += " version=" + (origin ? internal::orDash(origin->version) : std::string("-"));
-    text += " reads=" + std::to_string(reads) + " last_read_complete=" + (m_lastCompleteRead == m_readsEnded && m_readsEnded > 0 ? "yes" : "no");
+    text += " reads=" + std::to_string(reads) + " last_read_complete=" + (m_originReads->lastComplete() ? "yes" : "no");
     text += " upstreams_fresh=" + std::string(isFresh() ? "yes" : "no") + " versions_known=" + (m_history.areRowsKnown() ? "yes" : "no");
     text += " took_ms=" + std::to_string(took.count());
     logEvent(LogLevel::Info, "streams:", takeUp.attempt, text);
@@ -358,28 +360,40 @@
     co_return origin;
 }
 
-std::optional<StreamOrigin> StreamOriginService::findKnown(const StreamTakeUp &takeUp, std::string_view &source) const
+bool StreamOriginService::isUncertain(const StreamTakeUp &takeUp) const
 {
-    if (!takeUp.resumes.empty()) {
-        source = "book";
-        if (auto origin = m_book.find(streamHash(takeUp.resumes), m_dependencies.clock.now())) {
-            return origin;
-        }
-        if (m_book.isUncertain(streamHash(takeUp.resumes))) {
-            // What this host has written of it is no more certain.
-            return std::nullopt;
-        }
-        source = "store";
-        if (auto origin = m_index.find(streamHash(takeUp.resumes))) {
-            return origin;
-        }
+    return !takeUp.resumes.empty() && m_book.isUncertain(streamHash(takeUp.resumes));
+}
+
+std::optional<StreamOrigin> StreamOriginService::findRecorded(const StreamTakeUp &takeUp, std::string_view &source) const
+{
+    // What this host has written of an uncertain stream is no more certain.
+    if (takeUp.resumes.empty() || isUncertain(takeUp)) {
+        return std::nullopt;
     }
-    source = "sole version";
-    const bool mayBeSole = isFresh() && !takeUp.split;
-    if (auto version = mayBeSole ? m_history.sole(takeUp.pool, m_dependencies.wallTime()) : std::nullopt) {
-        return StreamOrigin{takeUp.pool, std::move(*version)};
+    const auto stream = streamHash(takeUp.resumes);
+    source = "book";
+    if (auto origin = m_book.find(stream, m_dependencies.clock.now())) {
+        return origin;
+    }
+    source = "store";
+    return m_index.find(stream);
+}
+
+asio::awaitable<std::optional<StreamOrigin>> StreamOriginService::findSole(const StreamTakeUp &takeUp, std::string_view &source, SteadyTime deadline)
+{
+    if (takeUp.split || isUncertain(takeUp) || !m_history.sole(takeUp.pool, m_dependencies.wallTime())) {
+        co_return std::nullopt;
+    }
+    // The version that began the stream was in the table by then. This host's table may lack it, however new it seems.
+    const bool read = co_await m_upstreamReads->next(deadline);
+    observe();
+    auto version = read && isFresh() ? m_history.sole(takeUp.pool, m_dependencies.wallTime()) : std::nullopt;
+    if (!version) {
+        co_return std::nullopt;
     }
-    return std::nullopt;
+    source = "sole version";
+    co_return StreamOrigin{takeUp.pool, std::move(*version)};
 }
 
 void StreamOriginService::remember(const StreamTakeUp &takeUp, const StreamOrigin &origin)
@@ -396,35 +410,13 @@
     m_book.add(std::move(stream), now);
 }
 
-asio::awaitable<bool> StreamOriginService::awaitRead(SteadyTime deadline)
+asio::awaitable<bool> StreamOriginService::readOrigins()
 {
-    const auto wanted = m_readsBegun + 1;
-    while (m_readsEnded < wanted && m_dependencies.clock.now() < deadline) {
-        if (!m_reading && m_dependencies.clock.now() >= m_nextRead) {
-            m_reading = true;
-            asio::co_spawn(
-                m_dependencies.strand, [self = shared_from_this()] { return self->readOrigins(); }, asio::detached);
-        }
-        co_await sleepFor(internal::readPoll);
-    }
-    co_return m_lastCompleteRead >= wanted;
-}
-
-asio::awaitable<void> StreamOriginService::readOrigins()
-{
-    const auto number = ++m_readsBegun;
-    // What a host in touch had not written at one read, it has at the next.
-    m_nextRead = m_dependencies.clock.now() + callInterval();
-    bool complete = false;
-    {
-        const internal::FlagReset reset(m_reading);
-        complete = co_await readPages();
-    }
-    m_readsEnded = number;
+    const bool complete = co_await readPages();
     if (complete) {
-        m_lastCompleteRead = number;
         co_await removeEnded();
     }
+    co_return complete;
 }
 
 asio::awaitable<bool> StreamOriginService::readPages()
--- a/src/guavafield/transport/fleet/stream_origin_service.hpp
+++ b/src/guavafield/transport/fleet/stream_origin_service.hpp
@@ -6,6 +6,7 @@
 #include <guavafield/coordination/streams/version_history.hpp>
 #include <guavafield/state/clock.hpp>
 #include <guavafield/state/counters.hpp>
+#include <guavafield/transport/fleet/shared_read.hpp>
 #include <guavafield/transport/http/path_hooks.hpp>
 #include <guavafield/transport/platform/table_access.hpp>
 
@@ -36,6 +37,8 @@
     std::function<std::size_t()> hosts;
     // Whether this host writes news of versions at once; the others only write what it left out.
     std::function<bool()> writesFirst;
+    // Reads the upstreams from the table service and puts them in force; returns whether that succeeded.
+    std::function<boost::asio::awaitable<bool>()> readUpstreams;
 };
 
 /*!
@@ -95,11 +98,14 @@
 
     void onBegan(StreamBeginning beginning);
     [[nodiscard]] boost::asio::awaitable<std::optional<StreamOrigin>> find(StreamTakeUp takeUp);
-    [[nodiscard]] std::optional<StreamOrigin> findKnown(const StreamTakeUp &takeUp, std::string_view &source) const;
+    // Whether the stream began here, but not for certain at which version.
+    [[nodiscard]] bool isUncertain(const StreamTakeUp &takeUp) const;
+    // Finds the origin in the memory of this host or in the rows that it has read.
+    [[nodiscard]] std::optional<StreamOrigin> findRecorded(const StreamTakeUp &takeUp, std::string_view &source) const;
+    // Finds the version that began all streams, if there is one alone by a table that is read from now on.
+    [[nodiscard]] boost::asio::awaitable<std::optional<StreamOrigin>> findSole(const StreamTakeUp &takeUp, std::string_view &source, SteadyTime deadline);
     void remember(const StreamTakeUp &takeUp, const StreamOrigin &origin);
-    // Waits for a read that begins from now on; false if it failed or took too long.
-    [[nodiscard]] boost::asio::awaitable<bool> awaitRead(SteadyTime deadline);
-    [[nodiscard]] Awaitable readOrigins();
+    [[nodiscard]] boost::asio::awaitable<bool> readOrigins();
     [[nodiscard]] boost::asio::awaitable<bool> readPages();
     void takeOrigins(const TablePage &page);
     [[nodiscard]] Awaitable removeEnded();
@@ -132,11 +138,9 @@
     // Up to which the index holds the table of origins; empty before the first read.
     std::optional<RowVersion> m_indexVersion;
     std::map<std::string, StoredRow> m_storedRows;
-    bool m_reading{false};
-    std::uint64_t m_readsBegun{0};
-    std::uint64_t m_readsEnded{0};
-    std::uint64_t m_lastCompleteRead{0};
-    SteadyTime m_nextRead{};
+    // Both set by start().
+    std::shared_ptr<SharedRead> m_originReads;
+    std::shared_ptr<SharedRead> m_upstreamReads;
     SteadyTime m_nextRemoval{};
 };
 
--- a/test/transport/fleet/stream_origin_service_test.cpp
+++ b/test/transport/fleet/stream_origin_service_test.cpp
@@ -137,6 +137,9 @@
     CPPUNIT_TEST(liveHostThatHasNotWrittenYetIsAskedAgain);
     CPPUNIT_TEST(storeThatIsAwayMakesNothingKnown);
     CPPUNIT_TEST(hostWithoutContactDoesNotTakeItsOldVersionForTheOnlyOne);
+    CPPUNIT_TEST(versionThatJoinedUnseenIsNotTakenForTheOnlyOne);
+    CPPUNIT_TEST(soleVersionIsNotTrustedWhileTheStoreIsAway);
+    CPPUNIT_TEST(manyTakeUpsShareTheReadsOfTheUpstreams);
     CPPUNIT_TEST(routeToSeveralPoolsNeedsARecord);
     CPPUNIT_TEST(takeUpWithoutAnAttemptGoesOnOnlyAtASoleVersion);
     CPPUNIT_TEST(nothingIsWrittenForStreamsOfTheOnlyVersion);
@@ -153,6 +156,8 @@
         m_hosts.clear();
         m_clock.advance(seconds{1'000});
         m_configuration = configurationOf({"1"});
+        m_newest.reset();
+        m_upstreamReads = 0;
     }
 
     void tearDown() override
@@ -284,6 +289,35 @@
         expectOrigin("d", "1");
     }
 
+    // Guards against a host out of step whose table counts as new though a peer's report had been on its way for long.
+    void versionThatJoinedUnseenIsNotTakenForTheOnlyOne()
+    {
+        settle();
+        m_newest = configurationOf({"1", "2"});
+        expectUnknown("a");
+    }
+
+    void soleVersionIsNotTrustedWhileTheStoreIsAway()
+    {
+        settle();
+        m_store.isAway = true;
+        expectUnknown("a");
+        m_store.isAway = false;
+        expectOrigin("b", "1");
+    }
+
+    void manyTakeUpsShareTheReadsOfTheUpstreams()
+    {
+        settle();
+        m_upstreamReads = 0;
+        std::vector<std::shared_ptr<Lookup>> lookups;
+        for (int n = 0; n < 500; ++n) {
+            lookups.push_back(takeUp(std::to_string(n), 0));
+        }
+        CPPUNIT_ASSERT(runUntil([&] { return std::ranges::all_of(lookups, [](const auto &it) { return it->answered && it->origin; }); }));
+        CPPUNIT_ASSERT(m_upstreamReads <= 2);
+    }
+
     void routeToSeveralPoolsNeedsARecord()
     {
         settle();
@@ -391,7 +425,15 @@
                                               [this] { return m_configuration; },
                                               [this] { return m_clock.wallNow(); },
                                               [] { return std::size_t{2}; },
-                                              [] { return true; }};
+                                              [] { return true; },
+                                              [this]() -> asio::awaitable<bool> {
+                                                  ++m_upstreamReads;
+                                                  if (m_store.isAway) {
+                                                      co_return false;
+                                                  }
+                                                  m_configuration = m_newest ? m_newest : m_configuration;
+                                                  co_return true;
+                                              }};
         Host host;
         host.service = std::make_shared<StreamOriginService>(std::move(dependencies), id, Incarnation{1}, completeSince);
         host.hooks = host.service->hooks();
@@ -433,12 +475,12 @@
         CPPUNIT_ASSERT(runUntil([&] { return lookup->answered; }));
         return lookup->origin;
     }
-    // Without a read of the store.
+    // Without a read of the rows of streams and versions.
     bool takeUpNow(const std::string &resumes)
     {
-        const auto lookup = takeUp(resumes, 0);
-        m_io->poll();
-        return lookup->answered && lookup->origin;
+        const auto reads = m_store.reads;
+        const bool found = find(resumes).has_value();
+        return found && m_store.reads == reads;
     }
     void expectOrigin(const std::string &resumes, const SoftwareVersion &version)
     {
@@ -489,7 +531,11 @@
     ManualClock m_clock;
     Counters m_counters;
     Store m_store;
+    // In force at the hosts.
     std::shared_ptr<const Configuration> m_configuration;
+    // In the store; null if the hosts have it.
+    std::shared_ptr<const Configuration> m_newest;
+    int m_upstreamReads{0};
     std::vector<Host> m_hosts;
 };
 
