Break off a run whose own event numbers fall, and repeat no unnumbered event

What callers saw: nothing that a log would show.

Cause: one comparison with the caller's last event served for two questions, what a later run repeats and whether a run is in order in itself.

Change: EventSequence (coordination/streams) keeps both apart, counts the events without a number after the last numbered one, and is told where a run begins. A run out of order is broken off and the stream goes on elsewhere; the log names number, last event and attempt. Missing events stay a fault.

--- a/src/guavafield/coordination/streams/fwd.hpp
+++ b/src/guavafield/coordination/streams/fwd.hpp
@@ -3,6 +3,7 @@
 
 namespace guavafield {
 
+class EventSequence;
 class OriginBook;
 class OriginIndex;
 class VersionHistory;
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -58,7 +58,7 @@
     , m_plan(std::move(plan))
     , m_call(std::get<ForwardCall>(m_plan.grant.target))
     , m_deadline(m_plan.received + std::min(m_plan.grant.timeout, m_call.envelope.deadline.value_or(m_plan.grant.timeout)))
-    , m_lastEvent(m_call.envelope.lastEventId)
+    , m_events(m_call.envelope.lastEventId)
 {
 }
 
@@ -214,7 +214,7 @@
     if (!dispatch.fetchFrom.empty()) {
         instructions.fetchFrom = endpointText(configuration, dispatch.fetchFrom);
     }
-    instructions.resumeAfter = m_lastEvent;
+    instructions.resumeAfter = m_events.last();
     if (target.stream && target.repeat == Repeat::Resume && !dispatch.anyProcess && !m_context->hooks.forward->process.target.empty()) {
         plan.incarnation = dispatch.incarnation;
     }
@@ -255,7 +255,7 @@
     text += " version=" + (dispatch.softwareVersion.empty() ? std::string("-") : dispatch.softwareVersion);
     text += " incarnation=" + (dispatch.anyProcess ? std::string("any") : std::to_string(dispatch.incarnation));
     text += " resumes=" + (m_call.envelope.resumes.empty() ? std::string("-") : m_call.envelope.resumes);
-    text += " after_event=" + (m_lastEvent ? std::to_string(*m_lastEvent) : std::string("-"));
+    text += " after_event=" + (m_events.last() ? std::to_string(*m_events.last()) : std::string("-"));
     text += " configuration=" + std::to_string(m_plan.grant.configuration->revision);
     const auto age = m_context->upstreamsAge.since(std::chrono::steady_clock::now());
     text += " upstreams_version=" + std::to_string(configuration->upstreamsVersion);
@@ -263,6 +263,7 @@
     logEvent(LogLevel::Info, "http:", m_call.envelope.id, text);
     m_counted = false;
     m_firstTokenTold = false;
+    m_events.beginRun();
     m_attempt = std::make_shared<ForwardAttempt>(m_context, m_strand, m_mailbox, std::move(plan));
     m_attempt->start();
 }
@@ -281,8 +282,8 @@
     plan.firstByteTime = left + internal::answerGrace;
     plan.silenceTime = left + internal::answerGrace;
     RelayInstructions instructions{left, {}, {}};
-    if (m_lastEvent != m_call.envelope.lastEventId) {
-        instructions.resumeAfter = m_lastEvent;
+    if (m_events.last() != m_call.envelope.lastEventId) {
+        instructions.resumeAfter = m_events.last();
         instructions.resumes = m_call.envelope.resumes.empty() ? m_call.envelope.id : m_call.envelope.resumes;
     }
     plan.request.method_string(m_plan.method);
@@ -310,10 +311,11 @@
     ++m_nextAttempt;
     std::string text = "relayed, host=" + target.host + " address=" + formatAddress(target.callers) + " pool=" + m_call.pool;
     text += " attempt=" + std::to_string(plan.number) + " left_ms=" + std::to_string(timeLeft().count());
-    text += " after_event=" + (m_lastEvent ? std::to_string(*m_lastEvent) : std::string("-"));
+    text += " after_event=" + (m_events.last() ? std::to_string(*m_events.last()) : std::string("-"));
     text += " configuration=" + std::to_string(m_plan.grant.configuration->revision);
     text += " report_age_ms=" + std::to_string(target.reportAge.count());
     logEvent(LogLevel::Info, "http:", m_call.envelope.id, text);
+    m_events.beginRun();
     m_attempt = std::make_shared<ForwardAttempt>(m_context, m_strand, m_mailbox, std::move(plan));
     m_attempt->start();
 }
@@ -423,21 +425,30 @@
 bool ForwardRequest::takeEvents(const std::vector<std::string> &events, std::string &text, std::uint32_t &count)
 {
     for (const auto &it : events) {
-        const auto id = eventId(it);
-        if (id && m_lastEvent && *id <= *m_lastEvent) {
-            // A second run may repeat what the caller has.
-            continue;
-        }
-        if (id && m_lastEvent && *id != *m_lastEvent + 1) {
+        const auto number = eventId(it);
+        switch (m_events.take(number, hasData(it))) {
+        case EventVerdict::Pass:
+            text += it;
+            ++count;
+            break;
+        case EventVerdict::Repeated:
+            break;
+        case EventVerdict::OutOfOrder:
+            logOutOfOrder(number);
             return false;
         }
-        text += it;
-        ++count;
-        m_lastEvent = id ? id : m_lastEvent;
     }
     return true;
 }
 
+void ForwardRequest::logOutOfOrder(std::optional<std::uint64_t> number) const
+{
+    std::string text = "event out of order, upstream=" + m_lastUpstream + " number=" + (number ? std::to_string(*number) : std::string("-"));
+    text += " last=" + (m_events.last() ? std::to_string(*m_events.last()) : std::string("-"));
+    text += " attempt=" + std::to_string(m_attempt->number());
+    logEvent(LogLevel::Warning, "http:", m_call.envelope.id, text);
+}
+
 bool ForwardRequest::worthRetrying(unsigned status) const
 {
     return status >= 500 && m_call.target.repeat != Repeat::Never && timeLeft() > m_call.target.target / 2;
--- a/src/guavafield/transport/http/forward_request.hpp
+++ b/src/guavafield/transport/http/forward_request.hpp
@@ -1,6 +1,7 @@
 // A request that is passed on unchanged, from its admission to the end of its answer.
 #pragma once
 
+#include <guavafield/coordination/streams/event_sequence.hpp>
 #include <guavafield/transport/http/access.hpp>
 #include <guavafield/transport/http/caller_answer.hpp>
 #include <guavafield/transport/http/forward_attempt.hpp>
@@ -91,6 +92,7 @@
     [[nodiscard]] Awaitable sendWhole(AnswerCompleted &event);
     // Appends the events that the caller lacks; false if one is missing.
     [[nodiscard]] bool takeEvents(const std::vector<std::string> &events, std::string &text, std::uint32_t &count);
+    void logOutOfOrder(std::optional<std::uint64_t> number) const;
     // Whether another upstream may answer better than this status.
     [[nodiscard]] bool worthRetrying(unsigned status) const;
     void countStarted();
@@ -111,8 +113,8 @@
     // Header of the running attempt's answer.
     ServiceAnswer m_head;
     std::uint32_t m_nextAttempt{1};
-    // Last event that the caller has.
-    std::optional<std::uint64_t> m_lastEvent;
+    // Of all attempts.
+    EventSequence m_events;
     std::optional<SteadyTime> m_firstEventAt;
     // Valid once there was a first event.
     SteadyTime m_lastEventAt{};
--- a/test/transport/http/forward_test.cpp
+++ b/test/transport/http/forward_test.cpp
@@ -38,6 +38,8 @@
     CPPUNIT_TEST(brokenStreamThatMayNotResumeLooksBroken);
     CPPUNIT_TEST(halfAnEventIsNeverPassedOn);
     CPPUNIT_TEST(missingEventIsNotPassedOver);
+    CPPUNIT_TEST(twoRunsInOneAnswerAreNotJoined);
+    CPPUNIT_TEST(eventWithoutANumberDoesNotComeTwiceWhenAStreamGoesOn);
     CPPUNIT_TEST(earlyAnswerToALongBody);
     CPPUNIT_TEST(callersCloseCancels);
     CPPUNIT_TEST(runThatEndsWithAnErrorIsCounted);
@@ -263,6 +265,44 @@
         CPPUNIT_ASSERT(all.find("e1") != std::string::npos && all.find("e3") == std::string::npos);
     }
 
+    // Guards against a second run within an answer, whose lower numbers were taken for repetitions.
+    void twoRunsInOneAnswerAreNotJoined()
+    {
+        const auto answer = [](FakeCall &call) {
+            beginEvents(call);
+            if (call.request().count("Last-Event-Id") > 0) {
+                call.send(chunk(event(3)));
+            } else {
+                call.send(chunk(event(1) + event(2) + "id: 2\ndata: other\n\nid: 3\ndata: other\n\n"));
+            }
+            call.send("0\r\n\r\n");
+        };
+        FakeUpstream first(answer);
+        FakeUpstream second(answer);
+        auto fixture = makeForwardFixture({&first, &second});
+        fixture->start();
+        CPPUNIT_ASSERT_EQUAL(event(1) + event(2) + event(3), fixture->call(request("/resume/x"))->body());
+    }
+
+    void eventWithoutANumberDoesNotComeTwiceWhenAStreamGoesOn()
+    {
+        const std::string unnumbered = "data: note\n\n";
+        const auto answer = [&](FakeCall &call) {
+            beginEvents(call);
+            if (call.request().count("Last-Event-Id") > 0) {
+                call.send(chunk(unnumbered + event(2)) + "0\r\n\r\n");
+            } else {
+                call.send(chunk(event(1) + unnumbered));
+                call.drop();
+            }
+        };
+        FakeUpstream first(answer);
+        FakeUpstream second(answer);
+        auto fixture = makeForwardFixture({&first, &second});
+        fixture->start();
+        CPPUNIT_ASSERT_EQUAL(event(1) + unnumbered + event(2), fixture->call(request("/resume/x"))->body());
+    }
+
     // Guards against a connection on which the rest of a body is due and that is used again.
     void earlyAnswerToALongBody()
     {
