--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -19,15 +19,6 @@
 
 namespace internal {
 
-// The upstream answers at the deadline itself; its answer is given this long to arrive.
-constexpr Milliseconds answerGrace{60};
-// A request that may go to another upstream waits for its first byte for this multiple of the target, within its time.
-constexpr double firstByteTargets = 2.5;
-// For plain services, the part of the time left after which another upstream is tried.
-constexpr double firstBytePart = 0.4;
-// A stream that can be continued elsewhere is given up after this multiple of its longest pause, and not before a least time.
-constexpr double silentPauses = 4;
-constexpr Milliseconds leastSilence{1'500};
 // Hosts that are asked in turn while each proves that it has not run the request.
 constexpr std::size_t maxRelays = 2;
 
@@ -42,11 +33,6 @@
     return std::ranges::count_if(target.pools, [](const PoolShare &it) { return it.weight > 0; }) > 1;
 }
 
-Milliseconds scaled(Milliseconds time, double factor)
-{
-    return Milliseconds{static_cast<Milliseconds::rep>(static_cast<double>(time.count()) * factor)};
-}
-
 } // namespace internal
 
 ForwardRequest::ForwardRequest(
@@ -140,6 +126,11 @@
     m_context->hooks.streams.began(*m_beginning);
 }
 
+AttemptFacts ForwardRequest::attemptFacts() const
+{
+    return {m_nextAttempt, timeLeft(), m_events.last()};
+}
+
 boost::asio::awaitable<void> ForwardRequest::run()
 {
     if (needsOrigin()) {
@@ -155,7 +146,7 @@
         co_return;
     }
     while (!m_over) {
-        auto event = co_await m_mailbox->next(m_deadline + internal::answerGrace);
+        auto event = co_await m_mailbox->next(m_deadline + answerGrace);
         auto handled = std::visit([this](auto &it) { return on(it); }, event);
         co_await std::move(handled);
     }
@@ -180,54 +171,6 @@
     }
 }
 
-std::string ForwardRequest::endpointText(const Configuration &configuration, const UpstreamId &upstream)
-{
-    const auto it = configuration.upstreams.find(upstream);
-    return it == configuration.upstreams.end() ? std::string() : it->second.address + ":" + std::to_string(it->second.port);
-}
-
-ForwardAttemptPlan ForwardRequest::attemptPlan(const Configuration &configuration, const DispatchAction &dispatch, const Upstream &upstream) const
-{
-    const auto &target = m_call.target;
-    const auto left = timeLeft();
-    ForwardAttemptPlan plan;
-    plan.number = m_nextAttempt;
-    plan.id = m_call.envelope.id;
-    plan.upstream = dispatch.upstream;
-    plan.stream = target.stream;
-    plan.endpoint = endpointOf(upstream.address, upstream.port).value_or(UpstreamEndpoint{});
-    plan.firstByteTime = left + internal::answerGrace;
-    plan.silenceTime = left + internal::answerGrace;
-    const bool another = target.repeat != Repeat::Never && m_nextAttempt < target.maxAttempts;
-    if (another) {
-        plan.firstByteTime = target.stream ? internal::scaled(target.target, internal::firstByteTargets) : internal::scaled(left, internal::firstBytePart);
-    }
-    if (another && target.repeat == Repeat::Resume) {
-        plan.silenceTime = std::max(internal::leastSilence, internal::scaled(target.gapTarget, internal::silentPauses));
-    }
-    ForwardInstructions instructions{m_call.envelope, {}, dispatch.upstream, left, {}, {}, {}};
-    instructions.team = m_plan.grant.team != nullptr ? std::string_view(m_plan.grant.team->id) : std::string_view();
-    const auto pool = configuration.pools.find(m_call.pool);
-    if (pool != configuration.pools.end() && pool->second.engine) {
-        instructions.enginePriority = dispatch.enginePriority;
-    }
-    if (!dispatch.fetchFrom.empty()) {
-        instructions.fetchFrom = endpointText(configuration, dispatch.fetchFrom);
-    }
-    instructions.resumeAfter = m_events.last();
-    if (target.stream && target.repeat == Repeat::Resume && !dispatch.anyProcess && !m_context->hooks.forward->process.target.empty()) {
-        plan.incarnation = dispatch.incarnation;
-    }
-    plan.rateLimit = dispatch.rateLimit;
-    plan.request.method_string(m_plan.method);
-    plan.request.target(m_plan.target);
-    m_context->hooks.forward->writeRequest(m_plan.headers, instructions, plan.request);
-    eraseRelayHeaders(plan.request);
-    plan.request.body() = m_plan.body;
-    plan.request.prepare_payload();
-    return plan;
-}
-
 ForwardRequest::Awaitable ForwardRequest::startAttempt(const DispatchAction &dispatch)
 {
     const auto configuration = m_context->currentConfiguration();
@@ -244,7 +187,7 @@
     const StreamOrigin origin{m_call.pool, dispatch.softwareVersion};
     m_beginning = StreamBeginning{m_call.envelope.id, origin, dispatch.upstream, dispatch.incarnation, {}, internal::leadsToSeveralPools(m_call.target)};
     m_beginning->certain = !dispatch.anyProcess && it->second.softwareVersion == dispatch.softwareVersion;
-    auto plan = attemptPlan(*configuration, dispatch, it->second);
+    auto plan = makeAttemptPlan(*m_context, m_plan, attemptFacts(), *configuration, dispatch, it->second);
     ++m_nextAttempt;
     std::string text = "dispatched, upstream=" + dispatch.upstream + " pool=" + m_call.pool + " route=" + m_call.route;
     text += " team=" + (m_plan.grant.team != nullptr ? m_plan.grant.team->id : std::string("-"));
@@ -268,37 +211,6 @@
     m_attempt->start();
 }
 
-ForwardAttemptPlan ForwardRequest::relayPlan(const RelayTarget &target) const
-{
-    const auto left = timeLeft();
-    ForwardAttemptPlan plan;
-    plan.number = m_nextAttempt;
-    plan.id = m_call.envelope.id;
-    plan.upstream = target.host;
-    plan.endpoint = {toIpAddress(target.callers), target.callers.port};
-    plan.stream = m_call.target.stream;
-    plan.relay = true;
-    // The other host tries as many upstreams as the route allows, so that there is nothing to try after it.
-    plan.firstByteTime = left + internal::answerGrace;
-    plan.silenceTime = left + internal::answerGrace;
-    RelayInstructions instructions{left, {}, {}};
-    if (m_events.last() != m_call.envelope.lastEventId) {
-        instructions.resumeAfter = m_events.last();
-        instructions.resumes = m_call.envelope.resumes.empty() ? m_call.envelope.id : m_call.envelope.resumes;
-    }
-    plan.request.method_string(m_plan.method);
-    plan.request.target(m_plan.target);
-    m_context->hooks.forward->writeRelay(m_plan.headers, instructions, plan.request);
-    eraseRelayHeaders(plan.request);
-    plan.request.set(relayedHeader, std::to_string(m_plan.grant.configuration->revision));
-    if (m_relayAttempts > 0) {
-        plan.request.set(relayAttemptsHeader, std::to_string(m_relayAttempts));
-    }
-    plan.request.body() = m_plan.body;
-    plan.request.prepare_payload();
-    return plan;
-}
-
 void ForwardRequest::startRelay(const RelayTarget &target)
 {
     endAttempt();
@@ -307,7 +219,7 @@
     m_relays.push_back(target.host);
     m_lastUpstream = target.host;
     m_dispatched = std::chrono::steady_clock::now();
-    auto plan = relayPlan(target);
+    auto plan = makeRelayPlan(*m_context, m_plan, attemptFacts(), target, m_relayAttempts);
     ++m_nextAttempt;
     std::string text = "relayed, host=" + target.host + " address=" + formatAddress(target.callers) + " pool=" + m_call.pool;
     text += " attempt=" + std::to_string(plan.number) + " left_ms=" + std::to_string(timeLeft().count());
--- a/src/guavafield/transport/http/forward_request.hpp
+++ b/src/guavafield/transport/http/forward_request.hpp
@@ -2,13 +2,10 @@
 #pragma once
 
 #include <guavafield/coordination/streams/event_sequence.hpp>
-#include <guavafield/transport/http/access.hpp>
 #include <guavafield/transport/http/caller_answer.hpp>
-#include <guavafield/transport/http/forward_attempt.hpp>
+#include <guavafield/transport/http/forward_attempt_plan.hpp>
 #include <guavafield/transport/http/mailbox.hpp>
 
-#include <boost/beast/http/fields.hpp>
-
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,23 +15,6 @@
 
 struct PathContext;
 
-/*! @brief A caller's request with everything that is known of it; its grant holds a ForwardCall. */
-struct ForwardPlan
-{
-    AccessGrant grant;
-    // Unique within the fleet.
-    RequestId id;
-    SteadyTime received{};
-    Digest fingerprint{};
-    std::string method;
-    std::string target;
-    // As the caller sent them.
-    boost::beast::http::fields headers;
-    std::string body;
-    // Another host has relayed the request.
-    bool relayed{false};
-};
-
 /*!
  * @brief Follows the scheduler's actions and passes one upstream's answer on.
  *
@@ -79,11 +59,10 @@
     [[nodiscard]] Awaitable on(KeyClosed &event);
 
     [[nodiscard]] Awaitable startAttempt(const DispatchAction &dispatch);
-    [[nodiscard]] ForwardAttemptPlan attemptPlan(const Configuration &configuration, const DispatchAction &dispatch, const Upstream &upstream) const;
-    [[nodiscard]] static std::string endpointText(const Configuration &configuration, const UpstreamId &upstream);
+    // Of the next attempt.
+    [[nodiscard]] AttemptFacts attemptFacts() const;
     // Relays the request to another host, which counts it.
     void startRelay(const RelayTarget &target);
-    [[nodiscard]] ForwardAttemptPlan relayPlan(const RelayTarget &target) const;
     // Relays the request to one more host if the last one has not run it; returns whether there is one.
     [[nodiscard]] bool relayAgain();
     [[nodiscard]] Awaitable failRelay(const AttemptFailed &failure);
--- a/test/transport/fleet/stream_origin_service_test.cpp
+++ b/test/transport/fleet/stream_origin_service_test.cpp
@@ -310,9 +310,9 @@
     {
         settle();
         m_upstreamReads = 0;
-        std::vector<std::shared_ptr<Lookup>> lookups;
-        for (int n = 0; n < 500; ++n) {
-            lookups.push_back(takeUp(std::to_string(n), 0));
+        std::vector<std::shared_ptr<Lookup>> lookups(500);
+        for (std::size_t n = 0; n < lookups.size(); ++n) {
+            lookups[n] = takeUp(std::to_string(n), 0);
         }
         CPPUNIT_ASSERT(runUntil([&] { return std::ranges::all_of(lookups, [](const auto &it) { return it->answered && it->origin; }); }));
         CPPUNIT_ASSERT(m_upstreamReads <= 2);
