Take an answer for reach, not a connection that opens

What callers saw: a host whose links to upstreams opened and then broke or hung (behind a proxy, a sidecar, a balancer without back ends) served nobody while the other hosts served everybody; its log had no failed probe and no relay.

Cause: a probe succeeded as soon as its connection opened. That undid the lost link, so that the pool counted as reached for as long as the cut lasted. The class is a first sign of success taken for success.

Change: a probe asks the process which one it is and counts only an answer of any status as reach; the process is noted on the kept connection, and one that its entry does not name is known before a stream is sent there. A failed probe of an upstream that was thought up has two others probed, so that one failure finds a cut; an attempt without an answer in time, or whose process did not answer, starts it. An upstream that has just answered this host is not lost for a connection that it turns away (its connections are limited).

--- a/src/guavafield/coordination/request/connection_probes.hpp
+++ b/src/guavafield/coordination/request/connection_probes.hpp
@@ -13,7 +13,10 @@
 
 /*! @brief What became of a new connection to an upstream. */
 enum class ProbeResult : std::uint8_t {
-    Connected,
+    // The upstream answered on it, whatever the answer; where upstreams can't be asked, it opened.
+    Answered,
+    // It opened, but no answer came, as behind a proxy that has lost its links.
+    Unanswered,
     // The upstream's host answers that nobody listens.
     Refused,
     // No answer in time, or another failure of the network.
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -32,6 +32,8 @@
     UpstreamId upstream;
     std::string address;
     std::uint16_t port{0};
+    // Of its process as its entry names it; 0 if it doesn't.
+    Incarnation incarnation{0};
 };
 
 /*!
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -142,6 +142,9 @@
     void noteAnswered(const RequestEntry &entry, UpstreamState &upstream, SteadyTime now);
     // Has an upstream whose connection failed, and a few others, probed.
     void probeAfterFailure(const UpstreamState &upstream, SteadyTime now);
+    // Has a few others probed, so that a fault of this host's own links shows soon.
+    void probeWitnesses(const UpstreamState &upstream, SteadyTime now);
+    void onProbeFailed(UpstreamState &upstream, ProbeResult result, SteadyTime now);
     void takeCrashes(SteadyTime now);
 
     // Relaying to other hosts, in scheduler_relay.cpp.
--- a/src/guavafield/coordination/request/scheduler_reach.cpp
+++ b/src/guavafield/coordination/request/scheduler_reach.cpp
@@ -11,6 +11,7 @@
 constexpr Milliseconds crashCheckDelay{150};
 constexpr Milliseconds witnessDelay{30};
 constexpr std::size_t witnesses = 2;
+constexpr Milliseconds recentAnswer{500};
 // An attempt that was dispatched so soon after a crash may have been on its way before it, as the clocks of hosts are compared by ages.
 constexpr Milliseconds ageTolerance{250};
 
@@ -19,6 +20,7 @@
 void RequestScheduler::Impl::noteAnswered(const RequestEntry &entry, UpstreamState &upstream, SteadyTime now)
 {
     m_broken.onReached(upstream.idHash, now);
+    upstream.answeredAt = now;
     const auto attempt = std::ranges::find(entry.attempts, &upstream, &Attempt::upstream);
     if (attempt != entry.attempts.end() && attempt->incarnation == upstream.upstream.incarnation) {
         upstream.answeredDispatch = std::max(upstream.answeredDispatch, attempt->dispatched);
@@ -28,6 +30,11 @@
 void RequestScheduler::Impl::probeAfterFailure(const UpstreamState &upstream, SteadyTime now)
 {
     m_probes.schedule(upstream.idHash, now + internal::crashCheckDelay);
+    probeWitnesses(upstream, now);
+}
+
+void RequestScheduler::Impl::probeWitnesses(const UpstreamState &upstream, SteadyTime now)
+{
     std::vector<std::uint64_t> others;
     for (const auto &[id, it] : m_upstreams) {
         if (&it != &upstream && it.accepting() && !it.downSince) {
@@ -49,7 +56,7 @@
             continue;
         }
         const auto &upstream = it->second->upstream;
-        targets.push_back({upstream.id, upstream.address, upstream.port});
+        targets.push_back({upstream.id, upstream.address, upstream.port, upstream.incarnation});
     }
     return targets;
 }
@@ -60,7 +67,7 @@
     if (state == nullptr) {
         return;
     }
-    if (result == ProbeResult::Connected) {
+    if (result == ProbeResult::Answered) {
         m_probes.onConnected(state->idHash, now);
         m_broken.onReached(state->idHash, now);
         m_broken.onConnected(state->idHash);
@@ -68,22 +75,31 @@
             state->markUp();
         }
     } else {
-        m_probes.onFailed(state->idHash, now);
-        if (result == ProbeResult::Refused) {
-            m_broken.onRefused(state->idHash);
-        }
-        if (result != ProbeResult::NotTried) {
-            if (!state->downSince) {
-                state->markDown(now);
-                m_router.prefixes().removeAll(*state);
-            }
-            state->linkLost = true;
-        }
+        onProbeFailed(*state, result, now);
     }
     takeCrashes(now);
     refreshSlots();
 }
 
+void RequestScheduler::Impl::onProbeFailed(UpstreamState &upstream, ProbeResult result, SteadyTime now)
+{
+    m_probes.onFailed(upstream.idHash, now);
+    if (result == ProbeResult::Refused) {
+        m_broken.onRefused(upstream.idHash);
+    }
+    // An upstream may turn new connections away while it serves those that it has.
+    const bool serves = result == ProbeResult::Unanswered && now - upstream.answeredAt < internal::recentAnswer;
+    if (result == ProbeResult::NotTried || serves) {
+        return;
+    }
+    if (!upstream.downSince) {
+        upstream.markDown(now);
+        m_router.prefixes().removeAll(upstream);
+        probeWitnesses(upstream, now);
+    }
+    upstream.linkLost = true;
+}
+
 void RequestScheduler::Impl::takeCrashes(SteadyTime now)
 {
     for (const auto &it : m_broken.takeCrashed(now)) {
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -214,7 +214,8 @@
         m_probes.schedule(upstream.idHash, upstream.outlier.nextProbe());
         m_router.prefixes().removeAll(upstream);
     }
-    if (unreachable || failure.upstreamCrashed) {
+    const bool unanswered = failure.reason == RetryReason::UpstreamUnidentified || (failure.reason == RetryReason::FirstTokenLate && !failure.answered);
+    if (unreachable || failure.upstreamCrashed || unanswered) {
         probeAfterFailure(upstream, now);
     }
     if (failure.answered) {
--- a/src/guavafield/transport/http/connection_prober.cpp
+++ b/src/guavafield/transport/http/connection_prober.cpp
@@ -3,6 +3,7 @@
 
 #include <guavafield/transport/http/engine_probe.hpp>
 #include <guavafield/transport/http/path_context.hpp>
+#include <guavafield/transport/http/upstream_exchange.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -25,12 +26,16 @@
 constexpr Milliseconds probeTick{50};
 // An upstream may close a connection soon on which nothing was sent.
 constexpr Milliseconds unusedConnectionTime{2'000};
+// A sound upstream may be silent for a second.
+constexpr Milliseconds answerTime{1'500};
 
 std::string_view nameOf(ProbeResult result) noexcept
 {
     switch (result) {
-    case ProbeResult::Connected:
-        return "connected";
+    case ProbeResult::Answered:
+        return "answered";
+    case ProbeResult::Unanswered:
+        return "unanswered";
     case ProbeResult::Refused:
         return "refused";
     case ProbeResult::Unreachable:
@@ -44,7 +49,7 @@
 ProbeResult resultOf(const boost::system::error_code &ec) noexcept
 {
     if (!ec) {
-        return ProbeResult::Connected;
+        return ProbeResult::Answered;
     }
     if (ec == asio::error::connection_refused) {
         return ProbeResult::Refused;
@@ -94,8 +99,8 @@
     const auto self = shared_from_this();
     const auto endpoint = endpointOf(target.address, target.port);
     boost::system::error_code ec = asio::error::invalid_argument;
+    auto connection = std::make_shared<std::unique_ptr<UpstreamConnection>>(m_context->pool.makeUnconnected());
     if (endpoint) {
-        auto connection = std::make_shared<std::unique_ptr<UpstreamConnection>>(m_context->pool.makeUnconnected());
         asio::steady_timer limit(m_strand, m_context->settings.upstream.tcpConnectTimeout);
         limit.async_wait([connection](const boost::system::error_code &expired) {
             if (!expired && *connection) {
@@ -105,17 +110,36 @@
         });
         co_await (*connection)->socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, ec));
         limit.cancel();
-        if (!ec) {
-            (*connection)->socket.set_option(asio::ip::tcp::no_delay(true), ec);
-            (*connection)->detectDeadPeer();
-            (*connection)->keepAlive = internal::unusedConnectionTime;
-            m_context->pool.giveBack({target.upstream, *endpoint}, std::move(*connection));
-            ec = {};
-        }
     }
-    const auto result = internal::resultOf(ec);
+    auto result = internal::resultOf(ec);
+    if (result == ProbeResult::Answered) {
+        boost::system::error_code ignored;
+        (*connection)->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        (*connection)->detectDeadPeer();
+        (*connection)->keepAlive = internal::unusedConnectionTime;
+        result = co_await ask(target, *endpoint, std::move(*connection));
+    }
     logEvent(LogLevel::Info, "http:", {}, "connection probe, upstream=" + target.upstream + " result=" + std::string(internal::nameOf(result)));
     m_context->driver->onProbe(target.upstream, result);
 }
 
+asio::awaitable<ProbeResult> ConnectionProber::ask(const ProbeTarget &target, const UpstreamEndpoint &endpoint, std::unique_ptr<UpstreamConnection> connection)
+{
+    const auto &dialect = m_context->hooks.forward;
+    if (!dialect || dialect->process.target.empty()) {
+        m_context->pool.giveBack({target.upstream, endpoint}, std::move(connection));
+        co_return ProbeResult::Answered;
+    }
+    UpstreamExchange exchange(m_context->pool, m_strand, {{target.upstream, endpoint}, {}}, {});
+    exchange.adopt(std::move(connection));
+    const auto asked = co_await exchange.identify(dialect->process, internal::answerTime);
+    const bool answered = exchange.answered();
+    const auto named = asked == ExchangeResult::Ok ? exchange.process().incarnation : std::nullopt;
+    exchange.finish();
+    if (named && target.incarnation != 0 && *named != target.incarnation) {
+        m_context->driver->onProcessReplaced(target.upstream, target.incarnation);
+    }
+    co_return answered ? ProbeResult::Answered : ProbeResult::Unanswered;
+}
+
 } // namespace guavafield
--- a/src/guavafield/transport/http/connection_prober.hpp
+++ b/src/guavafield/transport/http/connection_prober.hpp
@@ -1,7 +1,8 @@
-// Opens connections to upstreams only to see whether they can be reached.
+// Opens connections to upstreams only to see whether they can be reached, which an answer proves.
 #pragma once
 
 #include <guavafield/coordination/request/request_scheduler.hpp>
+#include <guavafield/transport/http/connection_pool.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -28,6 +29,9 @@
 
     [[nodiscard]] Awaitable run();
     [[nodiscard]] Awaitable probe(ProbeTarget target);
+    // Waits for an answer on a new connection; one that opens proves no reach, as something between may have taken it.
+    [[nodiscard]] boost::asio::awaitable<ProbeResult>
+    ask(const ProbeTarget &target, const UpstreamEndpoint &endpoint, std::unique_ptr<UpstreamConnection> connection);
 
     std::shared_ptr<PathContext> m_context;
     boost::asio::any_io_executor m_strand;
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -83,6 +83,12 @@
     co_return result == ExchangeResult::TimedOut ? ExchangeResult::ConnectFailed : result;
 }
 
+void UpstreamExchange::adopt(std::unique_ptr<UpstreamConnection> connection)
+{
+    m_state->connection = std::move(connection);
+    m_kept = false;
+}
+
 asio::awaitable<ExchangeResult> UpstreamExchange::identify(const ProcessQuestion &question, Milliseconds limit)
 {
     if (m_state->connection->process) {
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstream_exchange.hpp
@@ -65,6 +65,13 @@
 
     /*! @brief Connects; the request is then sent on this connection. Any earlier connection of the exchange is closed. */
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> connect(bool headOnly, bool freshConnection);
+    /*! @brief Takes a connection that has just been opened. */
+    void adopt(std::unique_ptr<UpstreamConnection> connection);
+    /*! @brief Returns whether the header of an answer was read, be it to the question of identify(). */
+    [[nodiscard]] bool answered() const
+    {
+        return m_parser && m_parser->is_header_done();
+    }
     /*! @brief Asks the process at the other end which one it is, unless the connection knows; see process(). */
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> identify(const ProcessQuestion &question, Milliseconds limit);
     /*! @brief Returns what the process at the other end said; valid after identify() succeeded. */
--- a/test/coordination/request/lost_links_test.cpp
+++ b/test/coordination/request/lost_links_test.cpp
@@ -38,6 +38,9 @@
     CPPUNIT_TEST(probesUnderWayAreBoundedAndEachUpstreamHasItsTurn);
     CPPUNIT_TEST(upstreamsThatCannotBeReachedAreProbedLessAndLessOften);
     CPPUNIT_TEST(firstConnectionAfterACutHasAllOthersProbedAtOnce);
+    CPPUNIT_TEST(cutWithOpenConnectionsIsFoundByOneFailure);
+    CPPUNIT_TEST(upstreamThatServesIsNotLostForAConnectionThatItTurnedAway);
+    CPPUNIT_TEST(oneUpstreamWithoutAnswersLeavesTheOthersReached);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,7 +104,7 @@
         probeAll(host, ProbeResult::Refused);
         CPPUNIT_ASSERT(host.scheduler.crashEvidence().knowledge(host.now).crashes.empty());
         host.now += Milliseconds{200};
-        probeAll(host, ProbeResult::Connected);
+        probeAll(host, ProbeResult::Answered);
         CPPUNIT_ASSERT(host.send(equalRequest(host, "after")).has_value());
     }
 
@@ -110,7 +113,7 @@
         PlacementFixture host(1, 3);
         breakEqualRequests(host);
         host.now += Milliseconds{200};
-        probeAll(host, ProbeResult::Connected);
+        probeAll(host, ProbeResult::Answered);
         CPPUNIT_ASSERT(host.scheduler.crashEvidence().knowledge(host.now).crashes.empty());
         CPPUNIT_ASSERT(host.send(equalRequest(host, "after")).has_value());
     }
@@ -125,7 +128,7 @@
         for (const auto &[id, it] : cut.configuration.upstreams) {
             const bool lost = std::ranges::find(broken, id) != broken.end();
             if (!lost) {
-                cut.scheduler.onProbe(id, ProbeResult::Connected, cut.now);
+                cut.scheduler.onProbe(id, ProbeResult::Answered, cut.now);
             }
         }
         for (const auto &id : broken) {
@@ -139,7 +142,7 @@
         cut.now += Milliseconds{500};
         sound.now = cut.now;
         // A connection alone may be to the process that follows.
-        probeAll(sound, ProbeResult::Connected);
+        probeAll(sound, ProbeResult::Answered);
         sound.scheduler.onPeerCrashes(cut.scheduler.crashEvidence().knowledge(cut.now), sound.now);
         CPPUNIT_ASSERT(!sound.send(equalRequest(sound, "still refused")).has_value());
         answerAll(sound);
@@ -166,7 +169,7 @@
         const auto due = host.scheduler.dueProbes(host.now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, due.size());
         CPPUNIT_ASSERT_EQUAL(first->upstream, due.front().upstream);
-        host.scheduler.onProbe(first->upstream, ProbeResult::Connected, host.now);
+        host.scheduler.onProbe(first->upstream, ProbeResult::Answered, host.now);
         info.id = "second";
         CPPUNIT_ASSERT(host.send(info).has_value());
     }
@@ -191,7 +194,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host.scheduler.unreachablePools(host.now).size());
         host.now += Milliseconds{5'000};
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host.scheduler.dueProbes(host.now).size());
-        host.scheduler.onProbe("u0", ProbeResult::Connected, host.now);
+        host.scheduler.onProbe("u0", ProbeResult::Answered, host.now);
         info.id = "after";
         CPPUNIT_ASSERT(host.send(info).has_value());
     }
@@ -260,7 +263,63 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{5}, probes.takeDue(now).size());
     }
 
+    // Guards against a host that loses a request at each upstream before it finds out that it reaches none.
+    void cutWithOpenConnectionsIsFoundByOneFailure()
+    {
+        PlacementFixture host(1, 12);
+        failLate(host);
+        const auto probes = probeUntilQuiet(host, [](const UpstreamId &) { return ProbeResult::Unanswered; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host.scheduler.unreachablePools(host.now).size());
+        CPPUNIT_ASSERT(probes <= 40);
+    }
+
+    void upstreamThatServesIsNotLostForAConnectionThatItTurnedAway()
+    {
+        PlacementFixture host(1, 1);
+        const auto dispatch = host.send(host.request(1));
+        CPPUNIT_ASSERT(host.scheduler.onFirstToken(dispatch->request, dispatch->upstream, host.now));
+        host.scheduler.onProbe("u0", ProbeResult::Unanswered, host.now);
+        CPPUNIT_ASSERT(host.scheduler.unreachablePools(host.now).empty());
+        host.now += Milliseconds{1'000};
+        host.scheduler.onProbe("u0", ProbeResult::Unanswered, host.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host.scheduler.unreachablePools(host.now).size());
+    }
+
+    void oneUpstreamWithoutAnswersLeavesTheOthersReached()
+    {
+        PlacementFixture host(1, 12);
+        const auto broken = failLate(host);
+        const auto probes = probeUntilQuiet(host, [&](const UpstreamId &id) { return id == broken ? ProbeResult::Unanswered : ProbeResult::Answered; });
+        CPPUNIT_ASSERT(host.scheduler.unreachablePools(host.now).empty());
+        CPPUNIT_ASSERT(probes <= 8);
+        for (std::uint64_t prefix = 0; prefix < 20; ++prefix) {
+            CPPUNIT_ASSERT(host.send(host.request(prefix))->upstream != broken);
+        }
+    }
+
 private:
+    // Sends a request that gets no answer in time; returns its upstream.
+    static UpstreamId failLate(PlacementFixture &host)
+    {
+        const auto dispatch = host.send(host.request(1));
+        (void)host.scheduler.onAttemptEnded(
+            dispatch->request, dispatch->upstream, AttemptFailed{ResultCode::UpstreamTimeout, RetryReason::FirstTokenLate}, host.now);
+        return dispatch->upstream;
+    }
+    // Plays one second; returns the number of probes.
+    template <typename Function>
+    static std::size_t probeUntilQuiet(PlacementFixture &host, Function &&resultOf)
+    {
+        std::size_t probes = 0;
+        for (const auto end = host.now + Milliseconds{1'000}; host.now < end; host.now += Milliseconds{20}) {
+            for (const auto &it : host.scheduler.dueProbes(host.now)) {
+                ++probes;
+                host.scheduler.onProbe(it.upstream, resultOf(it.upstream), host.now);
+            }
+        }
+        return probes;
+    }
+
     static RequestInfo equalRequest(PlacementFixture &host, const std::string &id)
     {
         auto info = host.request(42);
--- a/test/coordination/request/placement_fixture.hpp
+++ b/test/coordination/request/placement_fixture.hpp
@@ -104,7 +104,7 @@
         now += Milliseconds{200};
         for (const auto &[id, it] : configuration.upstreams) {
             if (id != upstream) {
-                scheduler.onProbe(id, ProbeResult::Connected, now);
+                scheduler.onProbe(id, ProbeResult::Answered, now);
             }
         }
         scheduler.onProbe(upstream, ProbeResult::Refused, now);
--- a/test/transport/http/fake_upstream.cpp
+++ b/test/transport/http/fake_upstream.cpp
@@ -185,8 +185,17 @@
     m_closesOnReport.store(true);
 }
 
+void FakeUpstream::stallOnReport()
+{
+    m_stallsOnReport.store(true);
+}
+
 void FakeUpstream::report(FakeCall &call)
 {
+    if (m_stallsOnReport.load()) {
+        call.waitForClose();
+        return;
+    }
     if (m_closesOnReport.load()) {
         call.drop();
         return;
--- a/test/transport/http/fake_upstream.hpp
+++ b/test/transport/http/fake_upstream.hpp
@@ -105,6 +105,8 @@
     void nameIncarnation(unsigned incarnation, unsigned copies = 1);
     /*! @brief Closes the connections of such requests from now on. */
     void closeOnReport();
+    /*! @brief Leaves such requests without an answer from now on. */
+    void stallOnReport();
 
 private:
     using Socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
@@ -124,6 +126,7 @@
     std::atomic<unsigned> m_namedIncarnation{0};
     std::atomic<unsigned> m_reportCopies{1};
     std::atomic<bool> m_closesOnReport{false};
+    std::atomic<bool> m_stallsOnReport{false};
     mutable std::mutex m_mutex;
     // Guarded by m_mutex.
     std::string m_received;
--- a/test/transport/http/host_relay_test.cpp
+++ b/test/transport/http/host_relay_test.cpp
@@ -42,6 +42,49 @@
     std::unique_ptr<PathFixture> m_fixture;
 };
 
+// A host whose only upstream is behind a proxy that has lost it: connections open, and then break or stay silent.
+class ProxiedHost
+{
+public:
+    ProxiedHost(FakeUpstream &other, bool silent) : m_upstream([silent](FakeCall &call) { lose(call, silent); }), m_fixture(makeForwardFixture({&m_upstream}))
+    {
+        if (silent) {
+            m_upstream.stallOnReport();
+        } else {
+            m_upstream.closeOnReport();
+        }
+        m_fixture->start();
+        m_fixture->path().driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
+            RelayCandidate candidate;
+            candidate.dataCentre = "dc";
+            candidate.callers = toPeerAddress(boost::asio::ip::make_address("127.0.0.1"), other.port());
+            scheduler.relayTargets().onReport("h2", std::move(candidate), now);
+        });
+    }
+
+    [[nodiscard]] PathFixture *operator->()
+    {
+        return m_fixture.get();
+    }
+    [[nodiscard]] bool reachesItsPool()
+    {
+        return m_fixture->path().driver().withScheduler([](RequestScheduler &scheduler, SteadyTime now) { return scheduler.unreachablePools(now).empty(); });
+    }
+
+private:
+    static void lose(FakeCall &call, bool silent)
+    {
+        if (silent) {
+            call.waitForClose();
+        } else {
+            call.drop();
+        }
+    }
+
+    FakeUpstream m_upstream;
+    std::unique_ptr<PathFixture> m_fixture;
+};
+
 void refuse(FakeCall &call)
 {
     call.reply(503, "{}", "X-Guavafield-Request-Id: " + idOf(call) + "\r\nRetry-After: 0.7\r\n");
@@ -64,6 +107,8 @@
     CPPUNIT_TEST(answerToARelayedRequestNamesItsUpstream);
     CPPUNIT_TEST(upstreamThatAnnouncedItsEndThroughAnotherHostGetsNoRequests);
     CPPUNIT_TEST(relayedRequestHasNoMoreAttemptsThanTheRelayingHostLeaves);
+    CPPUNIT_TEST(connectionsThatOpenAndBreakAreNoReach);
+    CPPUNIT_TEST(connectionsThatOpenAndStaySilentAreNoReach);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -227,6 +272,33 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t{expected}, first.calls() + second.calls() + third.calls());
         }
     }
+
+    // Guards against a host that serves nobody, as each connection that opens counts as an upstream that is reached.
+    void connectionsThatOpenAndBreakAreNoReach()
+    {
+        expectRelayed(false);
+    }
+
+    void connectionsThatOpenAndStaySilentAreNoReach()
+    {
+        expectRelayed(true);
+    }
+
+private:
+    static void expectRelayed(bool silent)
+    {
+        FakeUpstream other([](FakeCall &call) { call.reply(200, "served", echo(call) + "Guavafield-Relay-Upstream: u7\r\n"); });
+        ProxiedHost host(other, silent);
+        // What finds the cut is lost.
+        (void)host->call(forwardRequest("/call/x", "first", "X-Guavafield-Deadline-Ms: 1000\r\n"));
+        CPPUNIT_ASSERT(waitUntil([&] { return !host.reachesItsPool(); }));
+        for (int n = 0; n < 20; ++n) {
+            const auto reply = host->call(forwardRequest("/call/x", "a" + std::to_string(n), "X-Guavafield-Deadline-Ms: 1000\r\n"));
+            CPPUNIT_ASSERT(reply.has_value());
+            CPPUNIT_ASSERT_EQUAL(200U, reply->result_int());
+        }
+        CPPUNIT_ASSERT(!host.reachesItsPool());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HostRelayTest);
