Soak: replace processes in place with late entries, and run two builds side by side

The soak gave a server that came back under its id a new port, and wrote its entry at once, so that it could not show a process that is taken for its predecessor. It now also replaces servers at their addresses, by either version, with an entry that follows up to 3 s later.

--- a/test/system/machines.py
+++ b/test/system/machines.py
@@ -356,12 +356,16 @@
             f"endpoint = 127.0.0.1:{self.store.port}", f"duties = 127.0.0.1:{self.store.port}", "holder_gap_ms = 500",
             f"usage_window_s = {WINDOW_S}", "[peers]", f"seeds = {seeds}", "[shutdown]", "grace_s = 4", *self.extra_settings, ""])
 
+    def bin_dir(self):
+        """Returns the folder of the daemon that a host starts."""
+        return BIN_DIR
+
     def start_host(self, name, zone="a"):
         seeds = ",".join(f"127.0.0.1:{it['peer_port']}" for it in self.hosts.values())
         path = os.path.join(self.folder.name, name + ".ini")
         with open(path, "w") as file:
             file.write(self.settings(name, zone, seeds))
-        child = ChildProcess(self.folder.name, name, [os.path.join(BIN_DIR, "guavafieldd"), "--settings", path])
+        child = ChildProcess(self.folder.name, name, [os.path.join(self.bin_dir(), "guavafieldd"), "--settings", path])
 
         def ports():
             line = next((it for it in child.run_output().splitlines() if it.startswith("caller_port=")), None)
--- a/test/system/soak.py
+++ b/test/system/soak.py
@@ -154,7 +154,7 @@
 class FaultyServer(StreamServer):
     """A server of plain requests and streams that refuses, loses answers or breaks streams while it is told to."""
 
-    def __init__(self, name, version, service, ledger):
+    def __init__(self, name, version, service, ledger, port=0):
         self.service = service
         self.ledger = ledger
         # State in the server's entry, and whether its answers say that it leaves.
@@ -162,7 +162,7 @@
         self.is_leaving = False
         self.mode = Mode.SOUND
         self.random = random.Random(name)
-        super().__init__(name, version)
+        super().__init__(name, version, port)
 
     def entry(self, service=None, zone="a"):
         return json.dumps(dict(json.loads(super().entry(self.service, zone)), state=self.state))
--- a/test/system/soak_test.py
+++ b/test/system/soak_test.py
@@ -16,7 +16,7 @@
 import time
 import traceback
 
-from fleet import wait_until
+from fleet import BIN_DIR, wait_until
 from machines import HOST_NAME, is_ready, operators_document
 from soak import FaultyServer, Ledger, Mode, PlainClient, StreamReader
 from streams import StreamsFixture
@@ -38,8 +38,10 @@
 class SoakFixture(StreamsFixture):
     """The system under test and everything that can happen to it; each public method is one fault and draws from its own generator."""
 
-    def __init__(self, seed, hosts, servers):
+    def __init__(self, seed, hosts, servers, former_bin=None):
         super().__init__(seed)
+        self.former_bin = former_bin
+        self.builds = random.Random(f"{seed} builds")
         self.ledger = Ledger()
         self.stopping = threading.Event()
         self.host_names = [f"h{n}" for n in range(hosts)]
@@ -67,6 +69,10 @@
 
     # The hosts.
 
+    def bin_dir(self):
+        """Returns the folder of either build, so that hosts of both run side by side."""
+        return self.builds.choice((BIN_DIR, self.former_bin)) if self.former_bin else BIN_DIR
+
     def start_ready_host(self, name):
         with self.start_lock:
             host = self.start_host(name)
@@ -115,9 +121,11 @@
 
     # The servers.
 
-    def start_faulty_server(self, name, version, service):
+    def start_faulty_server(self, name, version, service, port=0, entry_delay_s=0.0):
+        server = FaultyServer(name, version, service, self.ledger, port)
+        time.sleep(entry_delay_s)
         with self.writing:
-            server = self.servers[name] = FaultyServer(name, version, service, self.ledger)
+            self.servers[name] = server
             self.store.write("servers", name, server.entry())
 
     def take_server(self, rng, service="st"):
@@ -139,6 +147,13 @@
             name = f"x{next(self.names)}"
         self.start_faulty_server(name, version or server.version, server.service)
 
+    def replace_server_in_place(self, rng):
+        """Replaces a server's process by one of any version at its address, whose entry follows later."""
+        server = self.take_server(rng, "t")
+        if server is not None:
+            server.stop()
+            self.start_faulty_server(server.name, rng.choice(("v1", "v2")), server.service, server.port, rng.uniform(0, 3))
+
     def drain_server(self, rng):
         """Lets a server leave as planned, after another one has come."""
         server = self.take_server(rng)
@@ -249,7 +264,7 @@
 
 FAULTS = (SoakFixture.kill_host, SoakFixture.terminate_host, SoakFixture.kill_all_hosts, SoakFixture.freeze_host, SoakFixture.freeze_host,
           SoakFixture.reload_hosts, SoakFixture.crash_server, SoakFixture.crash_server, SoakFixture.drain_server, SoakFixture.release,
-          SoakFixture.take_store_down, SoakFixture.slow_store, SoakFixture.lose_store_answers, SoakFixture.restore_store,
+          SoakFixture.replace_server_in_place, SoakFixture.replace_server_in_place, SoakFixture.take_store_down, SoakFixture.slow_store, SoakFixture.lose_store_answers, SoakFixture.restore_store,
           SoakFixture.change_configuration,
           *(functools.partial(SoakFixture.misbehave, mode=it)
             for it in (Mode.REFUSING, Mode.REFUSING, Mode.REFUSING, Mode.LOSING, Mode.BREAKING, Mode.BREAKING)))
@@ -264,8 +279,9 @@
     begin = fixture.ledger.begin
     played = []
     threads = []
+    faults = [it for it in FAULTS if not fixture.former_bin or it is not SoakFixture.replace_server_in_place]
     while time.monotonic() < begin + seconds:
-        fault = fixture.random.choice(FAULTS)
+        fault = fixture.random.choice(faults)
         rng = random.Random(fixture.random.getrandbits(64))
         played.append(f"{time.monotonic() - begin:.2f} s {name_of(fault)}")
         threads.append(threading.Thread(target=fault, args=(fixture,), kwargs={"rng": rng}, daemon=True))
@@ -286,7 +302,7 @@
 
 def run_seed(seed, arguments):
     """Plays one seed; returns whether all checks held."""
-    with SoakFixture(seed, arguments.hosts, arguments.servers) as fixture:
+    with SoakFixture(seed, arguments.hosts, arguments.servers, arguments.former_bin) as fixture:
         # An error in a thread of the soak fails it like a violation.
         threading.excepthook = lambda it: fixture.ledger.report("SOAK", None, "".join(traceback.format_exception(it.exc_value)))
         fixture.start()
@@ -315,7 +331,7 @@
 def run_in_own_process(seed, arguments):
     """Plays one seed in a process of its own and returns whether it passed."""
     command = [sys.executable, "-B", __file__, "--first", str(seed), "--seconds", str(arguments.seconds), "--hosts", str(arguments.hosts),
-               "--servers", str(arguments.servers)]
+               "--servers", str(arguments.servers), *(["--former-bin", arguments.former_bin] if arguments.former_bin else [])]
     result = subprocess.run(command, capture_output=True, text=True)
     output = (result.stdout + result.stderr).rstrip()
     print(output.splitlines()[-1] if result.returncode == 0 else output, flush=True)
@@ -330,6 +346,7 @@
     parser.add_argument("--jobs", type=int, default=1, help="seeds that run at a time")
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--servers", type=int, default=10)
+    parser.add_argument("--former-bin", help="folder with the daemon of another version; each host starts either, and no server is replaced in place")
     return parser.parse_args()
 
 
