Do not tell a run as whole that ends among events which the caller has

Found by the review, by reading: a run that goes on elsewhere may send earlier events again; if it ended before it reached the caller's last event, nothing was passed on and the stream was told as complete (ORDER).

Change: the end counts as whole only if the run's numbers have reached the caller's last event; else the run is broken off like one out of order.

--- a/src/guavafield/coordination/streams/event_sequence.hpp
+++ b/src/guavafield/coordination/streams/event_sequence.hpp
@@ -38,6 +38,11 @@
      */
     [[nodiscard]] EventVerdict take(std::optional<std::uint64_t> number, bool hasData) noexcept;
 
+    /*! @brief Returns whether the stream may be whole at the end of the run, i.e. the run did not end among the events that the caller has. */
+    [[nodiscard]] bool mayEnd() const noexcept
+    {
+        return !m_lastOfRun || !m_last || *m_lastOfRun >= *m_last;
+    }
     /*! @brief Returns the last numbered event that the caller has. */
     [[nodiscard]] std::optional<std::uint64_t> last() const noexcept
     {
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forward_request.cpp
@@ -375,6 +375,11 @@
         co_await sendWhole(event);
         co_return;
     }
+    if (!m_events.mayEnd()) {
+        AttemptFailed failure{ResultCode::UpstreamOutOfSequence, RetryReason::AnswerIncomplete};
+        co_await failAttempt(failure);
+        co_return;
+    }
     bool written = true;
     if (!m_answer->started()) {
         written = co_await m_answer->beginStream(m_head);
--- a/test/coordination/streams/event_sequence_test.cpp
+++ b/test/coordination/streams/event_sequence_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(laterRunRepeatsWhatTheCallerHas);
     CPPUNIT_TEST(eventsWithoutANumberDoNotComeTwice);
     CPPUNIT_TEST(takenUpStreamBeginsAfterTheCallersLastEvent);
+    CPPUNIT_TEST(runThatEndsBeforeTheCallersLastEventIsNotWhole);
     CPPUNIT_TEST(commentsAreNeitherCountedNorHeldBack);
     CPPUNIT_TEST(randomRunsJoinToTheWholeStream);
     CPPUNIT_TEST_SUITE_END();
@@ -90,6 +91,19 @@
         CPPUNIT_ASSERT(events.take(8, true) == EventVerdict::Pass);
     }
 
+    // Guards against an end that is told as whole though the run had not got as far as the one before it.
+    void runThatEndsBeforeTheCallersLastEventIsNotWhole()
+    {
+        EventSequence events(7);
+        CPPUNIT_ASSERT(events.mayEnd());
+        CPPUNIT_ASSERT(events.take(6, true) == EventVerdict::Repeated);
+        CPPUNIT_ASSERT(!events.mayEnd());
+        CPPUNIT_ASSERT(events.take(7, true) == EventVerdict::Repeated);
+        CPPUNIT_ASSERT(events.mayEnd());
+        CPPUNIT_ASSERT(events.take(8, true) == EventVerdict::Pass);
+        CPPUNIT_ASSERT(events.mayEnd());
+    }
+
     void commentsAreNeitherCountedNorHeldBack()
     {
         EventSequence events(noNumber);
