--- a/src/guavafield/coordination/request/request_entry.hpp
+++ b/src/guavafield/coordination/request/request_entry.hpp
@@ -24,6 +24,8 @@
     std::optional<SteadyTime> answerBegan{};
     // The process that runs it has named itself as this incarnation.
     bool identified{false};
+    // It was sent though another process than that of the entry may run it.
+    bool anyProcess{false};
     // The answer has gone on for longer than CrashEvidence::answerBeginning.
     bool survived{false};
 };
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/request_scheduler.cpp
@@ -59,9 +59,14 @@
     m_impl->onProcessIdentified(request, upstream);
 }
 
-void RequestScheduler::onProcessReplaced(std::string_view upstream, Incarnation listed)
+void RequestScheduler::onProcessReplaced(std::string_view upstream, Incarnation listed, SteadyTime now)
 {
-    m_impl->onProcessReplaced(upstream, listed);
+    m_impl->onProcessReplaced(upstream, listed, now);
+}
+
+void RequestScheduler::onProcessListed(std::string_view upstream, Incarnation listed)
+{
+    m_impl->onProcessListed(upstream, listed);
 }
 
 AttemptResolution RequestScheduler::onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end, SteadyTime now)
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/request_scheduler.hpp
@@ -88,7 +88,9 @@
     /*! @brief Handles the statement of the process at which an attempt runs that it is the one which the upstream's entry named at the dispatch. */
     void onProcessIdentified(std::string_view request, std::string_view upstream);
     /*! @brief Handles the statement of a new process at the upstream's address: streams wait for its entry, as its software version is not known. */
-    void onProcessReplaced(std::string_view upstream, Incarnation listed);
+    void onProcessReplaced(std::string_view upstream, Incarnation listed, SteadyTime now);
+    /*! @brief Handles the statement of the process at the upstream's address that it is the one which the entry names. */
+    void onProcessListed(std::string_view upstream, Incarnation listed);
     /*! @brief Handles the end of an attempt; returns whether the request has ended as well. */
     [[nodiscard]] AttemptResolution onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end, SteadyTime now);
     /*! @brief Returns whether a request that runs in a self-queueing pool could be retried on another upstream now. */
--- a/src/guavafield/coordination/request/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler_attempts.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint32_t soleSuspectCrashesBeforeQuarantine = 2;
 // A reclaimed upstream may terminate slightly earlier than announced.
 constexpr Milliseconds reclaimTolerance{1000};
+constexpr Milliseconds replacedProbeInterval{1000};
 
 // Whether a request that upstreams have executed so often may be sent once more.
 bool attemptsLeft(const RequestEntry &entry, std::uint32_t attemptsRun) noexcept
@@ -205,6 +206,7 @@
     entry->lastTokens = now;
     if (!entry->attempts.empty()) {
         const auto &writer = entry->attempts.front();
+        writer.upstream->answeredAt = now;
         entry->originUncertain = !noteWriter(*entry, writer) || entry->originUncertain;
         noteProgress(*entry, *writer.upstream, now);
     }
@@ -221,10 +223,22 @@
     }
 }
 
-void RequestScheduler::Impl::onProcessReplaced(std::string_view upstream, Incarnation listed)
+void RequestScheduler::Impl::onProcessReplaced(std::string_view upstream, Incarnation listed, SteadyTime now)
 {
-    if (auto *state = findUpstream(upstream)) {
-        state->replacedIncarnation = listed;
+    auto *state = findUpstream(upstream);
+    if (state == nullptr || state->upstream.incarnation != listed) {
+        return;
+    }
+    state->replacedIncarnation = listed;
+    // What listens there may change again.
+    m_probes.schedule(state->idHash, now + internal::replacedProbeInterval);
+}
+
+void RequestScheduler::Impl::onProcessListed(std::string_view upstream, Incarnation listed)
+{
+    auto *state = findUpstream(upstream);
+    if (state != nullptr && state->replacedIncarnation == listed) {
+        state->replacedIncarnation = 0;
     }
 }
 
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler_core.hpp
@@ -38,7 +38,8 @@
     [[nodiscard]] bool onFirstToken(std::string_view request, std::string_view upstream, SteadyTime now);
     void onTokens(std::string_view request, std::uint32_t count, SteadyTime now);
     void onProcessIdentified(std::string_view request, std::string_view upstream);
-    void onProcessReplaced(std::string_view upstream, Incarnation listed);
+    void onProcessReplaced(std::string_view upstream, Incarnation listed, SteadyTime now);
+    void onProcessListed(std::string_view upstream, Incarnation listed);
     [[nodiscard]] AttemptResolution onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end, SteadyTime now);
     [[nodiscard]] bool mayMove(std::string_view request, SteadyTime now);
     void cancel(std::string_view request, SteadyTime now);
@@ -142,6 +143,8 @@
     void noteAnswered(const RequestEntry &entry, UpstreamState &upstream, SteadyTime now);
     // Has an upstream whose connection failed, and a few others, probed.
     void probeAfterFailure(const UpstreamState &upstream, SteadyTime now);
+    // Whether an upstream has answered this host just now, so that its links work.
+    [[nodiscard]] bool anyAnswers(SteadyTime now) const;
     // Has a few others probed, so that a fault of this host's own links shows soon.
     void probeWitnesses(const UpstreamState &upstream, SteadyTime now);
     void onProbeFailed(UpstreamState &upstream, ProbeResult result, SteadyTime now);
--- a/src/guavafield/coordination/request/scheduler_reach.cpp
+++ b/src/guavafield/coordination/request/scheduler_reach.cpp
@@ -33,6 +33,11 @@
     probeWitnesses(upstream, now);
 }
 
+bool RequestScheduler::Impl::anyAnswers(SteadyTime now) const
+{
+    return std::ranges::any_of(m_upstreams, [now](const auto &it) { return now - it.second.answeredAt < internal::recentAnswer; });
+}
+
 void RequestScheduler::Impl::probeWitnesses(const UpstreamState &upstream, SteadyTime now)
 {
     std::vector<std::uint64_t> others;
@@ -55,6 +60,13 @@
             m_probes.erase(hash);
             continue;
         }
+        if (it->second->pausedUntil) {
+            // A probe brings a request, which the upstream doesn't want now.
+            m_probes.erase(hash);
+            m_probes.schedule(hash, *it->second->pausedUntil);
+            continue;
+        }
+        it->second->probedAt = now;
         const auto &upstream = it->second->upstream;
         targets.push_back({upstream.id, upstream.address, upstream.port, upstream.incarnation});
     }
@@ -88,7 +100,7 @@
         m_broken.onRefused(upstream.idHash);
     }
     // An upstream may turn new connections away while it serves those that it has.
-    const bool serves = result == ProbeResult::Unanswered && now - upstream.answeredAt < internal::recentAnswer;
+    const bool serves = result == ProbeResult::Unanswered && upstream.probedAt.value_or(now) - upstream.answeredAt < internal::recentAnswer;
     if (result == ProbeResult::NotTried || serves) {
         return;
     }
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler_self_queueing.cpp
@@ -179,6 +179,7 @@
     action.softwareVersion = upstream.upstream.softwareVersion;
     action.incarnation = upstream.upstream.incarnation;
     action.anyProcess = upstream.replaced() && !entry.bound();
+    entry.attempts.back().anyProcess = action.anyProcess;
     m_actions.emplace_back(std::move(action));
 }
 
@@ -199,6 +200,7 @@
     if (failure.reason == RetryReason::UpstreamReplaced) {
         // Nothing has failed; it may be chosen again once the entry of its process has come.
         std::erase(entry.tried, upstream.idHash);
+        --entry.attemptsMade;
         endAttempt(entry, upstream, now);
         waitAgain(entry, now);
         return retry(entry, failure, true, now);
@@ -215,7 +217,7 @@
         m_router.prefixes().removeAll(upstream);
     }
     const bool unanswered = failure.reason == RetryReason::UpstreamUnidentified || (failure.reason == RetryReason::FirstTokenLate && !failure.answered);
-    if (unreachable || failure.upstreamCrashed || unanswered) {
+    if (unreachable || failure.upstreamCrashed || (unanswered && !anyAnswers(now))) {
         probeAfterFailure(upstream, now);
     }
     if (failure.answered) {
--- a/src/guavafield/coordination/request/stream_binding.cpp
+++ b/src/guavafield/coordination/request/stream_binding.cpp
@@ -12,7 +12,7 @@
         return true;
     }
     const auto &state = *attempt.upstream;
-    if (state.replacedIncarnation != 0 && state.replacedIncarnation == attempt.incarnation) {
+    if (attempt.anyProcess || (state.replacedIncarnation != 0 && state.replacedIncarnation == attempt.incarnation)) {
         return false;
     }
     return state.upstream.incarnation == attempt.incarnation || state.upstream.softwareVersion == attempt.softwareVersion;
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -46,8 +46,10 @@
     Incarnation replacedIncarnation{0};
     // It is down since its connections failed, not its answers.
     bool linkLost{false};
-    // When an answer to an attempt of this host came last.
+    // When a part of an answer to an attempt of this host came last.
     SteadyTime answeredAt{};
+    // When its last probe began.
+    std::optional<SteadyTime> probedAt;
     // When the latest attempt was dispatched that the current incarnation has answered.
     SteadyTime answeredDispatch{};
     std::uint32_t consecutiveFailures{0};
--- a/src/guavafield/transport/fleet/stream_origin_service.cpp
+++ b/src/guavafield/transport/fleet/stream_origin_service.cpp
@@ -34,6 +34,8 @@
 // Between a host's calls of one kind; for each host of the fleet, since all hosts share the store's rate.
 constexpr Milliseconds leastCallInterval{250};
 constexpr Milliseconds callIntervalPerHost{5};
+// A read of the upstreams answers at once what needs no other row.
+constexpr Milliseconds maxUpstreamReadInterval{500};
 // How long hosts leave news of versions to the one that writes first.
 constexpr Milliseconds otherHostsDelay{1'000};
 constexpr Milliseconds otherHostsSpread{2'000};
@@ -82,7 +84,9 @@
     };
     // What a host in touch had not written at one read, it has at the next.
     m_originReads = std::make_shared<SharedRead>(SharedReadDependencies{m_dependencies.strand, m_dependencies.clock, interval, origins});
-    m_upstreamReads = std::make_shared<SharedRead>(SharedReadDependencies{m_dependencies.strand, m_dependencies.clock, interval, m_dependencies.readUpstreams});
+    const auto upstreamInterval = [interval] { return std::min(interval(), internal::maxUpstreamReadInterval); };
+    m_upstreamReads =
+        std::make_shared<SharedRead>(SharedReadDependencies{m_dependencies.strand, m_dependencies.clock, upstreamInterval, m_dependencies.readUpstreams});
     spawnLoop(m_dependencies.strand, [self = shared_from_this()] { return self->run(); });
 }
 
--- a/src/guavafield/transport/http/connection_prober.cpp
+++ b/src/guavafield/transport/http/connection_prober.cpp
@@ -59,6 +59,13 @@
     return local ? ProbeResult::NotTried : ProbeResult::Unreachable;
 }
 
+// Whether an answer is the upstream's own, not that of a gateway which has lost it.
+bool isUpstreams(unsigned status, const AnswerFacts &facts) noexcept
+{
+    const bool gateway = status == 502 || status == 503 || status == 504;
+    return !gateway || facts.notExecuted || facts.leaving;
+}
+
 } // namespace internal
 
 ConnectionProber::ConnectionProber(std::shared_ptr<PathContext> context)
@@ -133,10 +140,12 @@
     UpstreamExchange exchange(m_context->pool, m_strand, {{target.upstream, endpoint}, {}}, {});
     exchange.adopt(std::move(connection));
     const auto asked = co_await exchange.identify(dialect->process, internal::answerTime);
-    const bool answered = exchange.answered();
+    const bool answered = exchange.answered() && internal::isUpstreams(exchange.header().result_int(), dialect->readAnswer(exchange.header(), {}));
     const auto named = asked == ExchangeResult::Ok ? exchange.process().incarnation : std::nullopt;
     exchange.finish();
-    if (named && target.incarnation != 0 && *named != target.incarnation) {
+    if (named == target.incarnation) {
+        m_context->driver->onProcessListed(target.upstream, target.incarnation);
+    } else if (named && target.incarnation != 0) {
         m_context->driver->onProcessReplaced(target.upstream, target.incarnation);
     }
     co_return answered ? ProbeResult::Answered : ProbeResult::Unanswered;
--- a/src/guavafield/transport/http/forward_attempt_plan.cpp
+++ b/src/guavafield/transport/http/forward_attempt_plan.cpp
@@ -66,7 +66,8 @@
         instructions.fetchFrom = internal::endpointText(configuration, dispatch.fetchFrom);
     }
     instructions.resumeAfter = facts.lastEvent;
-    if (target.stream && target.repeat == Repeat::Resume && !dispatch.anyProcess && !context.hooks.forward->process.target.empty()) {
+    const bool asks = target.stream && target.repeat == Repeat::Resume && request.method != "HEAD";
+    if (asks && !dispatch.anyProcess && !context.hooks.forward->process.target.empty()) {
         plan.incarnation = dispatch.incarnation;
     }
     plan.rateLimit = dispatch.rateLimit;
--- a/src/guavafield/transport/http/process_question.hpp
+++ b/src/guavafield/transport/http/process_question.hpp
@@ -21,6 +21,8 @@
     std::string target;
     // Returns what the answer's body names; empty if that is no incarnation.
     std::function<std::optional<Incarnation>(std::string_view)> readIncarnation;
+    // Header of answers to other requests; the answer to the question has none.
+    std::string requestIdHeader;
 };
 
 } // namespace guavafield
--- a/src/guavafield/transport/http/request_driver.cpp
+++ b/src/guavafield/transport/http/request_driver.cpp
@@ -55,7 +55,12 @@
 
 void RequestDriver::onProcessReplaced(std::string_view upstream, Incarnation listed)
 {
-    withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.onProcessReplaced(upstream, listed); });
+    withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onProcessReplaced(upstream, listed, now); });
+}
+
+void RequestDriver::onProcessListed(std::string_view upstream, Incarnation listed)
+{
+    withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.onProcessListed(upstream, listed); });
 }
 
 AttemptResolution RequestDriver::onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end)
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -36,6 +36,8 @@
     void onProcessIdentified(std::string_view request, std::string_view upstream);
     /*! @brief Tells the scheduler that another process than this one listens at the upstream's address. */
     void onProcessReplaced(std::string_view upstream, Incarnation listed);
+    /*! @brief Tells the scheduler that this process listens at the upstream's address. */
+    void onProcessListed(std::string_view upstream, Incarnation listed);
     /*! @brief Tells the scheduler that an attempt ended. The request is over unless the verdict is RetryQueued or another attempt runs. */
     [[nodiscard]] AttemptResolution onAttemptEnded(std::string_view request, std::string_view upstream, const AttemptEnd &end);
     /*! @brief Returns whether the request could go on at another upstream now. */
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstream_exchange.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace guavafield {
@@ -21,6 +22,7 @@
 
 constexpr std::uint32_t answerHeaderLimit = 32 * 1024;
 constexpr std::size_t identityLimit = std::size_t{64} * 1024;
+constexpr std::size_t minStrays = 1;
 // Fits into the send buffer of the system, so that sending it cannot wait for the upstream.
 constexpr std::size_t smallRequestBytes = std::size_t{8} * 1024;
 
@@ -94,30 +96,37 @@
     if (m_state->connection->process) {
         co_return ExchangeResult::Ok;
     }
-    const auto silence = std::exchange(m_times.silence, limit);
-    const auto result = co_await readIdentity(question);
+    const auto silence = m_times.silence;
+    const auto result = co_await readIdentity(question, std::chrono::steady_clock::now() + limit);
     m_times.silence = silence;
     co_return result;
 }
 
-asio::awaitable<ExchangeResult> UpstreamExchange::readIdentity(const ProcessQuestion &question)
+asio::awaitable<ExchangeResult> UpstreamExchange::readIdentity(const ProcessQuestion &question, SteadyTime until)
 {
+    const auto left = [until] { return std::max(std::chrono::duration_cast<Milliseconds>(until - std::chrono::steady_clock::now()), Milliseconds{1}); };
     UpstreamRequest request(http::verb::get, question.target, 11);
     request.set(http::field::host, m_target.connection.endpoint.address().to_string());
-    startTimer(m_times.silence);
+    startTimer(left());
     boost::system::error_code ec;
     co_await http::async_write(m_state->connection->socket, request, asio::redirect_error(asio::use_awaitable, ec));
     auto result = resultOf(ec, ExchangeResult::Broken);
-    if (result == ExchangeResult::Ok) {
-        result = co_await readHeader();
-    }
     std::string body;
-    while (result == ExchangeResult::Ok && !ended()) {
-        result = co_await readSome(body);
-        result = body.size() > identityLimit ? ExchangeResult::Malformed : result;
+    bool stray = true;
+    // A late copy of an answer to an earlier request may come first.
+    for (std::size_t n = 0; result == ExchangeResult::Ok && stray && n <= std::max(minStrays, m_earlierRequests); ++n) {
+        m_times.silence = left();
+        result = co_await readHeader();
+        stray = result == ExchangeResult::Ok && m_parser->get().count(question.requestIdHeader) > 0;
+        body.clear();
+        while (result == ExchangeResult::Ok && !ended()) {
+            m_times.silence = left();
+            result = co_await readSome(body);
+            result = body.size() > identityLimit ? ExchangeResult::Malformed : result;
+        }
     }
-    if (result != ExchangeResult::Ok) {
-        co_return result;
+    if (result != ExchangeResult::Ok || stray) {
+        co_return result == ExchangeResult::Ok ? ExchangeResult::Broken : result;
     }
     const auto status = m_parser->get().result_int();
     if (isTransient(status) || !complete() || !m_parser->keep_alive()) {
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstream_exchange.hpp
@@ -167,7 +167,7 @@
     };
 
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> connectFor(const UpstreamRequest &request, bool freshConnection);
-    [[nodiscard]] boost::asio::awaitable<ExchangeResult> readIdentity(const ProcessQuestion &question);
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> readIdentity(const ProcessQuestion &question, SteadyTime until);
     // Closes the connection when the time is over.
     void startTimer(Milliseconds time);
     // Ends the operation under way when the time is over.
--- a/test/coordination/request/lost_links_test.cpp
+++ b/test/coordination/request/lost_links_test.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(cutWithOpenConnectionsIsFoundByOneFailure);
     CPPUNIT_TEST(upstreamThatServesIsNotLostForAConnectionThatItTurnedAway);
     CPPUNIT_TEST(oneUpstreamWithoutAnswersLeavesTheOthersReached);
+    CPPUNIT_TEST(fullUpstreamsThatResetNewConnectionsAreNotLostWhileStreamsRun);
+    CPPUNIT_TEST(upstreamIsNotProbedWhileItWantsNoRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -297,6 +299,47 @@
         }
     }
 
+    // Guards against a pool that counts as unreachable under overload, as its upstreams turn new connections away.
+    void fullUpstreamsThatResetNewConnectionsAreNotLostWhileStreamsRun()
+    {
+        PlacementFixture host(1, 4);
+        std::vector<DispatchAction> streams;
+        for (std::uint64_t prefix = 0; prefix < 40; ++prefix) {
+            streams.push_back(*host.send(host.request(prefix)));
+            CPPUNIT_ASSERT(host.scheduler.onFirstToken(streams.back().request, streams.back().upstream, host.now));
+        }
+        const auto late = *host.send(host.request(99));
+        for (int n = 0; n < 100; ++n) {
+            host.now += Milliseconds{50};
+            for (const auto &it : streams) {
+                host.scheduler.onTokens(it.request, 1, host.now);
+            }
+            if (n == 40) {
+                AttemptFailed failure{ResultCode::UpstreamTimeout, RetryReason::FirstTokenLate};
+                (void)host.scheduler.onAttemptEnded(late.request, late.upstream, failure, host.now);
+                host.scheduler.onProbe(late.upstream, ProbeResult::Unanswered, host.now);
+            }
+            for (const auto &it : host.scheduler.dueProbes(host.now)) {
+                host.scheduler.onProbe(it.upstream, ProbeResult::Unanswered, host.now);
+            }
+        }
+        CPPUNIT_ASSERT(host.scheduler.unreachablePools(host.now).empty());
+        CPPUNIT_ASSERT(host.send(host.request(100)).has_value());
+    }
+
+    void upstreamIsNotProbedWhileItWantsNoRequests()
+    {
+        PlacementFixture host(1, 1);
+        (void)failLate(host);
+        host.scheduler.onPauseRequested("u0", Milliseconds{3'000}, host.now);
+        host.now += Milliseconds{2'900};
+        (void)host.step();
+        CPPUNIT_ASSERT(host.scheduler.dueProbes(host.now).empty());
+        host.now += Milliseconds{200};
+        (void)host.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host.scheduler.dueProbes(host.now).size());
+    }
+
 private:
     // Sends a request that gets no answer in time; returns its upstream.
     static UpstreamId failLate(PlacementFixture &host)
--- a/test/coordination/request/stream_version_test.cpp
+++ b/test/coordination/request/stream_version_test.cpp
@@ -282,6 +282,8 @@
     CPPUNIT_TEST(begunStreamWaitsForTheEntryOfANewProcess);
     CPPUNIT_TEST(streamOfAProcessWithoutAnEntryGoesOnNowhere);
     CPPUNIT_TEST(streamOfANamedProcessGoesOnThoughAnotherHasFollowedIt);
+    CPPUNIT_TEST(staleNewsOfAReplacementDoesNotMakeAWriterCertain);
+    CPPUNIT_TEST(processThatNamesItselfAgainGetsStreams);
     CPPUNIT_TEST(begunStreamWaitsForAPausedUpstreamOfItsVersion);
     CPPUNIT_TEST(takenUpStreamIsNotRefusedWhileItsVersionIsPaused);
     CPPUNIT_TEST(streamOfAVersionThatIsGoneDoesNotWait);
@@ -380,7 +382,7 @@
     void streamDoesNotBeginAtAProcessWithoutAnEntry()
     {
         VersionedHost host({oldVersion, oldVersion, oldVersion});
-        host.scheduler.onProcessReplaced("u1", 1);
+        host.scheduler.onProcessReplaced("u1", 1, host.now);
         for (std::uint64_t prefix = 0; prefix < 30; ++prefix) {
             const auto dispatch = host.send(host.request(prefix));
             CPPUNIT_ASSERT(dispatch && dispatch->upstream != "u1" && !dispatch->anyProcess);
@@ -404,7 +406,7 @@
         (void)host.breakOff(first);
         const auto second = host.step();
         CPPUNIT_ASSERT_EQUAL(other, second->upstream);
-        host.scheduler.onProcessReplaced(other, second->incarnation);
+        host.scheduler.onProcessReplaced(other, second->incarnation, host.now);
         AttemptFailed failure{ResultCode::UpstreamUnreachable, RetryReason::UpstreamReplaced};
         failure.notExecuted = true;
         failure.answerStarted = true;
@@ -419,8 +421,8 @@
     void streamOfAProcessWithoutAnEntryGoesOnNowhere()
     {
         VersionedHost host({oldVersion, oldVersion});
-        host.scheduler.onProcessReplaced("u0", 1);
-        host.scheduler.onProcessReplaced("u1", 1);
+        host.scheduler.onProcessReplaced("u0", 1, host.now);
+        host.scheduler.onProcessReplaced("u1", 1, host.now);
         const auto first = host.send(host.request(1));
         CPPUNIT_ASSERT(first && first->anyProcess);
         host.begin(*first);
@@ -439,6 +441,32 @@
         CPPUNIT_ASSERT_EQUAL(oldVersion, host.step()->softwareVersion);
     }
 
+    // Guards against a guess about a stream that was sent to any process, when an older attempt reports late.
+    void staleNewsOfAReplacementDoesNotMakeAWriterCertain()
+    {
+        VersionedHost host({oldVersion, oldVersion});
+        host.replaceProcess("u0", oldVersion);
+        host.scheduler.onProcessReplaced("u0", 2, host.now);
+        host.scheduler.onProcessReplaced("u1", 1, host.now);
+        const auto first = host.send(host.request(1));
+        CPPUNIT_ASSERT(first && first->anyProcess);
+        host.scheduler.onProcessReplaced("u0", 1, host.now);
+        host.begin(*first);
+        CPPUNIT_ASSERT(std::holds_alternative<Refused>(host.breakOff(*first)));
+    }
+
+    // Guards against an upstream that never gets a stream again after one wrong or early answer.
+    void processThatNamesItselfAgainGetsStreams()
+    {
+        VersionedHost host({oldVersion});
+        host.scheduler.onProcessReplaced("u0", 1, host.now);
+        host.now += Milliseconds{1'000};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, host.scheduler.dueProbes(host.now).size());
+        host.scheduler.onProcessListed("u0", 1);
+        const auto dispatch = host.send(host.request(1));
+        CPPUNIT_ASSERT(dispatch && !dispatch->anyProcess);
+    }
+
     // Guards against a stream that is broken off though its version takes requests again in time.
     void begunStreamWaitsForAPausedUpstreamOfItsVersion()
     {
--- a/test/transport/http/fake_upstream.cpp
+++ b/test/transport/http/fake_upstream.cpp
@@ -190,8 +190,17 @@
     m_stallsOnReport.store(true);
 }
 
+void FakeUpstream::repeatBeforeReport(std::string headers)
+{
+    m_repeatedHeaders = std::move(headers);
+    m_repeatsBeforeReport.store(true);
+}
+
 void FakeUpstream::report(FakeCall &call)
 {
+    if (m_repeatsBeforeReport.exchange(false)) {
+        call.reply(200, "done", m_repeatedHeaders);
+    }
     if (m_stallsOnReport.load()) {
         call.waitForClose();
         return;
--- a/test/transport/http/fake_upstream.hpp
+++ b/test/transport/http/fake_upstream.hpp
@@ -105,6 +105,8 @@
     void nameIncarnation(unsigned incarnation, unsigned copies = 1);
     /*! @brief Closes the connections of such requests from now on. */
     void closeOnReport();
+    /*! @brief Sends an answer with these headers before that to the first such request; to be called before the first one. */
+    void repeatBeforeReport(std::string headers);
     /*! @brief Leaves such requests without an answer from now on. */
     void stallOnReport();
 
@@ -127,6 +129,8 @@
     std::atomic<unsigned> m_reportCopies{1};
     std::atomic<bool> m_closesOnReport{false};
     std::atomic<bool> m_stallsOnReport{false};
+    std::string m_repeatedHeaders;
+    std::atomic<bool> m_repeatsBeforeReport{false};
     mutable std::mutex m_mutex;
     // Guarded by m_mutex.
     std::string m_received;
--- a/test/transport/http/process_identity_test.cpp
+++ b/test/transport/http/process_identity_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(keptConnectionOfAFormerProcessIsNotUsed);
     CPPUNIT_TEST(upstreamThatNamesNoProcessServesStreams);
     CPPUNIT_TEST(lateCopyOfAReportIsNoAnswer);
+    CPPUNIT_TEST(lateCopyOfAnAnswerIsNoReport);
     CPPUNIT_TEST(processThatDoesNotAnswerGetsNoStream);
     CPPUNIT_TEST(streamOfANamedProcessIsCertainWhateverEntryFollows);
     CPPUNIT_TEST(streamThatBeganAtAnUnlistedProcessIsToldAsUncertain);
@@ -161,6 +162,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.calls());
     }
 
+    // Guards against a stream at another process, as the copy of an earlier answer names none.
+    void lateCopyOfAnAnswerIsNoReport()
+    {
+        FakeUpstream upstream([](FakeCall &call) { call.reply(200, "done", echo(call)); });
+        upstream.nameIncarnation(newProcess);
+        upstream.repeatBeforeReport("X-Guavafield-Request-Id: a\r\n" + std::string(seal));
+        auto fixture = makeFixture({&upstream});
+        fixture->start();
+        CPPUNIT_ASSERT(fixture->call(forwardRequest("/call/x", "a")).has_value());
+        const auto reply = fixture->call(takeUp("X-Guavafield-Deadline-Ms: 600\r\n"));
+        CPPUNIT_ASSERT(reply.has_value() && reply->result_int() >= 500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.calls());
+    }
+
     void processThatDoesNotAnswerGetsNoStream()
     {
         FakeUpstream silent([](FakeCall &call) { sendEvents(call, 1); });
