Tell what a probe's process names after the probe's own result

Found in the read-through: an answered probe ends the schedule of its upstream, which the news of a replacement had just set, so that a replaced upstream was asked once more only. The news follows the result now. Take-ups find the reads that they share from the moment at which the hooks exist, not from start().

--- a/src/guavafield/transport/fleet/stream_origin_service.cpp
+++ b/src/guavafield/transport/fleet/stream_origin_service.cpp
@@ -72,8 +72,11 @@
 {
 }
 
-void StreamOriginService::start()
+void StreamOriginService::makeReads()
 {
+    if (m_originReads) {
+        return;
+    }
     const auto interval = [self = weak_from_this()] {
         const auto service = self.lock();
         return service ? service->callInterval() : internal::leastCallInterval;
@@ -87,11 +90,17 @@
     const auto upstreamInterval = [interval] { return std::min(interval(), internal::maxUpstreamReadInterval); };
     m_upstreamReads =
         std::make_shared<SharedRead>(SharedReadDependencies{m_dependencies.strand, m_dependencies.clock, upstreamInterval, m_dependencies.readUpstreams});
+}
+
+void StreamOriginService::start()
+{
+    makeReads();
     spawnLoop(m_dependencies.strand, [self = shared_from_this()] { return self->run(); });
 }
 
 StreamOriginHooks StreamOriginService::hooks()
 {
+    makeReads();
     StreamOriginHooks hooks;
     hooks.began = [self = shared_from_this()](StreamBeginning beginning) {
         asio::dispatch(self->m_dependencies.strand, [self, beginning = std::move(beginning)]() mutable { self->onBegan(std::move(beginning)); });
--- a/src/guavafield/transport/fleet/stream_origin_service.hpp
+++ b/src/guavafield/transport/fleet/stream_origin_service.hpp
@@ -79,6 +79,7 @@
         WallTime until{};
     };
 
+    void makeReads();
     [[nodiscard]] Awaitable run();
     // Takes the configuration in force.
     void observe();
@@ -138,7 +139,7 @@
     // Up to which the index holds the table of origins; empty before the first read.
     std::optional<RowVersion> m_indexVersion;
     std::map<std::string, StoredRow> m_storedRows;
-    // Both set by start().
+    // Both set before the first lookup.
     std::shared_ptr<SharedRead> m_originReads;
     std::shared_ptr<SharedRead> m_upstreamReads;
     SteadyTime m_nextRemoval{};
--- a/src/guavafield/transport/http/connection_prober.cpp
+++ b/src/guavafield/transport/http/connection_prober.cpp
@@ -119,23 +119,32 @@
         limit.cancel();
     }
     auto result = internal::resultOf(ec);
+    std::optional<Incarnation> named;
     if (result == ProbeResult::Answered) {
         boost::system::error_code ignored;
         (*connection)->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         (*connection)->detectDeadPeer();
         (*connection)->keepAlive = internal::unusedConnectionTime;
-        result = co_await ask(target, *endpoint, std::move(*connection));
+        const auto answer = co_await ask(target, *endpoint, std::move(*connection));
+        result = answer.result;
+        named = answer.named;
     }
     logEvent(LogLevel::Info, "http:", {}, "connection probe, upstream=" + target.upstream + " result=" + std::string(internal::nameOf(result)));
     m_context->driver->onProbe(target.upstream, result);
+    if (named && *named == target.incarnation) {
+        m_context->driver->onProcessListed(target.upstream, target.incarnation);
+    } else if (named && target.incarnation != 0) {
+        m_context->driver->onProcessReplaced(target.upstream, target.incarnation);
+    }
 }
 
-asio::awaitable<ProbeResult> ConnectionProber::ask(const ProbeTarget &target, const UpstreamEndpoint &endpoint, std::unique_ptr<UpstreamConnection> connection)
+asio::awaitable<ConnectionProber::ProbeAnswer>
+ConnectionProber::ask(const ProbeTarget &target, const UpstreamEndpoint &endpoint, std::unique_ptr<UpstreamConnection> connection)
 {
     const auto &dialect = m_context->hooks.forward;
     if (!dialect || dialect->process.target.empty()) {
         m_context->pool.giveBack({target.upstream, endpoint}, std::move(connection));
-        co_return ProbeResult::Answered;
+        co_return ProbeAnswer{ProbeResult::Answered, {}};
     }
     UpstreamExchange exchange(m_context->pool, m_strand, {{target.upstream, endpoint}, {}}, {});
     exchange.adopt(std::move(connection));
@@ -143,12 +152,7 @@
     const bool answered = exchange.answered() && internal::isUpstreams(exchange.header().result_int(), dialect->readAnswer(exchange.header(), {}));
     const auto named = asked == ExchangeResult::Ok ? exchange.process().incarnation : std::nullopt;
     exchange.finish();
-    if (named == target.incarnation) {
-        m_context->driver->onProcessListed(target.upstream, target.incarnation);
-    } else if (named && target.incarnation != 0) {
-        m_context->driver->onProcessReplaced(target.upstream, target.incarnation);
-    }
-    co_return answered ? ProbeResult::Answered : ProbeResult::Unanswered;
+    co_return ProbeAnswer{answered ? ProbeResult::Answered : ProbeResult::Unanswered, named};
 }
 
 } // namespace guavafield
--- a/src/guavafield/transport/http/connection_prober.hpp
+++ b/src/guavafield/transport/http/connection_prober.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace guavafield {
 
@@ -27,10 +28,17 @@
 private:
     using Awaitable = boost::asio::awaitable<void>;
 
+    struct ProbeAnswer
+    {
+        ProbeResult result{ProbeResult::Unanswered};
+        // Of the process at the other end; empty if it doesn't name it.
+        std::optional<Incarnation> named;
+    };
+
     [[nodiscard]] Awaitable run();
     [[nodiscard]] Awaitable probe(ProbeTarget target);
     // Waits for an answer on a new connection; one that opens proves no reach, as something between may have taken it.
-    [[nodiscard]] boost::asio::awaitable<ProbeResult>
+    [[nodiscard]] boost::asio::awaitable<ProbeAnswer>
     ask(const ProbeTarget &target, const UpstreamEndpoint &endpoint, std::unique_ptr<UpstreamConnection> connection);
 
     std::shared_ptr<PathContext> m_context;
