--- a/apps/guavafieldd/daemon.hpp
+++ b/apps/guavafieldd/daemon.hpp
@@ -11,7 +11,7 @@
 #include <guavafield/state/configuration.hpp>
 #include <guavafield/state/counters.hpp>
 #include <guavafield/state/snapshot_cell.hpp>
-#include <guavafield/transport/http/operator_server.hpp>
+#include <guavafield/transport/http/operators/operator_server.hpp>
 #include <guavafield/transport/http/request_path.hpp>
 
 #include <boost/asio/awaitable.hpp>
--- a/apps/guavafieldd/own_platform_services.hpp
+++ b/apps/guavafieldd/own_platform_services.hpp
@@ -11,7 +11,7 @@
 #include <guavafield/transport/configuration/configuration_service.hpp>
 #include <guavafield/transport/durable/once_service.hpp>
 #include <guavafield/transport/durable/usage_service.hpp>
-#include <guavafield/transport/http/operator_router.hpp>
+#include <guavafield/transport/http/operators/operator_router.hpp>
 #include <guavafield/transport/http/request_path.hpp>
 #include <guavafield/transport/platform/platform_client.hpp>
 
--- a/bench/simulation/baseline_scheduler.hpp
+++ b/bench/simulation/baseline_scheduler.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <bench/simulation/random.hpp>
-#include <guavafield/coordination/request/request_scheduler.hpp>
+#include <guavafield/coordination/request/scheduler/request_scheduler.hpp>
 
 #include <map>
 #include <set>
--- a/bench/simulation/policy.hpp
+++ b/bench/simulation/policy.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <bench/simulation/baseline_scheduler.hpp>
-#include <guavafield/coordination/request/request_scheduler.hpp>
+#include <guavafield/coordination/request/scheduler/request_scheduler.hpp>
 
 #include <array>
 #include <memory>
--- a/src/guavafield/coordination/fleet/host_report.hpp
+++ b/src/guavafield/coordination/fleet/host_report.hpp
@@ -3,8 +3,8 @@
 
 #include <guavafield/coordination/fleet/table_mirror.hpp>
 #include <guavafield/coordination/membership/member.hpp>
-#include <guavafield/coordination/request/crash_evidence.hpp>
-#include <guavafield/coordination/request/placement.hpp>
+#include <guavafield/coordination/request/health/crash_evidence.hpp>
+#include <guavafield/coordination/request/placement/placement.hpp>
 #include <guavafield/state/types.hpp>
 
 #include <cstdint>
--- a/src/guavafield/coordination/order/fleet_planner.hpp
+++ b/src/guavafield/coordination/order/fleet_planner.hpp
@@ -1,7 +1,7 @@
 // Plans how many upstreams of each kind every data centre should run for a pool.
 #pragma once
 
-#include <guavafield/coordination/request/placement.hpp>
+#include <guavafield/coordination/request/placement/placement.hpp>
 #include <guavafield/state/configuration.hpp>
 
 #include <cstdint>
--- a/src/guavafield/coordination/request/admission_control.cpp
+++ b/src/guavafield/coordination/request/admission/admission_control.cpp
@@ -1,5 +1,5 @@
 // Admission control: predicts the queueing delay of a request and compares it with its targets.
-#include <guavafield/coordination/request/admission_control.hpp>
+#include <guavafield/coordination/request/admission/admission_control.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/admission_control.hpp
+++ b/src/guavafield/coordination/request/admission/admission_control.hpp
@@ -1,8 +1,8 @@
 // Admission control: refuses requests that are predicted to miss their targets.
 #pragma once
 
-#include <guavafield/coordination/request/pool.hpp>
-#include <guavafield/coordination/request/service_times.hpp>
+#include <guavafield/coordination/request/admission/service_times.hpp>
+#include <guavafield/coordination/request/scheduler/pool.hpp>
 
 #include <optional>
 
--- a/src/guavafield/coordination/request/demand_tracker.cpp
+++ b/src/guavafield/coordination/request/admission/demand_tracker.cpp
@@ -1,5 +1,5 @@
 // Tracks the service rate of teams on this host and converts the rates that peers report.
-#include <guavafield/coordination/request/demand_tracker.hpp>
+#include <guavafield/coordination/request/admission/demand_tracker.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/src/guavafield/coordination/request/fair_queue.cpp
+++ b/src/guavafield/coordination/request/admission/fair_queue.cpp
@@ -1,5 +1,5 @@
 // Start-time fair queueing; service is charged as tokens arrive.
-#include <guavafield/coordination/request/fair_queue.hpp>
+#include <guavafield/coordination/request/admission/fair_queue.hpp>
 
 #include <guavafield/coordination/request/upstream_state.hpp>
 
--- a/src/guavafield/coordination/request/length_model.cpp
+++ b/src/guavafield/coordination/request/admission/length_model.cpp
@@ -1,5 +1,5 @@
 // Estimates the distribution of output lengths from a survival curve.
-#include <guavafield/coordination/request/length_model.hpp>
+#include <guavafield/coordination/request/admission/length_model.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/src/guavafield/coordination/request/pool_queue.cpp
+++ b/src/guavafield/coordination/request/admission/pool_queue.cpp
@@ -1,5 +1,5 @@
 // Strict priority between tiers with a minimum dispatch rate (floor) for lower tiers.
-#include <guavafield/coordination/request/pool_queue.hpp>
+#include <guavafield/coordination/request/admission/pool_queue.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/pool_queue.hpp
+++ b/src/guavafield/coordination/request/admission/pool_queue.hpp
@@ -1,7 +1,7 @@
 // Queue of one pool: strict priority between tiers, with a floor (minimum dispatch rate) for each tier below the top.
 #pragma once
 
-#include <guavafield/coordination/request/fair_queue.hpp>
+#include <guavafield/coordination/request/admission/fair_queue.hpp>
 
 #include <array>
 #include <cstdint>
--- a/src/guavafield/coordination/request/service_times.cpp
+++ b/src/guavafield/coordination/request/admission/service_times.cpp
@@ -1,5 +1,5 @@
 // Learns service times from completed requests and arriving tokens.
-#include <guavafield/coordination/request/service_times.hpp>
+#include <guavafield/coordination/request/admission/service_times.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/service_times.hpp
+++ b/src/guavafield/coordination/request/admission/service_times.hpp
@@ -1,7 +1,7 @@
 // Learned service times: output lengths per team, class and model; token and prefill times per model and tier.
 #pragma once
 
-#include <guavafield/coordination/request/length_model.hpp>
+#include <guavafield/coordination/request/admission/length_model.hpp>
 #include <guavafield/coordination/request/request_info.hpp>
 
 #include <array>
--- a/src/guavafield/coordination/request/fwd.hpp
+++ b/src/guavafield/coordination/request/fwd.hpp
@@ -1,14 +1,19 @@
 // Forward declarations for request scheduling.
 #pragma once
 
+#include <guavafield/coordination/request/admission/fwd.hpp>
+#include <guavafield/coordination/request/health/fwd.hpp>
+#include <guavafield/coordination/request/limits/fwd.hpp>
+#include <guavafield/coordination/request/placement/fwd.hpp>
+#include <guavafield/coordination/request/scheduler/fwd.hpp>
+
 namespace guavafield {
 
-class RequestScheduler;
 struct CrashRecord;
-struct EngineDemand;
 struct LoadReport;
-struct PeerWork;
+struct RequestEntry;
 struct RequestInfo;
 struct TeamDemand;
+struct UpstreamState;
 
 } // namespace guavafield
--- a/src/guavafield/coordination/request/broken_attempts.cpp
+++ b/src/guavafield/coordination/request/health/broken_attempts.cpp
@@ -1,5 +1,5 @@
 // Evidence for and against the end of an upstream's process.
-#include <guavafield/coordination/request/broken_attempts.hpp>
+#include <guavafield/coordination/request/health/broken_attempts.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/broken_attempts.hpp
+++ b/src/guavafield/coordination/request/health/broken_attempts.hpp
@@ -1,7 +1,7 @@
 // Attempts whose connection broke, until it is known whether the upstream's process has ended.
 #pragma once
 
-#include <guavafield/coordination/request/crash_evidence.hpp>
+#include <guavafield/coordination/request/health/crash_evidence.hpp>
 #include <guavafield/state/types.hpp>
 
 #include <cstddef>
--- a/src/guavafield/coordination/request/connection_probes.cpp
+++ b/src/guavafield/coordination/request/health/connection_probes.cpp
@@ -1,5 +1,5 @@
 // Intervals between the probes of an upstream.
-#include <guavafield/coordination/request/connection_probes.hpp>
+#include <guavafield/coordination/request/health/connection_probes.hpp>
 
 #include <guavafield/coordination/request/decaying_sum.hpp>
 
--- a/src/guavafield/coordination/request/crash_evidence.cpp
+++ b/src/guavafield/coordination/request/health/crash_evidence.cpp
@@ -1,5 +1,5 @@
 // Attribution of crashes to what their suspects have in common.
-#include <guavafield/coordination/request/crash_evidence.hpp>
+#include <guavafield/coordination/request/health/crash_evidence.hpp>
 
 #include <algorithm>
 #include <iterator>
--- a/src/guavafield/coordination/request/crash_tracker.cpp
+++ b/src/guavafield/coordination/request/health/crash_tracker.cpp
@@ -1,5 +1,5 @@
 // Crash suspects and quarantined requests.
-#include <guavafield/coordination/request/crash_tracker.hpp>
+#include <guavafield/coordination/request/health/crash_tracker.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/outlier_detector.cpp
+++ b/src/guavafield/coordination/request/health/outlier_detector.cpp
@@ -1,5 +1,5 @@
 // Outlier detection based on the median token time.
-#include <guavafield/coordination/request/outlier_detector.hpp>
+#include <guavafield/coordination/request/health/outlier_detector.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/upstream_notices.cpp
+++ b/src/guavafield/coordination/request/health/upstream_notices.cpp
@@ -1,7 +1,7 @@
 // Notices of upstreams and their expiry.
-#include <guavafield/coordination/request/upstream_notices.hpp>
+#include <guavafield/coordination/request/health/upstream_notices.hpp>
 
-#include <guavafield/coordination/request/placement.hpp>
+#include <guavafield/coordination/request/placement/placement.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/upstream_notices.hpp
+++ b/src/guavafield/coordination/request/health/upstream_notices.hpp
@@ -1,7 +1,7 @@
 // What upstreams said about themselves in their answers: that they leave, want no requests for a time, or limit their rate.
 #pragma once
 
-#include <guavafield/coordination/request/rate_limit.hpp>
+#include <guavafield/coordination/request/limits/rate_limit.hpp>
 #include <guavafield/state/types.hpp>
 
 #include <cstddef>
--- a/src/guavafield/coordination/request/brittle_room.cpp
+++ b/src/guavafield/coordination/request/limits/brittle_room.cpp
@@ -1,5 +1,5 @@
 // Shrinking and growing of a host's part.
-#include <guavafield/coordination/request/brittle_room.hpp>
+#include <guavafield/coordination/request/limits/brittle_room.hpp>
 
 #include <guavafield/coordination/request/decaying_sum.hpp>
 
--- a/src/guavafield/coordination/request/concurrency_limit.cpp
+++ b/src/guavafield/coordination/request/limits/concurrency_limit.cpp
@@ -1,5 +1,5 @@
 // Adaptive concurrency limit with additive increase and multiplicative decrease.
-#include <guavafield/coordination/request/concurrency_limit.hpp>
+#include <guavafield/coordination/request/limits/concurrency_limit.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/rate_limit.cpp
+++ b/src/guavafield/coordination/request/limits/rate_limit.cpp
@@ -1,5 +1,5 @@
 // Text of rate limits.
-#include <guavafield/coordination/request/rate_limit.hpp>
+#include <guavafield/coordination/request/limits/rate_limit.hpp>
 
 #include <sstream>
 
--- a/src/guavafield/coordination/request/shared_rate_limit.cpp
+++ b/src/guavafield/coordination/request/limits/shared_rate_limit.cpp
@@ -1,5 +1,5 @@
 // Permits of one host.
-#include <guavafield/coordination/request/shared_rate_limit.hpp>
+#include <guavafield/coordination/request/limits/shared_rate_limit.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/src/guavafield/coordination/request/placement.cpp
+++ b/src/guavafield/coordination/request/placement/placement.cpp
@@ -1,8 +1,8 @@
 // Placement of requests on self-queueing upstreams.
-#include <guavafield/coordination/request/placement.hpp>
+#include <guavafield/coordination/request/placement/placement.hpp>
 
 #include <guavafield/coordination/request/decaying_sum.hpp>
-#include <guavafield/coordination/request/stream_binding.hpp>
+#include <guavafield/coordination/request/placement/stream_binding.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/src/guavafield/coordination/request/placement.hpp
+++ b/src/guavafield/coordination/request/placement/placement.hpp
@@ -1,9 +1,9 @@
 // Chooses the upstream for a request of a self-queueing pool, whose upstreams queue by priority themselves.
 #pragma once
 
-#include <guavafield/coordination/request/prefix_index.hpp>
-#include <guavafield/coordination/request/router.hpp>
-#include <guavafield/coordination/request/stream_isolation.hpp>
+#include <guavafield/coordination/request/placement/prefix_index.hpp>
+#include <guavafield/coordination/request/placement/router.hpp>
+#include <guavafield/coordination/request/placement/stream_isolation.hpp>
 
 #include <cstdint>
 #include <optional>
--- a/src/guavafield/coordination/request/prefix_index.cpp
+++ b/src/guavafield/coordination/request/placement/prefix_index.cpp
@@ -1,5 +1,5 @@
 // Bounded index of the prompt prefixes that upstreams hold.
-#include <guavafield/coordination/request/prefix_index.hpp>
+#include <guavafield/coordination/request/placement/prefix_index.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/relay_targets.cpp
+++ b/src/guavafield/coordination/request/placement/relay_targets.cpp
@@ -1,5 +1,5 @@
 // Choice between hosts by load.
-#include <guavafield/coordination/request/relay_targets.hpp>
+#include <guavafield/coordination/request/placement/relay_targets.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/router.cpp
+++ b/src/guavafield/coordination/request/placement/router.cpp
@@ -1,8 +1,8 @@
 // Selection of upstreams by prefix affinity, load and kind.
-#include <guavafield/coordination/request/router.hpp>
+#include <guavafield/coordination/request/placement/router.hpp>
 
 #include <guavafield/coordination/request/decaying_sum.hpp>
-#include <guavafield/coordination/request/stream_binding.hpp>
+#include <guavafield/coordination/request/placement/stream_binding.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/router.hpp
+++ b/src/guavafield/coordination/request/placement/router.hpp
@@ -1,7 +1,7 @@
 // Selects the upstream for a request.
 #pragma once
 
-#include <guavafield/coordination/request/prefix_index.hpp>
+#include <guavafield/coordination/request/placement/prefix_index.hpp>
 #include <guavafield/coordination/request/split_mix.hpp>
 #include <guavafield/coordination/request/upstream_state.hpp>
 
--- a/src/guavafield/coordination/request/stream_binding.cpp
+++ b/src/guavafield/coordination/request/placement/stream_binding.cpp
@@ -1,5 +1,5 @@
 // Matches streams that have begun with the software versions of upstreams.
-#include <guavafield/coordination/request/stream_binding.hpp>
+#include <guavafield/coordination/request/placement/stream_binding.hpp>
 
 namespace guavafield {
 
--- a/src/guavafield/coordination/request/stream_binding.hpp
+++ b/src/guavafield/coordination/request/placement/stream_binding.hpp
@@ -1,7 +1,7 @@
 // Which upstreams may go on with a stream that has begun. What two software versions write does not fit together.
 #pragma once
 
-#include <guavafield/coordination/request/router.hpp>
+#include <guavafield/coordination/request/placement/router.hpp>
 #include <guavafield/coordination/request/upstream_state.hpp>
 
 namespace guavafield {
--- a/src/guavafield/coordination/request/stream_isolation.cpp
+++ b/src/guavafield/coordination/request/placement/stream_isolation.cpp
@@ -1,5 +1,5 @@
 // Demand of both groups and the boundary between their engines.
-#include <guavafield/coordination/request/stream_isolation.hpp>
+#include <guavafield/coordination/request/placement/stream_isolation.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -1,8 +1,8 @@
 // Input and output values of the scheduler: requests, actions, attempt results and reports of upstreams and peers.
 #pragma once
 
-#include <guavafield/coordination/request/rate_limit.hpp>
-#include <guavafield/coordination/request/relay_targets.hpp>
+#include <guavafield/coordination/request/limits/rate_limit.hpp>
+#include <guavafield/coordination/request/placement/relay_targets.hpp>
 #include <guavafield/state/counters.hpp>
 #include <guavafield/state/result.hpp>
 #include <guavafield/state/types.hpp>
--- a/src/guavafield/coordination/request/pool.hpp
+++ b/src/guavafield/coordination/request/scheduler/pool.hpp
@@ -1,10 +1,10 @@
 // Pool of a model in a data centre: its queue, its upstreams and the requests of this host that run on them.
 #pragma once
 
+#include <guavafield/coordination/request/admission/pool_queue.hpp>
 #include <guavafield/coordination/request/decaying_sum.hpp>
-#include <guavafield/coordination/request/placement.hpp>
-#include <guavafield/coordination/request/pool_queue.hpp>
-#include <guavafield/coordination/request/router.hpp>
+#include <guavafield/coordination/request/placement/placement.hpp>
+#include <guavafield/coordination/request/placement/router.hpp>
 
 #include <array>
 #include <optional>
--- a/src/guavafield/coordination/request/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/scheduler/request_scheduler.cpp
@@ -1,7 +1,7 @@
 // Forwards the public interface to the implementation.
-#include <guavafield/coordination/request/request_scheduler.hpp>
+#include <guavafield/coordination/request/scheduler/request_scheduler.hpp>
 
-#include <guavafield/coordination/request/scheduler_core.hpp>
+#include <guavafield/coordination/request/scheduler/scheduler_core.hpp>
 
 namespace guavafield {
 
--- a/src/guavafield/coordination/request/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/scheduler/request_scheduler.hpp
@@ -1,9 +1,9 @@
 // Request scheduling: admission, queueing, routing, retries and preemption. Performs no I/O; the time is passed in.
 #pragma once
 
-#include <guavafield/coordination/request/connection_probes.hpp>
-#include <guavafield/coordination/request/crash_evidence.hpp>
-#include <guavafield/coordination/request/placement.hpp>
+#include <guavafield/coordination/request/health/connection_probes.hpp>
+#include <guavafield/coordination/request/health/crash_evidence.hpp>
+#include <guavafield/coordination/request/placement/placement.hpp>
 #include <guavafield/coordination/request/request_info.hpp>
 #include <guavafield/state/configuration.hpp>
 
--- a/src/guavafield/coordination/request/scheduler_checks.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_checks.cpp
@@ -1,6 +1,6 @@
 // Periodic checks: outlier ejection, migration from leaving upstreams, ends of pauses and removal of upstreams.
-#include <guavafield/coordination/request/scheduler_core.hpp>
-#include <guavafield/coordination/request/stream_binding.hpp>
+#include <guavafield/coordination/request/placement/stream_binding.hpp>
+#include <guavafield/coordination/request/scheduler/scheduler_core.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_core.cpp
@@ -1,5 +1,5 @@
 // Configuration, request submission, and events from upstreams and peers.
-#include <guavafield/coordination/request/scheduler_core.hpp>
+#include <guavafield/coordination/request/scheduler/scheduler_core.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_core.hpp
@@ -1,17 +1,17 @@
 // Implementation of RequestScheduler, composed of the other classes of this folder.
 #pragma once
 
-#include <guavafield/coordination/request/admission_control.hpp>
-#include <guavafield/coordination/request/broken_attempts.hpp>
-#include <guavafield/coordination/request/crash_evidence.hpp>
-#include <guavafield/coordination/request/crash_tracker.hpp>
-#include <guavafield/coordination/request/demand_tracker.hpp>
-#include <guavafield/coordination/request/pool.hpp>
-#include <guavafield/coordination/request/relay_targets.hpp>
-#include <guavafield/coordination/request/request_scheduler.hpp>
-#include <guavafield/coordination/request/retry_budget.hpp>
-#include <guavafield/coordination/request/service_times.hpp>
-#include <guavafield/coordination/request/upstream_notices.hpp>
+#include <guavafield/coordination/request/admission/admission_control.hpp>
+#include <guavafield/coordination/request/admission/demand_tracker.hpp>
+#include <guavafield/coordination/request/admission/service_times.hpp>
+#include <guavafield/coordination/request/health/broken_attempts.hpp>
+#include <guavafield/coordination/request/health/crash_evidence.hpp>
+#include <guavafield/coordination/request/health/crash_tracker.hpp>
+#include <guavafield/coordination/request/health/upstream_notices.hpp>
+#include <guavafield/coordination/request/limits/retry_budget.hpp>
+#include <guavafield/coordination/request/placement/relay_targets.hpp>
+#include <guavafield/coordination/request/scheduler/pool.hpp>
+#include <guavafield/coordination/request/scheduler/request_scheduler.hpp>
 
 #include <map>
 #include <memory>
--- a/src/guavafield/coordination/request/scheduler_dispatch.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_dispatch.cpp
@@ -1,6 +1,6 @@
 // Scheduler step: shedding, dispatch, preemption and hedging.
-#include <guavafield/coordination/request/scheduler_core.hpp>
-#include <guavafield/coordination/request/stream_binding.hpp>
+#include <guavafield/coordination/request/placement/stream_binding.hpp>
+#include <guavafield/coordination/request/scheduler/scheduler_core.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/src/guavafield/coordination/request/scheduler_reach.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_reach.cpp
@@ -1,5 +1,5 @@
 // Which upstreams this host reaches, and whether those that it does not reach have crashed.
-#include <guavafield/coordination/request/scheduler_core.hpp>
+#include <guavafield/coordination/request/scheduler/scheduler_core.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/scheduler_relay.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_relay.cpp
@@ -1,5 +1,5 @@
 // Requests of pools of which this host reaches no upstream.
-#include <guavafield/coordination/request/scheduler_core.hpp>
+#include <guavafield/coordination/request/scheduler/scheduler_core.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_self_queueing.cpp
@@ -1,6 +1,6 @@
 // Self-queueing pools: requests are sent immediately to the upstream chosen by placement, which queues them by priority.
-#include <guavafield/coordination/request/scheduler_core.hpp>
-#include <guavafield/coordination/request/stream_binding.hpp>
+#include <guavafield/coordination/request/placement/stream_binding.hpp>
+#include <guavafield/coordination/request/scheduler/scheduler_core.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -1,12 +1,12 @@
 // A host's view of one upstream: its own attempts exactly, the work of other hosts from delayed reports.
 #pragma once
 
-#include <guavafield/coordination/request/brittle_room.hpp>
-#include <guavafield/coordination/request/concurrency_limit.hpp>
 #include <guavafield/coordination/request/decaying_sum.hpp>
-#include <guavafield/coordination/request/outlier_detector.hpp>
+#include <guavafield/coordination/request/health/outlier_detector.hpp>
+#include <guavafield/coordination/request/limits/brittle_room.hpp>
+#include <guavafield/coordination/request/limits/concurrency_limit.hpp>
+#include <guavafield/coordination/request/limits/shared_rate_limit.hpp>
 #include <guavafield/coordination/request/request_entry.hpp>
-#include <guavafield/coordination/request/shared_rate_limit.hpp>
 #include <guavafield/state/configuration.hpp>
 
 #include <deque>
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -1,7 +1,7 @@
 // Reading of feeds, fetching from peers, and the choice of the host that reads.
 #include <guavafield/transport/fleet/directory_service.hpp>
 
-#include <guavafield/coordination/request/placement.hpp>
+#include <guavafield/coordination/request/placement/placement.hpp>
 #include <guavafield/transport/durable/sleep.hpp>
 #include <guavafield/transport/log/event_loop.hpp>
 #include <guavafield/transport/log/log.hpp>
--- a/src/guavafield/transport/fleet/duty_service.hpp
+++ b/src/guavafield/transport/fleet/duty_service.hpp
@@ -3,7 +3,7 @@
 
 #include <guavafield/coordination/fleet/fleet_clock.hpp>
 #include <guavafield/coordination/order/fleet_planner.hpp>
-#include <guavafield/coordination/request/placement.hpp>
+#include <guavafield/coordination/request/placement/placement.hpp>
 #include <guavafield/coordination/usage/seal_floor.hpp>
 #include <guavafield/coordination/usage/window_reporter.hpp>
 #include <guavafield/state/clock.hpp>
--- a/src/guavafield/transport/http/access.cpp
+++ b/src/guavafield/transport/http/callers/access.cpp
@@ -1,5 +1,5 @@
 // Checks of a request's header against the configuration.
-#include <guavafield/transport/http/access.hpp>
+#include <guavafield/transport/http/callers/access.hpp>
 
 #include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
--- a/src/guavafield/transport/http/access.hpp
+++ b/src/guavafield/transport/http/callers/access.hpp
@@ -3,7 +3,7 @@
 
 #include <guavafield/protocol/chat/chat_request.hpp>
 #include <guavafield/state/configuration.hpp>
-#include <guavafield/transport/http/forward_dialect.hpp>
+#include <guavafield/transport/http/forwarding/forward_dialect.hpp>
 
 #include <boost/beast/http/message.hpp>
 
--- a/src/guavafield/transport/http/caller_answer.cpp
+++ b/src/guavafield/transport/http/callers/caller_answer.cpp
@@ -1,5 +1,5 @@
 // Headers, bodies and events for callers.
-#include <guavafield/transport/http/caller_answer.hpp>
+#include <guavafield/transport/http/callers/caller_answer.hpp>
 
 #include <guavafield/protocol/chat/sse.hpp>
 #include <guavafield/transport/http/headers.hpp>
--- a/src/guavafield/transport/http/caller_answer.hpp
+++ b/src/guavafield/transport/http/callers/caller_answer.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <guavafield/protocol/chat/error_body.hpp>
-#include <guavafield/transport/http/caller_stream.hpp>
+#include <guavafield/transport/http/callers/caller_stream.hpp>
 #include <guavafield/transport/http/path_hooks.hpp>
 
 #include <boost/asio/awaitable.hpp>
--- a/src/guavafield/transport/http/caller_connection.cpp
+++ b/src/guavafield/transport/http/callers/caller_connection.cpp
@@ -1,12 +1,12 @@
 // Reading of requests with their limits, and their way to a model or a service.
-#include <guavafield/transport/http/caller_connection.hpp>
+#include <guavafield/transport/http/callers/caller_connection.hpp>
 
-#include <guavafield/transport/http/forward_request.hpp>
+#include <guavafield/transport/http/forwarding/forward_request.hpp>
+#include <guavafield/transport/http/forwarding/model_request.hpp>
+#include <guavafield/transport/http/forwarding/relay_headers.hpp>
+#include <guavafield/transport/http/forwarding/service_request.hpp>
 #include <guavafield/transport/http/headers.hpp>
-#include <guavafield/transport/http/model_request.hpp>
 #include <guavafield/transport/http/path_context.hpp>
-#include <guavafield/transport/http/relay_headers.hpp>
-#include <guavafield/transport/http/service_request.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/error.hpp>
--- a/src/guavafield/transport/http/caller_connection.hpp
+++ b/src/guavafield/transport/http/callers/caller_connection.hpp
@@ -1,9 +1,9 @@
 // A caller's connection: reads one request after the other and has each answered.
 #pragma once
 
-#include <guavafield/transport/http/access.hpp>
-#include <guavafield/transport/http/caller_answer.hpp>
-#include <guavafield/transport/http/caller_stream.hpp>
+#include <guavafield/transport/http/callers/access.hpp>
+#include <guavafield/transport/http/callers/caller_answer.hpp>
+#include <guavafield/transport/http/callers/caller_stream.hpp>
 #include <guavafield/transport/http/mailbox.hpp>
 
 #include <boost/beast/http/parser.hpp>
--- a/src/guavafield/transport/http/caller_server.cpp
+++ b/src/guavafield/transport/http/callers/caller_server.cpp
@@ -1,5 +1,5 @@
 // Accepting of connections and their limit.
-#include <guavafield/transport/http/caller_server.hpp>
+#include <guavafield/transport/http/callers/caller_server.hpp>
 
 #include <guavafield/transport/http/path_context.hpp>
 #include <guavafield/transport/log/log.hpp>
--- a/src/guavafield/transport/http/caller_server.hpp
+++ b/src/guavafield/transport/http/callers/caller_server.hpp
@@ -1,7 +1,7 @@
 // The listener for callers.
 #pragma once
 
-#include <guavafield/transport/http/caller_connection.hpp>
+#include <guavafield/transport/http/callers/caller_connection.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/src/guavafield/transport/http/caller_stream.cpp
+++ b/src/guavafield/transport/http/callers/caller_stream.cpp
@@ -1,8 +1,8 @@
 // Timed writes and the watch for the end of the connection.
-#include <guavafield/transport/http/caller_stream.hpp>
+#include <guavafield/transport/http/callers/caller_stream.hpp>
 
-#include <guavafield/transport/http/connection_pool.hpp>
 #include <guavafield/transport/http/mailbox.hpp>
+#include <guavafield/transport/http/upstreams/connection_pool.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/src/guavafield/transport/http/forward_access.cpp
+++ b/src/guavafield/transport/http/callers/forward_access.cpp
@@ -1,8 +1,8 @@
 // Checks of a request that is passed on unchanged: framing, route, key and pool.
-#include <guavafield/transport/http/access.hpp>
+#include <guavafield/transport/http/callers/access.hpp>
 
+#include <guavafield/transport/http/forwarding/relay_headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
-#include <guavafield/transport/http/relay_headers.hpp>
 
 #include <boost/beast/core/string.hpp>
 
--- a/src/guavafield/transport/http/key_registry.cpp
+++ b/src/guavafield/transport/http/callers/key_registry.cpp
@@ -1,5 +1,5 @@
 // Registration and closing of requests by key.
-#include <guavafield/transport/http/key_registry.hpp>
+#include <guavafield/transport/http/callers/key_registry.hpp>
 
 namespace guavafield {
 
--- a/src/guavafield/transport/http/attempt_outlet.cpp
+++ b/src/guavafield/transport/http/forwarding/attempt_outlet.cpp
@@ -1,5 +1,5 @@
 // Delivery and the wait for the reader.
-#include <guavafield/transport/http/attempt_outlet.hpp>
+#include <guavafield/transport/http/forwarding/attempt_outlet.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/src/guavafield/transport/http/engine_attempt.cpp
+++ b/src/guavafield/transport/http/forwarding/engine_attempt.cpp
@@ -1,9 +1,9 @@
 // The coroutine of an attempt.
-#include <guavafield/transport/http/engine_attempt.hpp>
+#include <guavafield/transport/http/forwarding/engine_attempt.hpp>
 
-#include <guavafield/transport/http/engine_probe.hpp>
 #include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
+#include <guavafield/transport/http/upstreams/engine_probe.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/guavafield/transport/http/engine_attempt.hpp
+++ b/src/guavafield/transport/http/forwarding/engine_attempt.hpp
@@ -3,8 +3,8 @@
 
 #include <guavafield/protocol/chat/sse.hpp>
 #include <guavafield/state/configuration.hpp>
-#include <guavafield/transport/http/attempt_outlet.hpp>
-#include <guavafield/transport/http/upstream_exchange.hpp>
+#include <guavafield/transport/http/forwarding/attempt_outlet.hpp>
+#include <guavafield/transport/http/upstreams/upstream_exchange.hpp>
 
 #include <memory>
 #include <string>
--- a/src/guavafield/transport/http/event_splitter.cpp
+++ b/src/guavafield/transport/http/forwarding/event_splitter.cpp
@@ -1,5 +1,5 @@
 // Search for the blank lines between events.
-#include <guavafield/transport/http/event_splitter.hpp>
+#include <guavafield/transport/http/forwarding/event_splitter.hpp>
 
 #include <algorithm>
 #include <charconv>
--- a/src/guavafield/transport/http/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forwarding/forward_attempt.cpp
@@ -1,10 +1,10 @@
 // The coroutine of a forwarded attempt.
-#include <guavafield/transport/http/forward_attempt.hpp>
+#include <guavafield/transport/http/forwarding/forward_attempt.hpp>
 
-#include <guavafield/transport/http/event_splitter.hpp>
+#include <guavafield/transport/http/forwarding/event_splitter.hpp>
+#include <guavafield/transport/http/forwarding/relay_headers.hpp>
 #include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
-#include <guavafield/transport/http/relay_headers.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/guavafield/transport/http/forward_attempt.hpp
+++ b/src/guavafield/transport/http/forwarding/forward_attempt.hpp
@@ -1,10 +1,10 @@
 // One attempt to run a forwarded request at an upstream.
 #pragma once
 
-#include <guavafield/coordination/request/rate_limit.hpp>
+#include <guavafield/coordination/request/limits/rate_limit.hpp>
 #include <guavafield/state/configuration.hpp>
-#include <guavafield/transport/http/attempt_outlet.hpp>
-#include <guavafield/transport/http/upstream_exchange.hpp>
+#include <guavafield/transport/http/forwarding/attempt_outlet.hpp>
+#include <guavafield/transport/http/upstreams/upstream_exchange.hpp>
 
 #include <memory>
 #include <string>
--- a/src/guavafield/transport/http/forward_attempt_plan.cpp
+++ b/src/guavafield/transport/http/forwarding/forward_attempt_plan.cpp
@@ -1,8 +1,8 @@
 // Times, headers and addresses of the attempts of a forwarded request.
-#include <guavafield/transport/http/forward_attempt_plan.hpp>
+#include <guavafield/transport/http/forwarding/forward_attempt_plan.hpp>
 
+#include <guavafield/transport/http/forwarding/relay_headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
-#include <guavafield/transport/http/relay_headers.hpp>
 #include <guavafield/transport/peer/endpoints.hpp>
 
 #include <algorithm>
--- a/src/guavafield/transport/http/forward_attempt_plan.hpp
+++ b/src/guavafield/transport/http/forwarding/forward_attempt_plan.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include <guavafield/coordination/request/request_info.hpp>
-#include <guavafield/transport/http/access.hpp>
-#include <guavafield/transport/http/forward_attempt.hpp>
+#include <guavafield/transport/http/callers/access.hpp>
+#include <guavafield/transport/http/forwarding/forward_attempt.hpp>
 
 #include <boost/beast/http/fields.hpp>
 
--- a/src/guavafield/transport/http/forward_dialect.hpp
+++ b/src/guavafield/transport/http/forwarding/forward_dialect.hpp
@@ -1,10 +1,10 @@
 // How requests that are passed on unchanged are read from callers' headers and written for upstreams; each platform brings its own.
 #pragma once
 
-#include <guavafield/coordination/request/rate_limit.hpp>
+#include <guavafield/coordination/request/limits/rate_limit.hpp>
 #include <guavafield/coordination/request/request_info.hpp>
 #include <guavafield/state/result.hpp>
-#include <guavafield/transport/http/process_question.hpp>
+#include <guavafield/transport/http/upstreams/process_question.hpp>
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
--- a/src/guavafield/transport/http/forward_request.cpp
+++ b/src/guavafield/transport/http/forwarding/forward_request.cpp
@@ -1,11 +1,11 @@
 // Events of a request that is passed on unchanged.
-#include <guavafield/transport/http/forward_request.hpp>
+#include <guavafield/transport/http/forwarding/forward_request.hpp>
 
 #include <guavafield/coordination/table/table.hpp>
-#include <guavafield/transport/http/event_splitter.hpp>
+#include <guavafield/transport/http/forwarding/event_splitter.hpp>
+#include <guavafield/transport/http/forwarding/relay_headers.hpp>
 #include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
-#include <guavafield/transport/http/relay_headers.hpp>
 #include <guavafield/transport/log/log.hpp>
 #include <guavafield/transport/peer/endpoints.hpp>
 
--- a/src/guavafield/transport/http/forward_request.hpp
+++ b/src/guavafield/transport/http/forwarding/forward_request.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include <guavafield/coordination/streams/event_sequence.hpp>
-#include <guavafield/transport/http/caller_answer.hpp>
-#include <guavafield/transport/http/forward_attempt_plan.hpp>
+#include <guavafield/transport/http/callers/caller_answer.hpp>
+#include <guavafield/transport/http/forwarding/forward_attempt_plan.hpp>
 #include <guavafield/transport/http/mailbox.hpp>
 
 #include <memory>
--- a/src/guavafield/transport/http/model_request.cpp
+++ b/src/guavafield/transport/http/forwarding/model_request.cpp
@@ -1,5 +1,5 @@
 // Events of a request for a model.
-#include <guavafield/transport/http/model_request.hpp>
+#include <guavafield/transport/http/forwarding/model_request.hpp>
 
 #include <guavafield/coordination/table/table.hpp>
 #include <guavafield/protocol/chat/sse.hpp>
--- a/src/guavafield/transport/http/model_request.hpp
+++ b/src/guavafield/transport/http/forwarding/model_request.hpp
@@ -3,9 +3,9 @@
 
 #include <guavafield/protocol/chat/chat_request.hpp>
 #include <guavafield/protocol/chat/stream_chunk.hpp>
-#include <guavafield/transport/http/access.hpp>
-#include <guavafield/transport/http/caller_answer.hpp>
-#include <guavafield/transport/http/engine_attempt.hpp>
+#include <guavafield/transport/http/callers/access.hpp>
+#include <guavafield/transport/http/callers/caller_answer.hpp>
+#include <guavafield/transport/http/forwarding/engine_attempt.hpp>
 #include <guavafield/transport/http/mailbox.hpp>
 
 #include <boost/beast/http/fields.hpp>
--- a/src/guavafield/transport/http/relay_headers.cpp
+++ b/src/guavafield/transport/http/forwarding/relay_headers.cpp
@@ -1,5 +1,5 @@
 // Reading and removing of the headers of relaying.
-#include <guavafield/transport/http/relay_headers.hpp>
+#include <guavafield/transport/http/forwarding/relay_headers.hpp>
 
 #include <charconv>
 
--- a/src/guavafield/transport/http/service_request.cpp
+++ b/src/guavafield/transport/http/forwarding/service_request.cpp
@@ -1,5 +1,5 @@
 // Calls of plain services, with the gate for calls that may run only once.
-#include <guavafield/transport/http/service_request.hpp>
+#include <guavafield/transport/http/forwarding/service_request.hpp>
 
 #include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/path_context.hpp>
--- a/src/guavafield/transport/http/service_request.hpp
+++ b/src/guavafield/transport/http/forwarding/service_request.hpp
@@ -1,10 +1,10 @@
 // A call of a plain service.
 #pragma once
 
-#include <guavafield/transport/http/access.hpp>
-#include <guavafield/transport/http/caller_answer.hpp>
+#include <guavafield/transport/http/callers/access.hpp>
+#include <guavafield/transport/http/callers/caller_answer.hpp>
 #include <guavafield/transport/http/mailbox.hpp>
-#include <guavafield/transport/http/upstream_exchange.hpp>
+#include <guavafield/transport/http/upstreams/upstream_exchange.hpp>
 
 #include <memory>
 #include <string>
--- a/src/guavafield/transport/http/fwd.hpp
+++ b/src/guavafield/transport/http/fwd.hpp
@@ -1,22 +1,16 @@
 // Forward declarations of the HTTP transport.
 #pragma once
 
+#include <guavafield/transport/http/callers/fwd.hpp>
+#include <guavafield/transport/http/forwarding/fwd.hpp>
+#include <guavafield/transport/http/operators/fwd.hpp>
+#include <guavafield/transport/http/upstreams/fwd.hpp>
+
 namespace guavafield {
 
-class CallerConnection;
-class CallerServer;
-class CallerStream;
-class ConnectionPool;
-class EngineAttempt;
-class KeyRegistry;
-class LoadPoller;
 class Mailbox;
-class ModelRequest;
-class OperatorRouter;
-class OperatorServer;
 class RequestDriver;
 class RequestPath;
-class UpstreamExchange;
 struct PathContext;
 struct PathHooks;
 
--- a/src/guavafield/transport/http/operator_router.cpp
+++ b/src/guavafield/transport/http/operators/operator_router.cpp
@@ -1,5 +1,5 @@
 // Lookup of operators' handlers.
-#include <guavafield/transport/http/operator_router.hpp>
+#include <guavafield/transport/http/operators/operator_router.hpp>
 
 #include <guavafield/protocol/chat/error_body.hpp>
 
--- a/src/guavafield/transport/http/operator_server.cpp
+++ b/src/guavafield/transport/http/operators/operator_server.cpp
@@ -1,9 +1,9 @@
 // Serving of operators with Beast.
-#include <guavafield/transport/http/operator_server.hpp>
+#include <guavafield/transport/http/operators/operator_server.hpp>
 
-#include <guavafield/transport/http/access.hpp>
-#include <guavafield/transport/http/connection_pool.hpp>
+#include <guavafield/transport/http/callers/access.hpp>
 #include <guavafield/transport/http/headers.hpp>
+#include <guavafield/transport/http/upstreams/connection_pool.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/guavafield/transport/http/operator_server.hpp
+++ b/src/guavafield/transport/http/operators/operator_server.hpp
@@ -4,7 +4,7 @@
 #include <guavafield/protocol/settings/daemon_settings.hpp>
 #include <guavafield/state/counters.hpp>
 #include <guavafield/state/key_hasher.hpp>
-#include <guavafield/transport/http/operator_router.hpp>
+#include <guavafield/transport/http/operators/operator_router.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/src/guavafield/transport/http/path_context.hpp
+++ b/src/guavafield/transport/http/path_context.hpp
@@ -9,13 +9,13 @@
 #include <guavafield/state/latencies.hpp>
 #include <guavafield/state/snapshot_cell.hpp>
 #include <guavafield/transport/http/answer_memory.hpp>
-#include <guavafield/transport/http/connection_pool.hpp>
-#include <guavafield/transport/http/engine_probe.hpp>
-#include <guavafield/transport/http/forward_dialect.hpp>
-#include <guavafield/transport/http/key_registry.hpp>
+#include <guavafield/transport/http/callers/key_registry.hpp>
+#include <guavafield/transport/http/forwarding/forward_dialect.hpp>
 #include <guavafield/transport/http/path_hooks.hpp>
 #include <guavafield/transport/http/request_driver.hpp>
-#include <guavafield/transport/http/service_balance.hpp>
+#include <guavafield/transport/http/upstreams/connection_pool.hpp>
+#include <guavafield/transport/http/upstreams/engine_probe.hpp>
+#include <guavafield/transport/http/upstreams/service_balance.hpp>
 
 #include <atomic>
 #include <cstddef>
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -1,7 +1,7 @@
 // Owner of the request scheduler: serializes its calls, runs its steps and hands its actions to the waiting requests.
 #pragma once
 
-#include <guavafield/coordination/request/request_scheduler.hpp>
+#include <guavafield/coordination/request/scheduler/request_scheduler.hpp>
 #include <guavafield/state/clock.hpp>
 #include <guavafield/transport/http/mailbox.hpp>
 
--- a/src/guavafield/transport/http/request_path.hpp
+++ b/src/guavafield/transport/http/request_path.hpp
@@ -1,10 +1,10 @@
 // The request path as one part: callers' listener, scheduler, engines' polling, and their orderly end.
 #pragma once
 
-#include <guavafield/transport/http/caller_server.hpp>
-#include <guavafield/transport/http/connection_prober.hpp>
-#include <guavafield/transport/http/load_poller.hpp>
+#include <guavafield/transport/http/callers/caller_server.hpp>
 #include <guavafield/transport/http/path_context.hpp>
+#include <guavafield/transport/http/upstreams/connection_prober.hpp>
+#include <guavafield/transport/http/upstreams/load_poller.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/guavafield/transport/http/connection_pool.cpp
+++ b/src/guavafield/transport/http/upstreams/connection_pool.cpp
@@ -1,5 +1,5 @@
 // Taking and returning of idle connections.
-#include <guavafield/transport/http/connection_pool.hpp>
+#include <guavafield/transport/http/upstreams/connection_pool.hpp>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/src/guavafield/transport/http/connection_prober.cpp
+++ b/src/guavafield/transport/http/upstreams/connection_prober.cpp
@@ -1,9 +1,9 @@
 // Connecting under a time limit.
-#include <guavafield/transport/http/connection_prober.hpp>
+#include <guavafield/transport/http/upstreams/connection_prober.hpp>
 
-#include <guavafield/transport/http/engine_probe.hpp>
 #include <guavafield/transport/http/path_context.hpp>
-#include <guavafield/transport/http/upstream_exchange.hpp>
+#include <guavafield/transport/http/upstreams/engine_probe.hpp>
+#include <guavafield/transport/http/upstreams/upstream_exchange.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/guavafield/transport/http/connection_prober.hpp
+++ b/src/guavafield/transport/http/upstreams/connection_prober.hpp
@@ -1,8 +1,8 @@
 // Opens connections to upstreams only to see whether they can be reached, which an answer proves.
 #pragma once
 
-#include <guavafield/coordination/request/request_scheduler.hpp>
-#include <guavafield/transport/http/connection_pool.hpp>
+#include <guavafield/coordination/request/scheduler/request_scheduler.hpp>
+#include <guavafield/transport/http/upstreams/connection_pool.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/src/guavafield/transport/http/engine_probe.cpp
+++ b/src/guavafield/transport/http/upstreams/engine_probe.cpp
@@ -1,5 +1,5 @@
 // GET requests to engines' control paths.
-#include <guavafield/transport/http/engine_probe.hpp>
+#include <guavafield/transport/http/upstreams/engine_probe.hpp>
 
 #include <guavafield/protocol/chat/engine_report.hpp>
 #include <guavafield/transport/http/headers.hpp>
--- a/src/guavafield/transport/http/engine_probe.hpp
+++ b/src/guavafield/transport/http/upstreams/engine_probe.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <guavafield/coordination/request/request_info.hpp>
-#include <guavafield/transport/http/upstream_exchange.hpp>
+#include <guavafield/transport/http/upstreams/upstream_exchange.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
--- /dev/null
+++ b/src/guavafield/transport/http/upstreams/fwd.hpp
@@ -0,0 +1,11 @@
+// Forward declarations of connections to upstreams.
+#pragma once
+
+namespace guavafield {
+
+class ConnectionPool;
+class ConnectionProber;
+class LoadPoller;
+class UpstreamExchange;
+
+} // namespace guavafield
--- a/src/guavafield/transport/http/load_poller.cpp
+++ b/src/guavafield/transport/http/upstreams/load_poller.cpp
@@ -1,9 +1,9 @@
 // Polling loops.
-#include <guavafield/transport/http/load_poller.hpp>
+#include <guavafield/transport/http/upstreams/load_poller.hpp>
 
 #include <guavafield/protocol/chat/engine_report.hpp>
-#include <guavafield/transport/http/engine_probe.hpp>
 #include <guavafield/transport/http/path_context.hpp>
+#include <guavafield/transport/http/upstreams/engine_probe.hpp>
 #include <guavafield/transport/log/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/guavafield/transport/http/service_balance.cpp
+++ b/src/guavafield/transport/http/upstreams/service_balance.cpp
@@ -1,5 +1,5 @@
 // Choice of an upstream for plain services.
-#include <guavafield/transport/http/service_balance.hpp>
+#include <guavafield/transport/http/upstreams/service_balance.hpp>
 
 #include <algorithm>
 
--- a/src/guavafield/transport/http/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstreams/upstream_exchange.cpp
@@ -1,5 +1,5 @@
 // Connecting, sending and piecewise reading with Beast, under one watchdog timer.
-#include <guavafield/transport/http/upstream_exchange.hpp>
+#include <guavafield/transport/http/upstreams/upstream_exchange.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/guavafield/transport/http/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstreams/upstream_exchange.hpp
@@ -1,8 +1,8 @@
 // One request to an upstream and its answer.
 #pragma once
 
-#include <guavafield/transport/http/connection_pool.hpp>
-#include <guavafield/transport/http/process_question.hpp>
+#include <guavafield/transport/http/upstreams/connection_pool.hpp>
+#include <guavafield/transport/http/upstreams/process_question.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/test/coordination/request/fairness_test.cpp
+++ b/test/coordination/request/admission/fairness_test.cpp
@@ -1,6 +1,6 @@
 // Tests of fair sharing: isolation between teams and full use of the capacity.
-#include <coordination/request/scheduler_fixture.hpp>
-#include <guavafield/coordination/request/fair_queue.hpp>
+#include <guavafield/coordination/request/admission/fair_queue.hpp>
+#include <support/request/scheduler_fixture.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
--- a/test/coordination/request/priority_test.cpp
+++ b/test/coordination/request/admission/priority_test.cpp
@@ -1,6 +1,6 @@
 // Tests of priority: isolation of the top tier from lower tiers, and freedom from starvation.
-#include <coordination/request/scheduler_fixture.hpp>
-#include <guavafield/coordination/request/admission_control.hpp>
+#include <guavafield/coordination/request/admission/admission_control.hpp>
+#include <support/request/scheduler_fixture.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
--- a/test/coordination/request/crash_evidence_test.cpp
+++ b/test/coordination/request/health/crash_evidence_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the attribution of crashes, with hosts that report to each other.
-#include <guavafield/coordination/request/crash_evidence.hpp>
+#include <guavafield/coordination/request/health/crash_evidence.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/lost_links_test.cpp
+++ b/test/coordination/request/health/lost_links_test.cpp
@@ -1,7 +1,7 @@
 // Tests of a host that loses its links to upstreams: what it believes of requests, and how it comes back.
-#include "coordination/request/placement_fixture.hpp"
+#include "support/request/placement_fixture.hpp"
 
-#include <guavafield/coordination/request/broken_attempts.hpp>
+#include <guavafield/coordination/request/health/broken_attempts.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/upstream_notices_test.cpp
+++ b/test/coordination/request/health/upstream_notices_test.cpp
@@ -1,5 +1,5 @@
 // Tests of remembered notices of upstreams.
-#include <guavafield/coordination/request/upstream_notices.hpp>
+#include <guavafield/coordination/request/health/upstream_notices.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/brittle_upstream_test.cpp
+++ b/test/coordination/request/limits/brittle_upstream_test.cpp
@@ -1,7 +1,7 @@
 // Tests of upstreams that fall over when they have to reject too many requests, before hosts that know nothing of each other's requests.
-#include "coordination/request/placement_fixture.hpp"
+#include "support/request/placement_fixture.hpp"
 
-#include <guavafield/coordination/request/brittle_room.hpp>
+#include <guavafield/coordination/request/limits/brittle_room.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/shared_rate_limit_test.cpp
+++ b/test/coordination/request/limits/shared_rate_limit_test.cpp
@@ -1,5 +1,5 @@
 // Tests of permits for upstreams that grant all hosts one rate.
-#include <guavafield/coordination/request/shared_rate_limit.hpp>
+#include <guavafield/coordination/request/limits/shared_rate_limit.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/upstream_limits_test.cpp
+++ b/test/coordination/request/limits/upstream_limits_test.cpp
@@ -1,5 +1,5 @@
 // Tests of upstreams that ask for a pause or name the rate that they take.
-#include "placement_fixture.hpp"
+#include "support/request/placement_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/placement_test.cpp
+++ b/test/coordination/request/placement/placement_test.cpp
@@ -1,5 +1,5 @@
 // Tests of self-queueing pools: placement and learned rates.
-#include "placement_fixture.hpp"
+#include "support/request/placement_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/plain_service_test.cpp
+++ b/test/coordination/request/placement/plain_service_test.cpp
@@ -1,5 +1,5 @@
 // Tests of pools of plain services that run kinds of request of very different length.
-#include <guavafield/coordination/request/request_scheduler.hpp>
+#include <guavafield/coordination/request/scheduler/request_scheduler.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/queued_stream_version_test.cpp
+++ b/test/coordination/request/placement/queued_stream_version_test.cpp
@@ -1,5 +1,5 @@
 // Random test of streams that have begun in a pool whose host queues for upstreams of several software versions.
-#include "scheduler_fixture.hpp"
+#include "support/request/scheduler_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/relay_targets_test.cpp
+++ b/test/coordination/request/placement/relay_targets_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the choice of the host that serves requests of a pool whose upstreams cannot be reached.
-#include <guavafield/coordination/request/request_scheduler.hpp>
+#include <guavafield/coordination/request/scheduler/request_scheduler.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/stream_isolation_test.cpp
+++ b/test/coordination/request/placement/stream_isolation_test.cpp
@@ -1,9 +1,9 @@
 // Tests of the division of engines between long prompts and streams with short pause targets.
-#include "chunked_engine.hpp"
+#include "coordination/request/placement/chunked_engine.hpp"
 
-#include <guavafield/coordination/request/request_scheduler.hpp>
+#include <guavafield/coordination/request/placement/stream_isolation.hpp>
+#include <guavafield/coordination/request/scheduler/request_scheduler.hpp>
 #include <guavafield/coordination/request/split_mix.hpp>
-#include <guavafield/coordination/request/stream_isolation.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/stream_version_test.cpp
+++ b/test/coordination/request/placement/stream_version_test.cpp
@@ -1,6 +1,6 @@
 // Tests of streams that have begun while servers of several software versions serve in one pool.
-#include "placement_fixture.hpp"
-#include "scheduler_fixture.hpp"
+#include "support/request/placement_fixture.hpp"
+#include "support/request/scheduler_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/coordination/request/fault_test.cpp
+++ b/test/coordination/request/scheduler/fault_test.cpp
@@ -1,5 +1,5 @@
 // Tests of fault handling: retry budget, quarantine of crashing requests, leaving upstreams.
-#include <coordination/request/scheduler_fixture.hpp>
+#include <support/request/scheduler_fixture.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
--- a/test/coordination/request/retries_test.cpp
+++ b/test/coordination/request/scheduler/retries_test.cpp
@@ -1,5 +1,5 @@
 // Tests of retries: what may be repeated, where, and how often.
-#include "placement_fixture.hpp"
+#include "support/request/placement_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/transport/http/fake_upstream.cpp
+++ b/test/support/http/fake_upstream.cpp
@@ -1,5 +1,5 @@
 // Blocking sockets and threads of the fake upstream.
-#include "transport/http/fake_upstream.hpp"
+#include "support/http/fake_upstream.hpp"
 
 #include <linux/filter.h>
 #include <sys/socket.h>
--- a/test/transport/http/forward_fixture.cpp
+++ b/test/support/http/forward_fixture.cpp
@@ -1,5 +1,5 @@
 // Routes and answers of the forwarding tests.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
 #include "platform/request_dialect.hpp"
 
--- a/test/transport/http/forward_fixture.hpp
+++ b/test/support/http/forward_fixture.hpp
@@ -1,7 +1,7 @@
 // A request path that passes requests on to one pool of fake upstreams, and what these answer with.
 #pragma once
 
-#include "transport/http/path_fixture.hpp"
+#include "support/http/path_fixture.hpp"
 
 #include <memory>
 #include <string>
--- a/test/transport/http/path_fixture.cpp
+++ b/test/support/http/path_fixture.cpp
@@ -1,5 +1,5 @@
 // Set-up of the request path and the blocking client.
-#include "transport/http/path_fixture.hpp"
+#include "support/http/path_fixture.hpp"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
--- a/test/transport/http/path_fixture.hpp
+++ b/test/support/http/path_fixture.hpp
@@ -1,7 +1,7 @@
 // The request path in the test's process, a configuration for it, and a blocking client.
 #pragma once
 
-#include "transport/http/fake_upstream.hpp"
+#include "support/http/fake_upstream.hpp"
 
 #include <guavafield/transport/http/request_path.hpp>
 
--- a/test/coordination/request/placement_fixture.hpp
+++ b/test/support/request/placement_fixture.hpp
@@ -1,7 +1,7 @@
 // Scheduler of one host with a self-queueing pool, on a manual clock.
 #pragma once
 
-#include <guavafield/coordination/request/request_scheduler.hpp>
+#include <guavafield/coordination/request/scheduler/request_scheduler.hpp>
 
 #include <optional>
 #include <string>
--- a/test/coordination/request/scheduler_fixture.hpp
+++ b/test/support/request/scheduler_fixture.hpp
@@ -1,7 +1,7 @@
 // Scheduler with simulated upstreams and a manual clock, for tests over many steps.
 #pragma once
 
-#include <guavafield/coordination/request/request_scheduler.hpp>
+#include <guavafield/coordination/request/scheduler/request_scheduler.hpp>
 
 #include <cppunit/TestAssert.h>
 
--- a/test/transport/http/access_test.cpp
+++ b/test/transport/http/callers/access_test.cpp
@@ -1,5 +1,5 @@
 // Tests of keys, classes, routes and limits: each refusal has its own code and says truly that nothing ran.
-#include "transport/http/path_fixture.hpp"
+#include "support/http/path_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/transport/http/withdrawal_test.cpp
+++ b/test/transport/http/callers/withdrawal_test.cpp
@@ -1,5 +1,5 @@
 // Tests of withdrawn keys, calls that may run only once, and graceful shutdown.
-#include "transport/http/path_fixture.hpp"
+#include "support/http/path_fixture.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
--- a/test/transport/http/failure_test.cpp
+++ b/test/transport/http/forwarding/failure_test.cpp
@@ -1,5 +1,5 @@
 // Tests of failing engines: callers get a whole answer, or are told that it is not whole.
-#include "transport/http/path_fixture.hpp"
+#include "support/http/path_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/transport/http/faulty_upstream_test.cpp
+++ b/test/transport/http/forwarding/faulty_upstream_test.cpp
@@ -1,5 +1,5 @@
 // Tests of upstreams that repeat refusals, break off in a header or a stream, or end their answers with the connection.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/transport/http/forward_test.cpp
+++ b/test/transport/http/forwarding/forward_test.cpp
@@ -1,7 +1,7 @@
 // Tests of requests that are passed on unchanged, with upstreams that fail in every way that a socket shows.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
-#include <guavafield/transport/http/event_splitter.hpp>
+#include <guavafield/transport/http/forwarding/event_splitter.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/transport/http/hazards_test.cpp
+++ b/test/transport/http/forwarding/hazards_test.cpp
@@ -1,5 +1,5 @@
 // Tests of upstreams that stall, feed bytes without end or repeat answers, and of stops under load.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
--- a/test/transport/http/head_request_test.cpp
+++ b/test/transport/http/forwarding/head_request_test.cpp
@@ -1,5 +1,5 @@
 // Tests of HEAD requests and of statuses without a body: their answers end with the header.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/transport/http/host_relay_test.cpp
+++ b/test/transport/http/forwarding/host_relay_test.cpp
@@ -1,7 +1,7 @@
 // Tests of requests that a host without a reachable upstream relays to another host.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
-#include <guavafield/transport/http/relay_headers.hpp>
+#include <guavafield/transport/http/forwarding/relay_headers.hpp>
 #include <guavafield/transport/peer/endpoints.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/test/transport/http/relay_test.cpp
+++ b/test/transport/http/forwarding/relay_test.cpp
@@ -1,5 +1,5 @@
 // Tests of whole and streamed answers on their way from an engine to a caller.
-#include "transport/http/path_fixture.hpp"
+#include "support/http/path_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/transport/http/repeated_answers_test.cpp
+++ b/test/transport/http/forwarding/repeated_answers_test.cpp
@@ -1,7 +1,7 @@
 // Tests of answers that an upstream sends a second time, late and under the id of the request that it has answered before.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
-#include <guavafield/transport/http/connection_pool.hpp>
+#include <guavafield/transport/http/upstreams/connection_pool.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/transport/http/stream_version_test.cpp
+++ b/test/transport/http/forwarding/stream_version_test.cpp
@@ -1,5 +1,5 @@
 // Tests of streams over upstreams of several software versions, as callers see them.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/transport/http/take_up_test.cpp
+++ b/test/transport/http/forwarding/take_up_test.cpp
@@ -1,5 +1,5 @@
 // Tests of streams that callers take up again, against what is known of their beginning.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
 #include <guavafield/transport/http/path_hooks.hpp>
 
--- a/test/transport/http/upstream_notices_test.cpp
+++ b/test/transport/http/forwarding/upstream_notices_test.cpp
@@ -1,5 +1,5 @@
 // Tests of what upstreams say about themselves in the headers of their answers.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/transport/http/process_identity_test.cpp
+++ b/test/transport/http/upstreams/process_identity_test.cpp
@@ -1,5 +1,5 @@
 // Tests of streams at upstreams whose process is not the one that their entries name.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
 #include <guavafield/transport/http/path_hooks.hpp>
 
--- a/test/transport/http/silent_upstream_test.cpp
+++ b/test/transport/http/upstreams/silent_upstream_test.cpp
@@ -1,5 +1,5 @@
 // Tests of upstreams whose packets are lost for a while, or for good.
-#include "transport/http/forward_fixture.hpp"
+#include "support/http/forward_fixture.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
