--- a/apps/guavafieldd/machines_platform_services.cpp
+++ b/apps/guavafieldd/machines_platform_services.cpp
@@ -51,10 +51,13 @@
     return settings;
 }
 
-RelayCandidate relayCandidate(const Member &from, const HostReport &report)
+RelayCandidate relayCandidate(const Member &from, const HostReport &report, const StringMap<RegionId> &regions)
 {
     RelayCandidate candidate;
     candidate.dataCentre = from.dataCentre;
+    if (const auto region = regions.find(from.dataCentre); region != regions.end()) {
+        candidate.region = region->second;
+    }
     candidate.callers = from.address;
     candidate.callers.port = report.callerPort;
     candidate.unreachablePools = report.unreachablePools;
@@ -420,6 +423,9 @@
 
 void MachinesPlatformServices::onMember(const Member &member)
 {
+    if (member.state == MemberState::Leaving) {
+        m_addressBook.erase(member.id);
+    }
     if (member.state == MemberState::Leaving || member.state == MemberState::Dead) {
         m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime /*now*/) { scheduler.relayTargets().erase(member.id); });
     }
@@ -449,7 +455,7 @@
     m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
         scheduler.onPeerWork(from.id, report.work, report.engineDemand, now);
         scheduler.onPeerCrashes(report.crashes, now);
-        scheduler.relayTargets().onReport(from.id, internal::relayCandidate(from, report), now);
+        scheduler.relayTargets().onReport(from.id, internal::relayCandidate(from, report, m_dependencies.settings.host.regions), now);
     });
 }
 
@@ -465,7 +471,14 @@
     const auto hosts = static_cast<std::uint32_t>(candidates.size());
     const auto self = std::ranges::lower_bound(candidates, m_dependencies.settings.host.id);
     const auto index = static_cast<std::uint32_t>(self - candidates.begin());
-    m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.setFleetHosts(hosts, index, now); });
+    for (auto &it : m_addressBook.remembered(m_dependencies.clock.now())) {
+        known.insert(std::move(it));
+    }
+    const auto position = std::distance(known.begin(), known.find(m_dependencies.settings.host.id));
+    m_requestPath->driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
+        scheduler.setFleetHosts(hosts, index, now);
+        scheduler.setRememberedHosts(static_cast<std::uint32_t>(known.size()), static_cast<std::uint32_t>(position), now);
+    });
     if (m_duties) {
         m_duties->setCandidates(candidates);
     }
--- a/src/guavafield/coordination/fleet/address_book.cpp
+++ b/src/guavafield/coordination/fleet/address_book.cpp
@@ -9,6 +9,8 @@
 
 // A host without a report for this long gets no further reports until it sends one.
 constexpr Milliseconds addressTimeout{10'000};
+// A host may be cut off from this one for so long while it serves its callers.
+constexpr Milliseconds memoryTime{60'000};
 
 } // namespace internal
 
@@ -49,6 +51,24 @@
     return result;
 }
 
+std::vector<HostId> AddressBook::remembered(SteadyTime now) const
+{
+    std::vector<HostId> result;
+    for (const auto &[host, entry] : m_entries) {
+        if (now - entry.lastUpdate < internal::memoryTime) {
+            result.push_back(host);
+        }
+    }
+    return result;
+}
+
+void AddressBook::erase(std::string_view host)
+{
+    if (const auto it = m_entries.find(host); it != m_entries.end()) {
+        m_entries.erase(it);
+    }
+}
+
 std::size_t AddressBook::countResponsive(SteadyTime now) const
 {
     return static_cast<std::size_t>(
--- a/src/guavafield/coordination/fleet/address_book.hpp
+++ b/src/guavafield/coordination/fleet/address_book.hpp
@@ -27,6 +27,10 @@
     [[nodiscard]] std::vector<PeerAddress> addresses(SteadyTime now) const;
     /*! @brief Returns the hosts to which reports are sent. */
     [[nodiscard]] std::vector<HostId> hosts(SteadyTime now) const;
+    /*! @brief Returns the hosts that may still send requests, also those that are not heard now; hosts that have said that they leave are not among them. */
+    [[nodiscard]] std::vector<HostId> remembered(SteadyTime now) const;
+    /*! @brief Forgets a host that has said that it leaves. */
+    void erase(std::string_view host);
     /*! @brief Returns the number of hosts that reported recently. */
     [[nodiscard]] std::size_t countResponsive(SteadyTime now) const;
 
--- a/src/guavafield/coordination/fleet/fleet_directory.cpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.cpp
@@ -19,13 +19,15 @@
 
 std::shared_ptr<const Configuration> FleetDirectory::update(const TableMirror &document, const TableMirror &upstreams, SteadyTime now)
 {
-    const bool documentChanged = updateDocument(document);
     const bool upstreamsChanged = updateUpstreams(upstreams, now);
-    if (m_document.revision == 0 || !(documentChanged || upstreamsChanged)) {
+    const bool evacuationsChanged = updateEvacuations(document, now);
+    const bool documentChanged = updateDocument(document);
+    if (m_document.revision == 0 || !(documentChanged || evacuationsChanged || upstreamsChanged)) {
         return nullptr;
     }
     auto result = std::make_shared<Configuration>(m_document);
     result->upstreamsVersion = upstreams.content();
+    result->evacuated = m_evacuated;
     for (const auto &[id, known] : m_upstreams) {
         if (known.upstream && result->pools.contains(known.upstream->pool)) {
             result->upstreams.emplace(id, *known.upstream);
@@ -56,6 +58,44 @@
     return changed;
 }
 
+std::set<DataCentreId, std::less<>> FleetDirectory::listedEvacuations(const TableMirror &mirror) const
+{
+    std::set<DataCentreId, std::less<>> listed;
+    if (m_codec.evacuationPrefix.empty()) {
+        return listed;
+    }
+    for (const auto &row : mirror.rows()) {
+        // The key says all; a value that cannot be read does not let requests in.
+        if (row.key.starts_with(m_codec.evacuationPrefix)) {
+            listed.insert(row.key.substr(m_codec.evacuationPrefix.size()));
+        }
+    }
+    return listed;
+}
+
+bool FleetDirectory::updateEvacuations(const TableMirror &mirror, SteadyTime now)
+{
+    const bool due = m_keepEvacuationsUntil && now >= *m_keepEvacuationsUntil;
+    if (m_documentChanges == mirror.changes() && !due) {
+        if (m_keepEvacuationsUntil) {
+            m_wakeup = std::min(m_wakeup.value_or(*m_keepEvacuationsUntil), *m_keepEvacuationsUntil);
+        }
+        return false;
+    }
+    const auto epoch = epochStart(mirror.complete());
+    if (std::exchange(m_documentEpoch, epoch) != epoch && !m_evacuated.empty()) {
+        m_keepEvacuationsUntil = now + internal::oldEntryGrace;
+    }
+    auto evacuated = listedEvacuations(mirror);
+    if (m_keepEvacuationsUntil && now < *m_keepEvacuationsUntil) {
+        evacuated.insert(m_evacuated.begin(), m_evacuated.end());
+        m_wakeup = std::min(m_wakeup.value_or(*m_keepEvacuationsUntil), *m_keepEvacuationsUntil);
+    } else {
+        m_keepEvacuationsUntil.reset();
+    }
+    return std::exchange(m_evacuated, evacuated) != evacuated;
+}
+
 void FleetDirectory::detectOutage(const TableMirror &mirror, SteadyTime now)
 {
     // Without a failed reading the gap is this host's own, e.g. while the host that reads for the others is replaced: entries were renewed all the time.
@@ -155,6 +195,9 @@
     if (decoded.value->leavesIn) {
         upstream.leavesAt = now + *decoded.value->leavesIn;
     }
+    if (decoded.value->coldFor) {
+        upstream.coldUntil = now + *decoded.value->coldFor;
+    }
     if (fromEarlierEpoch && known.upstream && known.upstream->leaving && known.upstream->incarnation == upstream.incarnation) {
         // The copy may be from before the upstream announced that it leaves.
         upstream.leaving = true;
--- a/src/guavafield/coordination/fleet/fleet_directory.hpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,8 @@
     Upstream upstream;
     // Time until a leaving upstream stops, counted from the entry.
     std::optional<Milliseconds> leavesIn;
+    // Time for which its caches are cold, counted from the entry.
+    std::optional<Milliseconds> coldFor{};
 };
 
 /*! @brief Decoding functions for mirrored rows; provided by each platform. */
@@ -28,6 +31,8 @@
 {
     // Key of the row with the operators' document.
     std::string documentKey;
+    // Begins the keys of rows of the document's table that evacuate the data centre which they name; empty if there are none.
+    std::string evacuationPrefix{};
     std::function<Result<Configuration>(std::string_view text)> document;
     std::function<Result<UpstreamEntry>(std::string_view id, std::string_view text)> upstream;
 };
@@ -91,6 +96,9 @@
     };
 
     bool updateDocument(const TableMirror &mirror);
+    // Returns whether the evacuated data centres have changed.
+    bool updateEvacuations(const TableMirror &mirror, SteadyTime now);
+    [[nodiscard]] std::set<DataCentreId, std::less<>> listedEvacuations(const TableMirror &mirror) const;
     bool updateUpstreams(const TableMirror &mirror, SteadyTime now);
     bool applyEntry(const MirroredRow &row, SteadyTime now);
     void detectOutage(const TableMirror &mirror, SteadyTime now);
@@ -102,6 +110,10 @@
     // Configuration without upstreams; revision 0 before the first document.
     Configuration m_document;
     RowVersion m_documentVersion{0};
+    std::set<DataCentreId, std::less<>> m_evacuated;
+    // Of the table of the document: its epoch. Evacuations that a restored copy lacks are kept until the operators have written them again.
+    RowVersion m_documentEpoch{0};
+    std::optional<SteadyTime> m_keepEvacuationsUntil;
     StringMap<KnownUpstream> m_upstreams;
     RemovedUpstreams m_removed;
     // Of the table of upstreams: its epoch, and when that was first read.
--- a/src/guavafield/coordination/order/fleet_planner.cpp
+++ b/src/guavafield/coordination/order/fleet_planner.cpp
@@ -123,6 +123,7 @@
     }
     for (auto &[dataCentre, centre] : result) {
         centre.shortage = isUnavailable({pool.id, dataCentre, UpstreamKind::Cheap}, now);
+        centre.evacuated = configuration.evacuated.contains(dataCentre);
     }
     return result;
 }
@@ -147,20 +148,22 @@
     const auto &limits = *pool.scaling;
     auto plans = dataCentrePlans(pool, configuration, now);
     const auto target = cheapTarget(pool, plans.size());
-    // Moves the shortfall of data centres with a shortage to the others.
+    // Moves the shortfall of data centres with a shortage, and all work of evacuated ones, to the others.
     std::uint32_t missing = 0;
     for (auto &[dataCentre, centre] : plans) {
         // The limit applies to both kinds together, so present durable upstreams reduce the number of cheap ones that can be ordered.
         centre.cheapCapacity = limits.most - std::min(limits.most, centre.present.durable);
         centre.cheapTarget = std::min(target, centre.cheapCapacity);
-        if (centre.shortage) {
+        if (centre.evacuated) {
+            missing += centre.cheapTarget;
+        } else if (centre.shortage) {
             missing += centre.cheapTarget - std::min(centre.cheapTarget, centre.present.cheap);
         }
     }
     for (bool assigned = true; missing > 0 && assigned;) {
         assigned = false;
         for (auto &[dataCentre, centre] : plans) {
-            if (missing > 0 && !centre.shortage && centre.cheapTarget < centre.cheapCapacity) {
+            if (missing > 0 && !centre.evacuated && !centre.shortage && centre.cheapTarget < centre.cheapCapacity) {
                 ++centre.cheapTarget;
                 --missing;
                 assigned = true;
@@ -171,6 +174,10 @@
     const auto durable = useDurable ? static_cast<std::uint32_t>(std::ceil(missing * internal::durablePerMissingCheap / static_cast<double>(plans.size()))) : 0;
     std::vector<FleetSize> result;
     for (const auto &[dataCentre, centre] : plans) {
+        if (centre.evacuated) {
+            // Its upstreams are kept for its return.
+            continue;
+        }
         if (!centre.shortage) {
             result.push_back({pool.id, dataCentre, UpstreamKind::Cheap, centre.cheapTarget});
         } else if (centre.present.cheap < target) {
--- a/src/guavafield/coordination/order/fleet_planner.hpp
+++ b/src/guavafield/coordination/order/fleet_planner.hpp
@@ -71,6 +71,8 @@
     struct DataCentrePlan
     {
         FleetCounts present;
+        // Its upstreams get no requests.
+        bool evacuated{false};
         // The platform lately had no cheap upstreams here.
         bool shortage{false};
         // Cheap upstreams that the pool's limit allows beside the durable ones.
--- a/src/guavafield/coordination/request/placement/placement.cpp
+++ b/src/guavafield/coordination/request/placement/placement.cpp
@@ -121,7 +121,7 @@
             prefix.owner = &it;
             ownerWeight = weight;
         }
-        const bool settled = !it.downSince && now - it.addedAt >= internal::settleTime;
+        const bool settled = !it.downSince && !it.evacuated && now - it.addedAt >= internal::settleTime;
         if (settled && (prefix.holder == nullptr || weight > holderWeight)) {
             prefix.holder = &it;
             holderWeight = weight;
@@ -183,7 +183,7 @@
     const auto &tokens = entry.info.prefixTokens;
     for (std::size_t n = std::min(hashes.size(), tokens.size()); n > 0 && tokens[n - 1] >= confirmedTokens + internal::minTokensToFetch; --n) {
         for (const auto *it : prefixes.holders(hashes[n - 1])) {
-            if (it != &upstream && !it->downSince && mayRunOn(entry, *it)) {
+            if (it != &upstream && !it->downSince && !it->evacuated && mayRunOn(entry, *it)) {
                 return it;
             }
         }
--- a/src/guavafield/coordination/request/placement/relay_targets.cpp
+++ b/src/guavafield/coordination/request/placement/relay_targets.cpp
@@ -42,11 +42,11 @@
     return host.candidate.running + host.relayed + remote;
 }
 
-std::optional<RelayTarget> RelayTargets::choose(std::uint64_t pool, std::span<const HostId> tried, SteadyTime now)
+std::optional<RelayTarget> RelayTargets::choose(std::uint64_t pool, const HomeRegions &homes, std::span<const HostId> tried, SteadyTime now)
 {
     std::vector<StringMap<Host>::value_type *> found;
     for (auto &it : m_hosts) {
-        if (mayServe(it.first, it.second, pool, tried, now)) {
+        if (allows(homes, it.second.candidate.region) && mayServe(it.first, it.second, pool, tried, now)) {
             found.push_back(&it);
         }
     }
--- a/src/guavafield/coordination/request/placement/relay_targets.hpp
+++ b/src/guavafield/coordination/request/placement/relay_targets.hpp
@@ -3,6 +3,7 @@
 
 #include <guavafield/coordination/membership/member.hpp>
 #include <guavafield/coordination/request/split_mix.hpp>
+#include <guavafield/state/home_regions.hpp>
 #include <guavafield/state/types.hpp>
 
 #include <cstddef>
@@ -18,6 +19,8 @@
 struct RelayCandidate
 {
     DataCentreId dataCentre;
+    // Of the data centre; empty if it is not known.
+    RegionId region;
     // Where it listens for callers; port 0 if it does not say.
     PeerAddress callers;
     // stableIdHash() of the pools of which it reaches no upstream.
@@ -58,9 +61,10 @@
     /*!
      * @brief Returns the host for one more request; empty if there is no host.
      * @param pool stableIdHash() of the pool.
+     * @param homes Regions of which the host may be.
      * @param tried Hosts that did not serve the request.
      */
-    [[nodiscard]] std::optional<RelayTarget> choose(std::uint64_t pool, std::span<const HostId> tried, SteadyTime now);
+    [[nodiscard]] std::optional<RelayTarget> choose(std::uint64_t pool, const HomeRegions &homes, std::span<const HostId> tried, SteadyTime now);
     /*! @brief Counts a request at its host until onEnded(). */
     void onStarted(std::string_view host) noexcept;
     void onEnded(std::string_view host) noexcept;
--- a/src/guavafield/coordination/request/placement/stream_binding.cpp
+++ b/src/guavafield/coordination/request/placement/stream_binding.cpp
@@ -18,10 +18,11 @@
     return state.upstream.incarnation == attempt.incarnation || state.upstream.softwareVersion == attempt.softwareVersion;
 }
 
-// Whether the version that the upstream's entry names may go on with the request.
-bool versionFits(const RequestEntry &entry, const UpstreamState &upstream) noexcept
+// Whether the upstream's region and the version that its entry names may go on with the request.
+bool fits(const RequestEntry &entry, const UpstreamState &upstream) noexcept
 {
-    return !entry.originUncertain && (!entry.origin || *entry.origin == upstream.upstream.softwareVersion);
+    const bool versionFits = !entry.originUncertain && (!entry.origin || *entry.origin == upstream.upstream.softwareVersion);
+    return versionFits && allows(entry.info.homes, upstream.region);
 }
 
 } // namespace internal
@@ -29,7 +30,7 @@
 bool mayRunOn(const RequestEntry &entry, const UpstreamState &upstream) noexcept
 {
     const bool known = !entry.bound() || !upstream.replaced();
-    return known && internal::versionFits(entry, upstream);
+    return known && internal::fits(entry, upstream);
 }
 
 bool mayBeginOn(const RequestEntry &entry, const UpstreamState &upstream, bool allReplaced) noexcept
@@ -44,17 +45,24 @@
     return !listed;
 }
 
+bool anyAtHome(const RequestEntry &entry, const PoolUpstreams &upstreams) noexcept
+{
+    bool found = false;
+    upstreams.forEach([&](const UpstreamState &it) { found |= allows(entry.info.homes, it.region); });
+    return found;
+}
+
 bool anyMayRun(const RequestEntry &entry, const PoolUpstreams &upstreams) noexcept
 {
     bool found = false;
-    upstreams.forEach([&](const UpstreamState &it) { found |= internal::versionFits(entry, it); });
+    upstreams.forEach([&](const UpstreamState &it) { found |= internal::fits(entry, it); });
     return found;
 }
 
 bool worthWaiting(const RequestEntry &entry, const PoolUpstreams &upstreams) noexcept
 {
     bool found = false;
-    upstreams.forEach([&](const UpstreamState &it) { found |= internal::versionFits(entry, it) && !it.leaving() && !entry.hasTried(it.idHash); });
+    upstreams.forEach([&](const UpstreamState &it) { found |= internal::fits(entry, it) && !it.leaving() && !entry.hasTried(it.idHash); });
     return found;
 }
 
--- a/src/guavafield/coordination/request/placement/stream_binding.hpp
+++ b/src/guavafield/coordination/request/placement/stream_binding.hpp
@@ -1,4 +1,4 @@
-// Which upstreams may go on with a stream that has begun. What two software versions write does not fit together.
+// Which upstreams may run a request at all: those of its home regions and, for a stream that has begun, of the software version that began it.
 #pragma once
 
 #include <guavafield/coordination/request/placement/router.hpp>
@@ -6,7 +6,7 @@
 
 namespace guavafield {
 
-/*! @brief Whether the software version of the upstream's process is known to allow it to run the request; each does if no stream has begun. */
+/*! @brief Whether the upstream's region and the software version of its process allow it to run the request; each version does if no stream has begun. */
 [[nodiscard]] bool mayRunOn(const RequestEntry &entry, const UpstreamState &upstream) noexcept;
 
 /*!
@@ -19,6 +19,9 @@
 /*! @brief Whether no upstream that stays has the process which its entry names, so that nothing could go on there anyway. */
 [[nodiscard]] bool allReplaced(const PoolUpstreams &upstreams) noexcept;
 
+/*! @brief Whether an upstream in a home region of the request is listed. */
+[[nodiscard]] bool anyAtHome(const RequestEntry &entry, const PoolUpstreams &upstreams) noexcept;
+
 /*! @brief Whether an upstream that may run the request is listed, be it leaving, paused, down or without its process's entry. */
 [[nodiscard]] bool anyMayRun(const RequestEntry &entry, const PoolUpstreams &upstreams) noexcept;
 
--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -4,6 +4,7 @@
 #include <guavafield/coordination/request/limits/rate_limit.hpp>
 #include <guavafield/coordination/request/placement/relay_targets.hpp>
 #include <guavafield/state/counters.hpp>
+#include <guavafield/state/home_regions.hpp>
 #include <guavafield/state/result.hpp>
 #include <guavafield/state/types.hpp>
 
@@ -55,6 +56,8 @@
     std::optional<SoftwareVersion> origin{};
     // Another host has relayed the request, so that it is not relayed once more.
     bool relayed{false};
+    // Upstreams and other hosts must be in these regions.
+    HomeRegions homes{};
 };
 
 /*! @brief The request is queued for an upstream. */
--- a/src/guavafield/coordination/request/scheduler/request_scheduler.cpp
+++ b/src/guavafield/coordination/request/scheduler/request_scheduler.cpp
@@ -24,6 +24,11 @@
     m_impl->setFleetHosts(hosts, hostIndex, now);
 }
 
+void RequestScheduler::setRememberedHosts(std::uint32_t hosts, std::uint32_t hostIndex, SteadyTime now)
+{
+    m_impl->setRememberedHosts(hosts, hostIndex, now);
+}
+
 void RequestScheduler::setFleetClock(std::chrono::nanoseconds offset, SteadyTime now)
 {
     m_impl->setFleetClock(offset, now);
@@ -104,6 +109,11 @@
     return m_impl->onDrainAnnounced(upstream, now);
 }
 
+void RequestScheduler::onCold(std::string_view upstream, Milliseconds duration, SteadyTime now)
+{
+    m_impl->onCold(upstream, duration, now);
+}
+
 void RequestScheduler::onPauseRequested(std::string_view upstream, Milliseconds pause, SteadyTime now)
 {
     m_impl->onPauseRequested(upstream, pause, now);
--- a/src/guavafield/coordination/request/scheduler/request_scheduler.hpp
+++ b/src/guavafield/coordination/request/scheduler/request_scheduler.hpp
@@ -24,6 +24,8 @@
     std::uint32_t hostsInDataCentre{1};
     // Seed for all random choices.
     std::uint64_t seed{1};
+    // Region of each data centre, as far as it is known.
+    StringMap<RegionId> regions{};
 };
 
 /*! @brief An upstream that is probed by a new connection. */
@@ -63,6 +65,11 @@
      * @param hostIndex Index of this host in the sorted list of hosts.
      */
     void setFleetHosts(std::uint32_t hosts, std::uint32_t hostIndex, SteadyTime now);
+    /*!
+     * @brief Sets the number of hosts that may send requests, also those that this host does not hear now; they share the rate of cold upstreams.
+     * @param hostIndex Index of this host in the sorted list of these hosts.
+     */
+    void setRememberedHosts(std::uint32_t hosts, std::uint32_t hostIndex, SteadyTime now);
     /*! @brief Sets the difference between the clock that all hosts agree on and the steady clock; hosts take turns by it. */
     void setFleetClock(std::chrono::nanoseconds offset, SteadyTime now);
 
@@ -105,6 +112,8 @@
 
     /*! @brief Handles an upstream's announcement in an answer that it leaves: this incarnation gets no new work. Returns whether that is new. */
     [[nodiscard]] bool onDrainAnnounced(std::string_view upstream, SteadyTime now);
+    /*! @brief Handles an upstream's statement that its caches are cold for a time. */
+    void onCold(std::string_view upstream, Milliseconds duration, SteadyTime now);
     /*! @brief Handles a refusal by which an upstream asks for a pause: this incarnation gets no request from this host meanwhile. */
     void onPauseRequested(std::string_view upstream, Milliseconds pause, SteadyTime now);
 
--- a/src/guavafield/coordination/request/scheduler/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_attempts.cpp
@@ -38,6 +38,7 @@
     if (upstream.rateLimit) {
         upstream.rateLimit->use(now);
     }
+    upstream.cold.use(now);
     for (const auto it : entry.info.prefixHashes) {
         m_router.prefixes().add(it, upstream);
     }
@@ -151,7 +152,7 @@
         }
         noteProgress(*entry, *it.upstream, now);
         noteAnswered(*entry, *it.upstream, now);
-        it.upstream->markUp();
+        noteReachable(*it.upstream, now);
         const bool first = entry->lastTokens == SteadyTime{};
         if (auto &selfQueueing = poolOf(*entry).selfQueueing; selfQueueing && first) {
             selfQueueing->placement.onFirstToken(*entry, *it.upstream, secondsBetween(it.dispatched, now), now);
@@ -266,7 +267,7 @@
         m_evidence.onSurvived(crashSuspectOf(entry->info), now);
     }
     noteAnswered(*entry, *state, now);
-    state->markUp();
+    noteReachable(*state, now);
     erase(*entry, now);
     return RequestDone{};
 }
--- a/src/guavafield/coordination/request/scheduler/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_core.cpp
@@ -58,6 +58,13 @@
 
 void RequestScheduler::Impl::applyConfiguration(const Configuration &configuration, SteadyTime now)
 {
+    const bool amongFirst = m_upstreams.empty();
+    m_coldStarts.clear();
+    for (const auto &[id, pool] : configuration.pools) {
+        if (pool.coldPerSecond > 0) {
+            m_coldStarts[id] = ColdStart{pool.coldStart, pool.coldPerSecond};
+        }
+    }
     // Self-queueing pools use upstreams of all data centres, other pools only those of their own.
     const auto used = [&](const Upstream &it) { return !it.pool.empty() || (it.dataCentre == m_settings.dataCentre && !it.models.empty()); };
     for (auto &[id, upstream] : m_upstreams) {
@@ -74,7 +81,7 @@
     }
     for (const auto &[id, upstream] : configuration.upstreams) {
         if (used(upstream)) {
-            configureUpstream(upstream, now);
+            configureUpstream(upstream, configuration, amongFirst, now);
         }
     }
     configureSelfQueueing(configuration);
@@ -95,7 +102,7 @@
     refreshSlots();
 }
 
-void RequestScheduler::Impl::configureUpstream(const Upstream &upstream, SteadyTime now)
+void RequestScheduler::Impl::configureUpstream(const Upstream &upstream, const Configuration &configuration, bool amongFirst, SteadyTime now)
 {
     const auto [it, added] = m_upstreams.try_emplace(upstream.id);
     auto &state = it->second;
@@ -115,6 +122,7 @@
         state.idHash = stableIdHash(upstream.id);
         applyPeerWorkTo(state);
     }
+    configureLocality(state, configuration, restarted || (added && !amongFirst), now);
     applyNotice(state, now);
     if (!upstream.pool.empty()) {
         state.leavesAt = upstream.leavesAt;
@@ -150,6 +158,7 @@
             upstream.rateLimit.emplace(upstream.rateLimit->perSecond(), upstream.idHash, m_turn, now);
         }
     }
+    divideColdRates(now);
 }
 
 void RequestScheduler::Impl::divideBrittleRoom(SteadyTime now)
--- a/src/guavafield/coordination/request/scheduler/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_core.hpp
@@ -31,6 +31,7 @@
     void applyConfiguration(const Configuration &configuration, SteadyTime now);
     void setHosts(std::uint32_t hosts, std::uint32_t hostIndex);
     void setFleetHosts(std::uint32_t hosts, std::uint32_t hostIndex, SteadyTime now);
+    void setRememberedHosts(std::uint32_t hosts, std::uint32_t hostIndex, SteadyTime now);
     void setFleetClock(std::chrono::nanoseconds offset, SteadyTime now);
     [[nodiscard]] Admission submit(RequestInfo request, SteadyTime now);
     [[nodiscard]] std::vector<SchedulerAction> step(SteadyTime now);
@@ -47,6 +48,7 @@
     void onCacheEvents(std::string_view upstream, std::span<const CacheEvent> events);
     void onUpstreamLeaving(std::string_view upstream, Milliseconds notice, SteadyTime now);
     [[nodiscard]] bool onDrainAnnounced(std::string_view upstream, SteadyTime now);
+    void onCold(std::string_view upstream, Milliseconds duration, SteadyTime now);
     void onPauseRequested(std::string_view upstream, Milliseconds pause, SteadyTime now);
     [[nodiscard]] bool onRateLimit(std::string_view upstream, double perSecond, SteadyTime statedAt, SteadyTime now);
     [[nodiscard]] bool onRejectionLimit(std::string_view upstream, double perSecond, SteadyTime statedAt, SteadyTime now);
@@ -88,7 +90,8 @@
     using HedgeTimer = std::tuple<SteadyTime, std::uint64_t, RequestEntry *>;
 
     // Configuration and lookup, in scheduler_core.cpp.
-    void configureUpstream(const Upstream &upstream, SteadyTime now);
+    // An upstream that is new has just started, unless it is among the first that this host learns of.
+    void configureUpstream(const Upstream &upstream, const Configuration &configuration, bool amongFirst, SteadyTime now);
     void applyNotice(UpstreamState &upstream, SteadyTime now);
     void applyRateLimit(UpstreamState &upstream, double perSecond, SteadyTime now);
     void restartRateLimits(SteadyTime now);
@@ -138,6 +141,16 @@
     void applyPeerDemandTo(std::string_view pool, Placement &placement) const;
     void expirePeerWork(SteadyTime now);
 
+    // Evacuated data centres and cold upstreams, in scheduler_locality.cpp.
+    // Applies evacuations, regions and cold phases of a configuration to an upstream.
+    void configureLocality(UpstreamState &upstream, const Configuration &configuration, bool started, SteadyTime now);
+    [[nodiscard]] ColdStart coldStartOf(const UpstreamState &upstream) const;
+    // Divides the rates of cold upstreams between the hosts anew.
+    void divideColdRates(SteadyTime now);
+    void extendCold(UpstreamState &upstream, SteadyTime until, SteadyTime now);
+    // Ends the down state; an upstream whose connections had failed may have started anew.
+    void noteReachable(UpstreamState &upstream, SteadyTime now);
+
     // Reach of upstreams, in scheduler_reach.cpp.
     // Notes that the upstream has answered an attempt of the request.
     void noteAnswered(const RequestEntry &entry, UpstreamState &upstream, SteadyTime now);
@@ -206,12 +219,16 @@
     UpstreamNotices m_notices;
     RelayTargets m_relays;
     FleetTurn m_turn;
+    // The same over all hosts that may still send, so that parts of a fleet that don't hear each other keep the rate of a cold upstream together.
+    FleetTurn m_coldTurn;
     // When the first paused upstream takes requests again.
     SteadyTime m_nextResume{SteadyTime::max()};
     DemandTracker m_demand;
     // Addresses are stable; a removed upstream is kept while attempts run on it.
     StringMap<UpstreamState> m_upstreams;
     StringMap<Pool> m_pools;
+    // By pool, for those that have a cold phase.
+    StringMap<ColdStart> m_coldStarts;
     StringMap<std::unique_ptr<RequestEntry>> m_requests;
     std::set<HedgeTimer> m_hedges;
     struct PeerWorkReport
--- a/src/guavafield/coordination/request/scheduler/scheduler_reach.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_reach.cpp
@@ -12,6 +12,8 @@
 constexpr Milliseconds witnessDelay{30};
 constexpr std::size_t witnesses = 2;
 constexpr Milliseconds recentAnswer{500};
+// An evacuated upstream is not probed; how soon it is after its return.
+constexpr Milliseconds evacuatedProbeInterval{500};
 // An attempt that was dispatched so soon after a crash may have been on its way before it, as the clocks of hosts are compared by ages.
 constexpr Milliseconds ageTolerance{250};
 
@@ -60,6 +62,11 @@
             m_probes.erase(hash);
             continue;
         }
+        if (it->second->evacuated) {
+            m_probes.erase(hash);
+            m_probes.schedule(hash, now + internal::evacuatedProbeInterval);
+            continue;
+        }
         if (it->second->pausedUntil) {
             // A probe brings a request, which the upstream doesn't want now.
             m_probes.erase(hash);
@@ -84,7 +91,7 @@
         m_broken.onReached(state->idHash, now);
         m_broken.onConnected(state->idHash);
         if (state->linkLost) {
-            state->markUp();
+            noteReachable(*state, now);
         }
     } else {
         onProbeFailed(*state, result, now);
--- a/src/guavafield/coordination/request/scheduler/scheduler_relay.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_relay.cpp
@@ -34,7 +34,7 @@
     if (entry.info.relayed || entry.originUncertain || !unreachable(pool)) {
         return false;
     }
-    auto target = m_relays.choose(stableIdHash(entry.info.model), {}, now);
+    auto target = m_relays.choose(stableIdHash(entry.info.model), entry.info.homes, {}, now);
     if (!target) {
         return false;
     }
--- a/src/guavafield/coordination/request/scheduler/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_self_queueing.cpp
@@ -135,6 +135,9 @@
 
 ResultCode RequestScheduler::Impl::shortageFor(const Pool &pool, const RequestEntry &entry, SteadyTime now)
 {
+    if (entry.info.homes && !anyAtHome(entry, pool.upstreams)) {
+        return ResultCode::HomeUnavailable;
+    }
     if (entry.bound() && !anyMayRun(entry, pool.upstreams)) {
         return ResultCode::StreamVersionGone;
     }
@@ -142,7 +145,18 @@
         return *entry.lastFailure;
     }
     bool limited = false;
-    pool.upstreams.forEach([&](const UpstreamState &it) { limited |= mayRunOn(entry, it) && it.usable() && (!it.withinRate(now) || !it.hasRoom(now)); });
+    bool evacuated = false;
+    bool other = false;
+    pool.upstreams.forEach([&](const UpstreamState &it) {
+        if (mayRunOn(entry, it)) {
+            limited |= it.usable() && (!it.withinRate(now) || !it.hasRoom(now));
+            evacuated |= it.evacuated;
+            other |= !it.evacuated && !it.leaving();
+        }
+    });
+    if (evacuated && !other) {
+        return ResultCode::UpstreamsEvacuated;
+    }
     return limited ? ResultCode::UpstreamRateLimited : ResultCode::NoUpstream;
 }
 
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -4,6 +4,7 @@
 #include <guavafield/coordination/request/decaying_sum.hpp>
 #include <guavafield/coordination/request/health/outlier_detector.hpp>
 #include <guavafield/coordination/request/limits/brittle_room.hpp>
+#include <guavafield/coordination/request/limits/cold_phase.hpp>
 #include <guavafield/coordination/request/limits/concurrency_limit.hpp>
 #include <guavafield/coordination/request/limits/shared_rate_limit.hpp>
 #include <guavafield/coordination/request/request_entry.hpp>
@@ -22,6 +23,10 @@
     Upstream upstream;
     // stableIdHash() of the id.
     std::uint64_t idHash{0};
+    // Of its data centre; empty if it is not known.
+    RegionId region;
+    // Its data centre is evacuated.
+    bool evacuated{false};
     // Number of live hosts that share the upstream; positive.
     std::uint32_t hosts{1};
     ConcurrencyLimit limit;
@@ -38,6 +43,7 @@
     std::optional<SteadyTime> pausedUntil;
     // Set while the upstream limits its rate.
     std::optional<SharedRateLimit> rateLimit;
+    ColdPhase cold;
     // Set while the upstream falls over under rejections.
     std::optional<BrittleRoom> room;
     // Set when attempts fail consecutively or the process died; reset by a later report or a successful probe.
@@ -88,7 +94,7 @@
     /*! @brief Whether the upstream itself takes new work, be it a probe. */
     [[nodiscard]] bool accepting() const noexcept
     {
-        return !leaving() && !pausedUntil;
+        return !leaving() && !pausedUntil && !evacuated;
     }
     /*! @brief Whether the upstream may receive new work, i.e. accepts it and is neither down nor ejected. */
     [[nodiscard]] bool usable() const noexcept
@@ -100,10 +106,10 @@
     {
         return replacedIncarnation != 0 && upstream.incarnation == replacedIncarnation;
     }
-    /*! @brief Whether its rate limit, if it has one, allows this host a request now. */
+    /*! @brief Whether its rate limit and its cold phase allow this host a request now. */
     [[nodiscard]] bool withinRate(SteadyTime now) const noexcept
     {
-        return !rateLimit || rateLimit->available(now);
+        return (!rateLimit || rateLimit->available(now)) && cold.available(now);
     }
     /*! @brief Whether this host may send it a request now, if rejections bring it down. */
     [[nodiscard]] bool hasRoom(SteadyTime now) const noexcept
--- a/src/guavafield/protocol/settings/daemon_settings.hpp
+++ b/src/guavafield/protocol/settings/daemon_settings.hpp
@@ -27,6 +27,8 @@
     std::string region;
     std::uint32_t threads{4};
     double linkMbit{1'000};
+    // Region of each data centre, as far as it is known.
+    StringMap<RegionId> regions;
     // Secret for the digests of API keys and for authenticating peers; set directly or read from fleetSecretFile.
     std::string fleetSecret;
     std::string fleetSecretFile;
--- a/src/guavafield/protocol/settings/settings_table.cpp
+++ b/src/guavafield/protocol/settings/settings_table.cpp
@@ -179,6 +179,39 @@
     return {"shutdown", "grace_s", SettingKind::FractionalSeconds, "s", 0, 0, false, "time from SIGTERM to SIGKILL; sets the two other times", assign, format};
 }
 
+// Entries of the form name:region, separated by commas.
+bool parseRegions(std::string_view text, StringMap<RegionId> &regions)
+{
+    regions.clear();
+    while (!text.empty()) {
+        const auto comma = text.find(',');
+        const auto entry = text.substr(0, comma);
+        const auto colon = entry.find(':');
+        if (colon == std::string_view::npos || !isIdentifier(entry.substr(0, colon)) || !isIdentifier(entry.substr(colon + 1))) {
+            return false;
+        }
+        regions[std::string(entry.substr(0, colon))] = std::string(entry.substr(colon + 1));
+        text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
+    }
+    return true;
+}
+
+SettingInfo regionsRow()
+{
+    const auto assign = [](DaemonSettings &settings, std::string_view value) { return parseRegions(value, settings.host.regions); };
+    const auto format = [](const DaemonSettings &) { return std::string(); };
+    return {"host",
+            "data_centre_regions",
+            SettingKind::Text,
+            {},
+            0,
+            0,
+            false,
+            "region of each data centre, as name:region, separated by commas; requests with home regions go to data centres named here only",
+            assign,
+            format};
+}
+
 SettingInfo linkRow()
 {
     const auto assign = [](DaemonSettings &settings, std::string_view value) {
@@ -238,6 +271,7 @@
         textRow("host", "id", Identifier, true, "unique name of this host", GUAVAFIELD_MEMBER(host.id)),
         textRow("host", "data_centre", Identifier, true, "data centre of this host", GUAVAFIELD_MEMBER(host.dataCentre)),
         textRow("host", "region", Identifier, false, "region of the data centre", GUAVAFIELD_MEMBER(host.region)),
+        regionsRow(),
         integerRow("host", "threads", {}, 1, 64, "I/O threads", GUAVAFIELD_MEMBER(host.threads)),
         linkRow(),
         textRow("host", "fleet_secret", Text, false, "secret of the fleet; either this or fleet_secret_file", GUAVAFIELD_MEMBER(host.fleetSecret)),
--- a/src/guavafield/state/configuration.hpp
+++ b/src/guavafield/state/configuration.hpp
@@ -1,10 +1,13 @@
 // The configuration in force on a host: one immutable value per revision.
 #pragma once
 
+#include <guavafield/state/home_regions.hpp>
 #include <guavafield/state/types.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -47,6 +50,8 @@
     Contract contract;
     // Goes before the rank of a route; 0 is the highest.
     std::uint32_t rank{0};
+    // Restricts all requests of the team.
+    HomeRegions allowedRegions{};
 
     friend bool operator==(const Team &, const Team &) = default;
 };
@@ -143,6 +148,8 @@
     Milliseconds timeout{60'000};
     // Host name of the requests; empty: any.
     std::string host{};
+    // Restricts the requests on this route.
+    HomeRegions allowedRegions{};
 
     friend bool operator==(const Route &, const Route &) = default;
 };
@@ -184,6 +191,8 @@
     SoftwareVersion softwareVersion{};
     // When a leaving upstream ends, if that is known.
     std::optional<SteadyTime> leavesAt{};
+    // Its caches are cold until then, as its entry says.
+    std::optional<SteadyTime> coldUntil{};
 
     friend bool operator==(const Upstream &, const Upstream &) = default;
 };
@@ -228,6 +237,10 @@
     std::optional<EngineFacts> engine;
     // Empty if the number of upstreams is fixed.
     std::optional<ScalingLimits> scaling;
+    // How long an upstream is cold after its start.
+    Milliseconds coldStart{0};
+    // Requests a second that a cold upstream takes from all hosts together; 0 if there is no such limit.
+    double coldPerSecond{0};
 
     friend bool operator==(const UpstreamPool &, const UpstreamPool &) = default;
 };
@@ -257,6 +270,8 @@
     // Version of the platform's table that listed the upstreams; 0 where no table lists them.
     std::uint64_t upstreamsVersion{0};
     StringMap<UpstreamPool> pools;
+    // Data centres whose upstreams get no new requests.
+    std::set<DataCentreId, std::less<>> evacuated;
     // Go before the limits of the settings.
     std::optional<CallerLimits> callerLimits;
     // Distinct pairs of a team's and a route's rank that are in use, most urgent first.
--- a/src/guavafield/state/result.cpp
+++ b/src/guavafield/state/result.cpp
@@ -43,6 +43,8 @@
     ResultCodeInfo{UpstreamRateLimited, "UpstreamRateLimited", 503, "all upstreams that could run the request have used up the rates that they grant"},
     ResultCodeInfo{StreamOriginUnknown, "StreamOriginUnknown", 503, "it is not known which software version began the stream that is to go on"},
     ResultCodeInfo{StreamVersionGone, "StreamVersionGone", 503, "no upstream of the software version that began the stream is left"},
+    ResultCodeInfo{UpstreamsEvacuated, "UpstreamsEvacuated", 503, "all upstreams that could run the request are in evacuated data centres"},
+    ResultCodeInfo{HomeUnavailable, "HomeUnavailable", 503, "no upstream is in a region in which the request may be processed"},
     ResultCodeInfo{UpstreamUnreachable, "UpstreamUnreachable", 502, "the upstream could not be reached"},
     ResultCodeInfo{UpstreamFailed, "UpstreamFailed", 502, "the upstream answered with an error"},
     ResultCodeInfo{UpstreamIncomplete, "UpstreamIncomplete", 502, "the answer of the upstream ended early"},
--- a/src/guavafield/state/result.hpp
+++ b/src/guavafield/state/result.hpp
@@ -50,6 +50,8 @@
     UpstreamRateLimited = 3011,
     StreamOriginUnknown = 3012,
     StreamVersionGone = 3013,
+    UpstreamsEvacuated = 3014,
+    HomeUnavailable = 3015,
     // 4xxx upstream
     UpstreamUnreachable = 4001,
     UpstreamFailed = 4002,
--- a/src/guavafield/state/types.hpp
+++ b/src/guavafield/state/types.hpp
@@ -19,6 +19,8 @@
 using UpstreamId = std::string;
 using HostId = std::string;
 using DataCentreId = std::string;
+/*! @brief Names a group of data centres. */
+using RegionId = std::string;
 using RequestId = std::string;
 /*! @brief Version of the software that an upstream's process runs; versions have no order. Not that of a model's weights. */
 using SoftwareVersion = std::string;
--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -352,6 +352,20 @@
                  {},
                  "upstream " + std::string(state) + ", upstream=" + it.id + " pool=" + it.pool + " data_centre=" + it.dataCentre + " kind=" + kind + source);
     };
+    static const std::set<DataCentreId, std::less<>> noDataCentres;
+    const auto &evacuatedBefore = m_applied ? m_applied->evacuated : noDataCentres;
+    const auto document = knowledge(DirectoryTable::Document);
+    const auto evacuationSource = " version=" + std::to_string(document.content) + " knowledge_age_ms=" + std::to_string(document.age.count());
+    for (const auto &it : configuration.evacuated) {
+        if (!evacuatedBefore.contains(it)) {
+            logEvent(LogLevel::Info, "fleet:", {}, "data centre evacuated, data_centre=" + it + evacuationSource);
+        }
+    }
+    for (const auto &it : evacuatedBefore) {
+        if (!configuration.evacuated.contains(it)) {
+            logEvent(LogLevel::Info, "fleet:", {}, "data centre returned to service, data_centre=" + it + evacuationSource);
+        }
+    }
     static const StringMap<Upstream> none;
     const auto &before = m_applied ? m_applied->upstreams : none;
     for (const auto &[id, it] : configuration.upstreams) {
--- a/src/guavafield/transport/http/callers/access.hpp
+++ b/src/guavafield/transport/http/callers/access.hpp
@@ -40,6 +40,8 @@
     PoolId pool;
     ForwardEnvelope envelope;
     std::uint8_t enginePriority{0};
+    // Of the route and the team together.
+    HomeRegions homes{};
 };
 
 using RequestTarget = std::variant<ModelList, ModelCall, ServiceCall, ForwardCall>;
--- a/src/guavafield/transport/http/callers/forward_access.cpp
+++ b/src/guavafield/transport/http/callers/forward_access.cpp
@@ -130,6 +130,7 @@
     }
     call.route = route->id;
     call.target = std::get<PoolTarget>(route->target);
+    call.homes = intersect(route->allowedRegions, grant.team != nullptr ? grant.team->allowedRegions : HomeRegions());
     const auto &first = call.envelope.resumes.empty() ? call.envelope.id : call.envelope.resumes;
     const auto *pool = internal::choosePool(call.target, first);
     if (pool == nullptr) {
--- a/src/guavafield/transport/http/forwarding/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forwarding/forward_attempt.cpp
@@ -214,6 +214,9 @@
     if (facts.leaving && m_context->driver->onDrainAnnounced(m_plan.upstream)) {
         logEvent(LogLevel::Info, "http:", m_plan.id, "upstream announces that it leaves, upstream=" + m_plan.upstream);
     }
+    if (facts.coldFor && facts.ours) {
+        m_context->driver->onCold(m_plan.upstream, *facts.coldFor);
+    }
     // The time of an earlier refusal began earlier.
     if (facts.pause && facts.ours) {
         m_context->driver->onPauseRequested(m_plan.upstream, *facts.pause);
--- a/src/guavafield/transport/http/forwarding/forward_dialect.hpp
+++ b/src/guavafield/transport/http/forwarding/forward_dialect.hpp
@@ -80,6 +80,8 @@
     bool misdirected{false};
     // The upstream is about to stop and wants no further requests.
     bool leaving{false};
+    // Its caches are cold for so long; empty if it doesn't say.
+    std::optional<Milliseconds> coldFor;
     // The upstream refuses and wants no requests from this host for so long.
     std::optional<Milliseconds> pause;
     // Requests a second that the upstream takes from all hosts together, unlimitedRate if it names no limit; empty if it cannot be read.
--- a/src/guavafield/transport/http/forwarding/forward_request.cpp
+++ b/src/guavafield/transport/http/forwarding/forward_request.cpp
@@ -80,6 +80,7 @@
     info.maxAttempts = m_plan.relayed ? relayedAttempts(m_plan.headers, m_call.target.maxAttempts) : m_call.target.maxAttempts;
     info.origin = m_origin;
     info.relayed = m_plan.relayed;
+    info.homes = m_call.homes;
     return info;
 }
 
@@ -238,7 +239,7 @@
     if (m_relayMayHaveRun || m_relays.size() >= internal::maxRelays) {
         return false;
     }
-    const auto target = m_context->driver->nextRelayTarget(m_call.pool, m_relays);
+    const auto target = m_context->driver->nextRelayTarget(m_call.pool, m_call.homes, m_relays);
     if (target) {
         startRelay(*target);
     }
--- a/src/guavafield/transport/http/path_context.cpp
+++ b/src/guavafield/transport/http/path_context.cpp
@@ -55,7 +55,8 @@
           executor,
           daemonClock,
           daemonCounters,
-          SchedulerSettings{daemonSettings.host.dataCentre, 1, XXH3_64bits(daemonSettings.host.id.data(), daemonSettings.host.id.size())}))
+          SchedulerSettings{
+              daemonSettings.host.dataCentre, 1, XXH3_64bits(daemonSettings.host.id.data(), daemonSettings.host.id.size()), daemonSettings.host.regions}))
     ,
     // A restarted host must not repeat the ids of its former life.
     m_idPrefix(daemonSettings.host.id + "-" + makeSecret().substr(0, 8) + "-")
--- a/src/guavafield/transport/http/request_driver.cpp
+++ b/src/guavafield/transport/http/request_driver.cpp
@@ -120,9 +120,9 @@
     withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onProbe(upstream, result, now); });
 }
 
-std::optional<RelayTarget> RequestDriver::nextRelayTarget(std::string_view pool, std::span<const HostId> tried)
+std::optional<RelayTarget> RequestDriver::nextRelayTarget(std::string_view pool, const HomeRegions &homes, std::span<const HostId> tried)
 {
-    return withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { return scheduler.relayTargets().choose(stableIdHash(pool), tried, now); });
+    return withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { return scheduler.relayTargets().choose(stableIdHash(pool), homes, tried, now); });
 }
 
 void RequestDriver::onRelayStarted(std::string_view host)
@@ -155,6 +155,11 @@
     return withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { return scheduler.onDrainAnnounced(upstream, now); });
 }
 
+void RequestDriver::onCold(std::string_view upstream, Milliseconds duration)
+{
+    withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onCold(upstream, duration, now); });
+}
+
 void RequestDriver::onPauseRequested(std::string_view upstream, Milliseconds pause)
 {
     withScheduler([&](RequestScheduler &scheduler, SteadyTime now) { scheduler.onPauseRequested(upstream, pause, now); });
--- a/src/guavafield/transport/http/request_driver.hpp
+++ b/src/guavafield/transport/http/request_driver.hpp
@@ -51,7 +51,7 @@
     void onProbe(std::string_view upstream, ProbeResult result);
 
     /*! @brief Returns another host for a relayed request that the tried ones did not serve; see RelayTargets::choose(). */
-    [[nodiscard]] std::optional<RelayTarget> nextRelayTarget(std::string_view pool, std::span<const HostId> tried);
+    [[nodiscard]] std::optional<RelayTarget> nextRelayTarget(std::string_view pool, const HomeRegions &homes, std::span<const HostId> tried);
     void onRelayStarted(std::string_view host);
     /*! @brief Ends a relayed request. */
     void onRelayEnded(std::string_view host);
@@ -62,6 +62,8 @@
     void onCacheEvents(std::string_view upstream, std::span<const CacheEvent> events);
     /*! @brief Takes an upstream's announcement that it leaves; returns whether that is new. */
     [[nodiscard]] bool onDrainAnnounced(std::string_view upstream);
+    /*! @brief Takes an upstream's statement that its caches are cold for a time. */
+    void onCold(std::string_view upstream, Milliseconds duration);
     /*! @brief Takes an upstream's wish to get no requests from this host for a time. */
     void onPauseRequested(std::string_view upstream, Milliseconds pause);
     /*! @brief Takes what an answer says of the upstream's rate limit, see RequestScheduler::onRateLimit(). */
--- a/test/coordination/fleet/fleet_directory_test.cpp
+++ b/test/coordination/fleet/fleet_directory_test.cpp
@@ -12,6 +12,7 @@
 {
     DirectoryCodec codec;
     codec.documentKey = "document";
+    codec.evacuationPrefix = "evacuate/";
     codec.document = [](std::string_view text) -> Result<Configuration> {
         if (text == "bad") {
             return fail(ResultCode::PlatformAnswerInvalid, "not a document");
@@ -51,6 +52,9 @@
     CPPUNIT_TEST(leavingUpstreamIsNotTakenBackFromARestoredTable);
     CPPUNIT_TEST(goneUpstreamOfARestoredTableIsNotUsed);
     CPPUNIT_TEST(upstreamThatWritesAfterARestorationIsUsed);
+    CPPUNIT_TEST(evacuationIsInForceWhileItsRowIsThere);
+    CPPUNIT_TEST(evacuationThatARestoredTableLacksIsKeptUntilItIsWrittenAgain);
+    CPPUNIT_TEST(evacuationThatIsNotWrittenAgainEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,6 +203,48 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, update()->upstreams.size());
     }
 
+    // A value that cannot be read must not let requests in, and another key must not keep them out.
+    void evacuationIsInForceWhileItsRowIsThere()
+    {
+        row("evacuate/a", "not an object");
+        row("evacuated/b", "{}");
+        const auto evacuated = update();
+        CPPUNIT_ASSERT(evacuated != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, evacuated->evacuated.size());
+        CPPUNIT_ASSERT(evacuated->evacuated.contains("a"));
+        document("8");
+        CPPUNIT_ASSERT(update()->evacuated.contains("a"));
+        row("evacuate/a", std::nullopt);
+        CPPUNIT_ASSERT(update()->evacuated.empty());
+    }
+
+    // Guards against requests at an evacuated data centre while the operators write again what a restored table lost.
+    void evacuationThatARestoredTableLacksIsKeptUntilItIsWrittenAgain()
+    {
+        row("evacuate/a", "{}");
+        CPPUNIT_ASSERT(update() != nullptr);
+        restoreDocument("7");
+        CPPUNIT_ASSERT(update()->evacuated.contains("a"));
+        m_now += Milliseconds{2'000};
+        row("evacuate/a", "{}");
+        CPPUNIT_ASSERT(update() == nullptr);
+        m_now += std::chrono::seconds{10};
+        CPPUNIT_ASSERT(update() == nullptr);
+        CPPUNIT_ASSERT(!m_directory->nextWakeup().has_value());
+    }
+
+    // Guards against a data centre that stays empty for ever although its evacuation is over.
+    void evacuationThatIsNotWrittenAgainEnds()
+    {
+        row("evacuate/a", "{}");
+        CPPUNIT_ASSERT(update() != nullptr);
+        restoreDocument("7");
+        CPPUNIT_ASSERT(update()->evacuated.contains("a"));
+        CPPUNIT_ASSERT(m_directory->nextWakeup().has_value());
+        m_now = *m_directory->nextWakeup();
+        CPPUNIT_ASSERT(update()->evacuated.empty());
+    }
+
 private:
     // The table comes back from a copy and counts from a lower number.
     void beginEpoch()
@@ -233,6 +279,12 @@
         ++m_version;
         m_document.apply(std::vector<MirroredRow>{{"document", m_version, text}}, m_version, m_now);
     }
+    // A row of the document's table.
+    void row(const std::string &key, const std::optional<std::string> &text)
+    {
+        ++m_version;
+        m_document.apply(std::vector<MirroredRow>{{key, m_version, text}}, m_version, m_now);
+    }
     void entry(const std::string &id, const std::string &text)
     {
         ++m_version;
--- a/test/coordination/order/fleet_planner_test.cpp
+++ b/test/coordination/order/fleet_planner_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(burstAddsUpstreamsAndHoldsThem);
     CPPUNIT_TEST(lostUpstreamsAreReplacedInOtherDataCentres);
     CPPUNIT_TEST(durableReplaceUnavailableCheap);
+    CPPUNIT_TEST(evacuatedDataCentreIsReplacedAndNotOrderedFor);
     CPPUNIT_TEST(ordersStayWithinLimits);
     CPPUNIT_TEST(firstRequestsKeepInitialFleet);
     CPPUNIT_TEST(newHolderKeepsExistingFleet);
@@ -43,6 +44,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, countOf(fulfilOrders(), UpstreamKind::Durable));
     }
 
+    // Guards against orders for a data centre that gets no requests, and against the loss of its capacity.
+    void evacuatedDataCentreIsReplacedAndNotOrderedFor()
+    {
+        settle();
+        const auto before = countPresent(UpstreamKind::Cheap);
+        m_configuration.evacuated = {"a"};
+        const auto orders = fulfilOrders();
+        CPPUNIT_ASSERT(!orders.empty());
+        CPPUNIT_ASSERT(std::ranges::none_of(orders, [](const FleetSize &it) { return it.dataCentre == "a"; }));
+        CPPUNIT_ASSERT(countPresent(UpstreamKind::Cheap) > before);
+    }
+
     // Guards against orders without effect; the platform charges for every call.
     void noOrdersWhenFleetMatchesPlan()
     {
--- a/test/coordination/request/placement/relay_targets_test.cpp
+++ b/test/coordination/request/placement/relay_targets_test.cpp
@@ -16,7 +16,7 @@
 
 RelayCandidate candidate(const std::string &dataCentre, std::vector<std::uint64_t> unreachable = {}, std::uint32_t running = 0)
 {
-    return {dataCentre, PeerAddress{0, 1, 8080}, std::move(unreachable), running};
+    return {dataCentre, {}, PeerAddress{0, 1, 8080}, std::move(unreachable), running};
 }
 
 } // namespace
@@ -31,36 +31,54 @@
     CPPUNIT_TEST(hostOfTheOwnDataCentreIsPreferredWhileItHasNoMoreLoad);
     CPPUNIT_TEST(requestIsRelayedOnlyWhileNoUpstreamIsReached);
     CPPUNIT_TEST(requestIsNotRelayedWhenNobodyReachesThePool);
+    CPPUNIT_TEST(requestIsRelayedInsideItsHomeRegionsOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void hostThatReachesNoUpstreamIsNotChosen()
     {
         m_targets.onReport("h1", candidate("dc", {poolHash}), m_now);
-        CPPUNIT_ASSERT(!m_targets.choose(poolHash, {}, m_now));
-        CPPUNIT_ASSERT(m_targets.choose(poolHash + 1, {}, m_now).has_value());
+        CPPUNIT_ASSERT(!m_targets.choose(poolHash, {}, {}, m_now));
+        CPPUNIT_ASSERT(m_targets.choose(poolHash + 1, {}, {}, m_now).has_value());
         m_targets.onReport("h1", candidate("dc"), m_now);
-        CPPUNIT_ASSERT(m_targets.choose(poolHash, {}, m_now).has_value());
+        CPPUNIT_ASSERT(m_targets.choose(poolHash, {}, {}, m_now).has_value());
         const std::vector<HostId> tried{"h1"};
-        CPPUNIT_ASSERT(!m_targets.choose(poolHash, tried, m_now));
+        CPPUNIT_ASSERT(!m_targets.choose(poolHash, {}, tried, m_now));
         m_targets.erase("h1");
-        CPPUNIT_ASSERT(!m_targets.choose(poolHash, {}, m_now));
+        CPPUNIT_ASSERT(!m_targets.choose(poolHash, {}, {}, m_now));
+    }
+
+    // A relay would copy the body to a host outside of the regions in which it may be processed.
+    void requestIsRelayedInsideItsHomeRegionsOnly()
+    {
+        const HomeRegions homes{{"north"}};
+        auto unknown = candidate("dc");
+        m_targets.onReport("h1", unknown, m_now);
+        auto south = candidate("dc");
+        south.region = "south";
+        m_targets.onReport("h2", south, m_now);
+        CPPUNIT_ASSERT(m_targets.choose(poolHash, {}, {}, m_now).has_value());
+        CPPUNIT_ASSERT(!m_targets.choose(poolHash, homes, {}, m_now));
+        auto north = candidate("dc2");
+        north.region = "north";
+        m_targets.onReport("h3", north, m_now);
+        CPPUNIT_ASSERT_EQUAL(HostId("h3"), m_targets.choose(poolHash, homes, {}, m_now)->host);
     }
 
     void hostWithoutARecentReportIsNotChosen()
     {
         m_targets.setReportTtl(Milliseconds{4'000});
         m_targets.onReport("h1", candidate("dc"), m_now);
-        CPPUNIT_ASSERT(m_targets.choose(poolHash, {}, m_now + Milliseconds{4'000}).has_value());
-        CPPUNIT_ASSERT(!m_targets.choose(poolHash, {}, m_now + Milliseconds{4'001}));
+        CPPUNIT_ASSERT(m_targets.choose(poolHash, {}, {}, m_now + Milliseconds{4'000}).has_value());
+        CPPUNIT_ASSERT(!m_targets.choose(poolHash, {}, {}, m_now + Milliseconds{4'001}));
     }
 
     void hostThatCannotBeReachedIsNotChosenForAWhile()
     {
         m_targets.onReport("h1", candidate("dc"), m_now);
         m_targets.onUnreachable("h1", m_now);
-        CPPUNIT_ASSERT(!m_targets.choose(poolHash, {}, m_now));
-        CPPUNIT_ASSERT(m_targets.choose(poolHash, {}, m_now + Milliseconds{3'000}).has_value());
+        CPPUNIT_ASSERT(!m_targets.choose(poolHash, {}, {}, m_now));
+        CPPUNIT_ASSERT(m_targets.choose(poolHash, {}, {}, m_now + Milliseconds{3'000}).has_value());
     }
 
     void requestsAreSpreadOverTheHostsThatAreLeft()
@@ -70,7 +88,7 @@
         }
         std::map<HostId, int> chosen;
         for (int n = 0; n < 300; ++n) {
-            const auto target = m_targets.choose(poolHash, {}, m_now).value();
+            const auto target = m_targets.choose(poolHash, {}, {}, m_now).value();
             m_targets.onStarted(target.host);
             ++chosen[target.host];
         }
@@ -86,14 +104,14 @@
         m_targets.onReport("far", candidate("other"), m_now);
         int near = 0;
         for (int n = 0; n < 100; ++n) {
-            const auto target = m_targets.choose(poolHash, {}, m_now).value();
+            const auto target = m_targets.choose(poolHash, {}, {}, m_now).value();
             near += target.host == "near" ? 1 : 0;
         }
         CPPUNIT_ASSERT(near > 60);
         m_targets.onReport("near", candidate("dc", {}, 50), m_now);
         near = 0;
         for (int n = 0; n < 100; ++n) {
-            const auto target = m_targets.choose(poolHash, {}, m_now).value();
+            const auto target = m_targets.choose(poolHash, {}, {}, m_now).value();
             near += target.host == "near" ? 1 : 0;
         }
         CPPUNIT_ASSERT(near < 40);
--- a/test/platform/directory_codec_test.cpp
+++ b/test/platform/directory_codec_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST_SUITE(DirectoryCodecTest);
     CPPUNIT_TEST(parsesWholeDocument);
     CPPUNIT_TEST(storesNoPlainTextKeys);
+    CPPUNIT_TEST(parsesColdStartsAndHomeRegions);
     CPPUNIT_TEST(errorReportsPath);
     CPPUNIT_TEST(parsesServerEntries);
     CPPUNIT_TEST(serverEntryNamesTheVersionOfItsSoftware);
@@ -43,6 +44,29 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against limits of cold upstreams and home regions that are not read, so that they would not be kept.
+    void parsesColdStartsAndHomeRegions()
+    {
+        const std::string text = R"({"version":7,"routes":[
+          {"name":"r1","host":"h","prefix":"/a/","kind":"idempotent","timeoutMs":500,"service":"s1","allowedRegions":["south","north","south"]},
+          {"name":"r2","host":"h","prefix":"/b/","kind":"idempotent","timeoutMs":500,"service":"s1","allowedRegions":[]}],
+         "services":[{"name":"s1","coldStartS":3.5,"coldPerS":8.0},{"name":"s2","coldStartS":0.0,"coldPerS":0.0},{"name":"s3"}],
+         "tenants":[{"name":"t1","apiKeys":[],"allowedRegions":["north"]},{"name":"t2","apiKeys":[]}]})";
+        const auto parsed = capture([&] { return m_codec.document(text); });
+        CPPUNIT_ASSERT_MESSAGE(parsed.error.message + " " + parsed.error.place, parsed);
+        const auto &configuration = *parsed.value;
+        CPPUNIT_ASSERT(configuration.pools.at("s1").coldStart == Milliseconds{3'500} && configuration.pools.at("s1").coldPerSecond == 8);
+        CPPUNIT_ASSERT(configuration.pools.at("s2").coldPerSecond == 0 && configuration.pools.at("s3").coldPerSecond == 0);
+        CPPUNIT_ASSERT(configuration.routes.at("r1").allowedRegions == HomeRegions({"north", "south"}));
+        CPPUNIT_ASSERT(!configuration.routes.at("r2").allowedRegions);
+        CPPUNIT_ASSERT(configuration.teams.at("t1").allowedRegions == HomeRegions({"north"}) && !configuration.teams.at("t2").allowedRegions);
+        const auto wrong = capture([&] { return m_codec.document(R"({"version":7,"tenants":[{"name":"t","apiKeys":[],"allowedRegions":"north"}]})"); });
+        CPPUNIT_ASSERT(!wrong);
+        const auto cold = capture([&] { return m_codec.upstream("u", std::string(serverEntry).replace(serverEntry.find(":0,"), 3, ":2500,")); });
+        CPPUNIT_ASSERT(cold && cold.value->coldFor == Milliseconds{2'500});
+        CPPUNIT_ASSERT(!capture([&] { return m_codec.upstream("u", serverEntry); }).value->coldFor);
+    }
+
     // Guards against fields that are lost or misinterpreted when the document is converted to Configuration.
     void parsesWholeDocument()
     {
--- a/test/support/request/placement_fixture.hpp
+++ b/test/support/request/placement_fixture.hpp
@@ -13,7 +13,8 @@
 // Scheduler of one host with a pool of engines and a manual clock.
 struct PlacementFixture
 {
-    explicit PlacementFixture(std::uint64_t seed, std::uint32_t upstreams = 6) : scheduler(SchedulerSettings{"dc", 1, seed})
+    explicit PlacementFixture(std::uint64_t seed, std::uint32_t upstreams = 6, const StringMap<RegionId> &regions = {})
+        : scheduler(SchedulerSettings{"dc", 1, seed, regions})
     {
         auto &pool = configuration.pools["p"];
         pool.id = "p";
@@ -24,12 +25,12 @@
         apply();
     }
 
-    void addUpstream(const std::string &id)
+    void addUpstream(const std::string &id, const DataCentreId &dataCentre = "dc")
     {
         Upstream upstream;
         upstream.id = id;
         upstream.pool = "p";
-        upstream.dataCentre = "dc";
+        upstream.dataCentre = dataCentre;
         upstream.slots = 64;
         configuration.upstreams[id] = upstream;
     }
