--- a/tools/check-platform-names.sh
+++ b/tools/check-platform-names.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 names='rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|kv-(events|list|move|handle|pin)|hold-(take|drop)|Kv-(Fetch|From)|expectedRev|apiKeys|maxAttempts"'
-names+='|targetLatencyMs|gapAimMs|kvCapacity|tokenKvBytes|coldLeftMs|coldStartS|coldPerS|leaves_ms|zonePrices|spotPrice'
+names+='|targetLatencyMs|gapAimMs|kvCapacity|tokenKvBytes|coldLeftMs|coldStartS"|coldPerS"|leaves_ms|zonePrices|spotPrice'
 names+='|X-Guavafield-(Request-Id|Deadline-Ms|Model|Token-Counts|Prefix-Hash|Response-Seal|Tenant|Expect-Instance|Server-Load|Not-Executed'
 names+='|Instance-Id|Cold-Ms|Request-Priority|Pin-Ms|Hold|Kv-Backup|Duty-Holder|Fencing-Token|Length-Hint|Expect-Version|Weights-Versions)'
 if git ls-files --cached --others --exclude-standard src apps bench standins examples | grep -v '\.capnp\.' | xargs grep -nE "$names"; then
