Take an upstream for cold by its process, not by a lost link

An upstream that is reached again counts as cold only if the process there says that it is another one than its entry names.

--- a/src/guavafield/coordination/request/scheduler/scheduler_attempts.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_attempts.cpp
@@ -152,7 +152,7 @@
         }
         noteProgress(*entry, *it.upstream, now);
         noteAnswered(*entry, *it.upstream, now);
-        noteReachable(*it.upstream, now);
+        it.upstream->markUp();
         const bool first = entry->lastTokens == SteadyTime{};
         if (auto &selfQueueing = poolOf(*entry).selfQueueing; selfQueueing && first) {
             selfQueueing->placement.onFirstToken(*entry, *it.upstream, secondsBetween(it.dispatched, now), now);
@@ -231,6 +231,7 @@
         return;
     }
     state->replacedIncarnation = listed;
+    extendCold(*state, now + coldStartOf(*state).duration, now);
     // What listens there may change again.
     m_probes.schedule(state->idHash, now + internal::replacedProbeInterval);
 }
@@ -267,7 +268,7 @@
         m_evidence.onSurvived(crashSuspectOf(entry->info), now);
     }
     noteAnswered(*entry, *state, now);
-    noteReachable(*state, now);
+    state->markUp();
     erase(*entry, now);
     return RequestDone{};
 }
--- a/src/guavafield/coordination/request/scheduler/scheduler_core.hpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_core.hpp
@@ -148,8 +148,6 @@
     // Divides the rates of cold upstreams between the hosts anew.
     void divideColdRates(SteadyTime now);
     void extendCold(UpstreamState &upstream, SteadyTime until, SteadyTime now);
-    // Ends the down state; an upstream whose connections had failed may have started anew.
-    void noteReachable(UpstreamState &upstream, SteadyTime now);
 
     // Reach of upstreams, in scheduler_reach.cpp.
     // Notes that the upstream has answered an attempt of the request.
--- a/src/guavafield/coordination/request/scheduler/scheduler_locality.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_locality.cpp
@@ -53,14 +53,6 @@
     }
 }
 
-void RequestScheduler::Impl::noteReachable(UpstreamState &upstream, SteadyTime now)
-{
-    if (upstream.downSince && upstream.linkLost) {
-        extendCold(upstream, now + coldStartOf(upstream).duration, now);
-    }
-    upstream.markUp();
-}
-
 void RequestScheduler::Impl::onCold(std::string_view upstream, Milliseconds duration, SteadyTime now)
 {
     if (auto *state = findUpstream(upstream)) {
--- a/src/guavafield/coordination/request/scheduler/scheduler_reach.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_reach.cpp
@@ -91,7 +91,7 @@
         m_broken.onReached(state->idHash, now);
         m_broken.onConnected(state->idHash);
         if (state->linkLost) {
-            noteReachable(*state, now);
+            state->markUp();
         }
     } else {
         onProbeFailed(*state, result, now);
