Read the slowdown that upstreams report and place by its forecast

An upstream of some services reports as a fourth figure of its load how long work takes there at this moment. The slowdown is a factor on expected times, trusted for as long as samples have proved to predict each other, and plain services count the load that the upstreams themselves report.

--- a/src/guavafield/coordination/request/placement/placement.cpp
+++ b/src/guavafield/coordination/request/placement/placement.cpp
@@ -49,6 +49,8 @@
 constexpr double maxLatencyRatio = 8;
 // Half-life of the weight given to a reported queue length.
 constexpr double reportHalfLifeSeconds = 0.5;
+// Upstreams whose costs differ by less are chosen by chance, so that hosts with the same reports do not choose alike.
+constexpr double similarCosts = 0.05;
 
 std::uint64_t mix(std::uint64_t value) noexcept
 {
@@ -67,6 +69,12 @@
     value += learningWeight * (sample - value);
 }
 
+// Returns a fraction from 0 to 1 that differs between requests and between upstreams.
+double fractionOf(std::uint64_t requestHash, std::uint64_t upstream) noexcept
+{
+    return static_cast<double>(mix(requestHash ^ upstream) >> 11U) * 0x1.0p-53;
+}
+
 // The ratio decays to 1 without new samples, so that a slow upstream is used again.
 double decayedLatencyRatio(const UpstreamState &upstream, SteadyTime now)
 {
@@ -152,9 +160,19 @@
     return it == m_serviceSecondsByKind.end() ? internal::initialServiceSeconds : it->second;
 }
 
+double Placement::occupancy(const UpstreamState &upstream, SteadyTime now)
+{
+    const double reported = upstream.outstanding() + upstream.peerRunning;
+    if (!upstream.slowdown.known() || !upstream.reportTime) {
+        return reported;
+    }
+    const double weight = std::exp2(-secondsBetween(*upstream.reportTime, now) / internal::reportHalfLifeSeconds);
+    return upstream.outstanding() + weight * upstream.othersAtReport + (1 - weight) * upstream.peerRunning;
+}
+
 Placement::Contention Placement::contention(const UpstreamState &upstream, const RequestEntry &entry, SteadyTime now) const
 {
-    const double running = upstream.outstanding() + upstream.peerRunning;
+    const double running = m_engine ? upstream.outstanding() + upstream.peerRunning : occupancy(upstream, now);
     const double slots = std::max(1U, upstream.upstream.slots);
     if (!m_engine) {
         const double queued = std::max(0.0, running + 1 - slots);
@@ -198,6 +216,7 @@
     const bool probeAllowed = entry.info.repeatable && !entry.started();
     const double prompt = entry.info.promptTokens;
     const bool allReplaced = guavafield::allReplaced(upstreams);
+    const auto requestHash = stableIdHash(entry.info.id);
     PlacementDecision best;
     double lowestCost = std::numeric_limits<double>::infinity();
     upstreams.forEach([&](UpstreamState &it) {
@@ -224,11 +243,12 @@
             penalty = internal::recomputeFactor * missingTokens / m_tokensPerSecond;
         }
         const auto others = contention(it, entry, now);
-        const double latencyRatio = internal::decayedLatencyRatio(it, now);
+        decision.slowdown = it.slowdown.expected(now, m_slowdowns);
+        const double latencyRatio = internal::decayedLatencyRatio(it, now) * decision.slowdown;
         const double slowdown = others.slowdown * latencyRatio;
         decision.queueSeconds = others.queue * latencyRatio;
         decision.seconds = decision.queueSeconds + decision.tokens / m_tokensPerSecond * latencyRatio + copySeconds;
-        decision.seconds += m_engine ? slowdown + internal::firstTokenOverheadSeconds : serviceSeconds(entry.info.kind);
+        decision.seconds += m_engine ? slowdown + internal::firstTokenOverheadSeconds : serviceSeconds(entry.info.kind) * decision.slowdown;
         const double remote = it.upstream.dataCentre == m_local ? 0 : internal::remoteDataCentreSeconds;
         // Prefix copies known only to this host should not move requests away from the holder that all hosts agree on.
         const bool exemptFromPenalty = prefix.holder == nullptr || prefix.holder == &it || prefix.tokens < internal::minTokensToFetch;
@@ -237,6 +257,9 @@
         double cost = decision.seconds + penalty + remote + nonHolderPenalty + rangePenalty + internal::failureSeconds * it.failures.valueAt(now);
         // A plain service is only assumed to become slower, so that its upstreams are used evenly.
         cost += m_engine ? 0 : slowdown;
+        if (it.slowdown.known()) {
+            cost *= 1 + internal::similarCosts * internal::fractionOf(requestHash, it.idHash);
+        }
         if (probe || cost < lowestCost) {
             best = decision;
             lowestCost = probe ? -1 : cost;
@@ -245,6 +268,13 @@
     return best;
 }
 
+void Placement::onLoadReport(UpstreamState &upstream, const LoadReport &report, SteadyTime now) noexcept
+{
+    if (report.slowdown) {
+        upstream.slowdown.onSample(*report.slowdown, now - report.age, m_slowdowns);
+    }
+}
+
 void Placement::onDispatch(const RequestEntry &entry, SteadyTime now)
 {
     if (m_engine) {
@@ -280,7 +310,7 @@
     if (!m_engine) {
         // What arrives later than the deadline was held up by a pause of this host.
         const double allowed = std::max(0.0, seconds - secondsBetween(entry.deadline, now));
-        learnServiceTime(entry.info.kind, std::min(seconds, allowed));
+        learnServiceTime(entry.info.kind, std::min(seconds, allowed) / entry.slowdown);
         return;
     }
     internal::learn(m_meanTokens, std::max(1.0, entry.prefillTokens));
--- a/src/guavafield/coordination/request/placement/placement.hpp
+++ b/src/guavafield/coordination/request/placement/placement.hpp
@@ -47,6 +47,8 @@
     double queueSeconds{0};
     // Prompt tokens that the upstream is expected to prefill.
     double tokens{0};
+    // Factor on the time that work takes at the upstream now.
+    double slowdown{1};
 };
 
 /*!
@@ -66,6 +68,8 @@
 
     /*! @brief Returns the best upstream not yet tried by the request; the index lists the prefixes sent by this host. */
     [[nodiscard]] PlacementDecision choose(const PoolUpstreams &upstreams, const PrefixIndex &prefixes, const RequestEntry &entry, SteadyTime now) const;
+    /*! @brief Takes an upstream's report of its own load. */
+    void onLoadReport(UpstreamState &upstream, const LoadReport &report, SteadyTime now) noexcept;
     /*! @brief Updates the learned rates with the time to the first token of an attempt. */
     void onFirstToken(const RequestEntry &entry, UpstreamState &upstream, double seconds, SteadyTime now);
 
@@ -116,6 +120,8 @@
         double slowdown{0};
     };
 
+    // Returns the requests that run or wait at the upstream, with those of other hosts from the newest of its own and their reports.
+    [[nodiscard]] static double occupancy(const UpstreamState &upstream, SteadyTime now);
     [[nodiscard]] Contention contention(const UpstreamState &upstream, const RequestEntry &entry, SteadyTime now) const;
     // Returns the learned service time of a kind of request of a plain service.
     [[nodiscard]] double serviceSeconds(const std::string &kind) const;
@@ -133,6 +139,7 @@
     StringMap<double> m_serviceSecondsByKind;
     // Learned mean of the uncached prompt tokens of a request.
     double m_meanTokens;
+    SlowdownPersistence m_slowdowns;
     StreamIsolation m_isolation;
 };
 
--- a/src/guavafield/coordination/request/request_entry.hpp
+++ b/src/guavafield/coordination/request/request_entry.hpp
@@ -91,6 +91,8 @@
     // Prompt tokens that the running attempt has to prefill, and its expected time to the first token.
     double prefillTokens{0};
     double expectedSeconds{0};
+    // Slowdown of the upstream that was expected at the dispatch.
+    double slowdown{1};
     // Whether the upstream was idle when the running attempt was sent.
     bool dispatchedToIdle{false};
 
--- a/src/guavafield/coordination/request/request_info.hpp
+++ b/src/guavafield/coordination/request/request_info.hpp
@@ -180,6 +180,8 @@
     bool leaving{false};
     // Changes on each restart of the upstream's process.
     Incarnation incarnation{0};
+    // Factor on the time that work takes there now, 1 is normal; empty if the upstream does not report it.
+    std::optional<double> slowdown{};
 };
 
 /*! @brief A change of an upstream's prefix cache. */
--- a/src/guavafield/coordination/request/scheduler/scheduler_core.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_core.cpp
@@ -106,6 +106,7 @@
         m_router.prefixes().removeAll(state);
         state.markUp();
         state.latencyRatio = 1;
+        state.slowdown.reset();
     }
     if (added || restarted) {
         state.addedAt = now;
@@ -291,6 +292,9 @@
             m_router.prefixes().removeAll(*state);
         }
         state->onReport(report, now);
+        if (const auto pool = m_pools.find(state->upstream.pool); pool != m_pools.end() && pool->second.selfQueueing) {
+            pool->second.selfQueueing->placement.onLoadReport(*state, report, now);
+        }
         refreshSlots();
     }
 }
--- a/src/guavafield/coordination/request/scheduler/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_self_queueing.cpp
@@ -165,6 +165,7 @@
     entry.queued = false;
     entry.prefillTokens = decision.tokens;
     entry.expectedSeconds = decision.seconds;
+    entry.slowdown = decision.slowdown;
     entry.dispatchedToIdle = upstream.outstanding() == 0 && upstream.peerRunning < 1;
     entry.tried.push_back(upstream.idHash);
     entry.dispatchSequence = ++m_nextDispatch;
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -6,6 +6,7 @@
 #include <guavafield/coordination/request/limits/brittle_room.hpp>
 #include <guavafield/coordination/request/limits/concurrency_limit.hpp>
 #include <guavafield/coordination/request/limits/shared_rate_limit.hpp>
+#include <guavafield/coordination/request/placement/slowdown_forecast.hpp>
 #include <guavafield/coordination/request/request_entry.hpp>
 #include <guavafield/state/configuration.hpp>
 
@@ -76,6 +77,8 @@
     // Ratio of observed to expected time to the first token, at least 1; decays towards 1 from latencyRatioTime on.
     double latencyRatio{1};
     SteadyTime latencyRatioTime{};
+    // From what it reports of itself.
+    SlowdownForecast slowdown;
 
     [[nodiscard]] std::uint32_t outstanding() const noexcept
     {
