Take an answer whose status is none of HTTP for a fault of the upstream

An upstream in trouble answered with status 000, and the caller got it as an answer, as also 099 and 700. One rule, where each exchange reads the header of an answer: 200 to 599 may end one. Interim answers are passed over there too, so that plain services, engines, probes and relays treat them alike. Code 4007 and a retry reason of its own; it is retried only where the request may be repeated.

statusThatEndsNoAnswerIsAFaultOfTheUpstream fails without the change.

--- a/src/guavafield/state/counters.cpp
+++ b/src/guavafield/state/counters.cpp
@@ -15,6 +15,8 @@
     {"guavafield_output_tokens_delivered_total", "Output tokens delivered to callers"},
     {"guavafield_output_tokens_wasted_total", "Output tokens generated but not delivered"},
     {"guavafield_connections_accepted_total", "Connections accepted from callers"},
+    {"guavafield_connections_evicted_total", "Connections without a whole request that were closed to make room for others"},
+    {"guavafield_uploads_ended_total", "Uploads that stood still and were ended while memory was short"},
     {"guavafield_requests_queued_total", "Requests admitted to the queue"},
     {"guavafield_requests_dispatched_total", "Attempts sent to upstreams"},
     {"guavafield_requests_preempted_total", "Running requests preempted for a higher tier"},
@@ -58,6 +60,7 @@
     "preempted",
     "upstream_replaced",
     "upstream_unidentified",
+    "status_invalid",
 };
 
 std::size_t indexOf(ResultCode code) noexcept
--- a/src/guavafield/state/counters.hpp
+++ b/src/guavafield/state/counters.hpp
@@ -21,6 +21,8 @@
     OutputTokensDelivered,
     OutputTokensWasted,
     ConnectionsAccepted,
+    ConnectionsEvicted,
+    UploadsEnded,
     // decisions
     RequestsQueued,
     RequestsDispatched,
@@ -72,6 +74,7 @@
     Preempted,
     UpstreamReplaced,
     UpstreamUnidentified,
+    StatusInvalid,
     // not a reason
     Count,
 };
--- a/src/guavafield/state/result.hpp
+++ b/src/guavafield/state/result.hpp
@@ -36,6 +36,7 @@
     ClassUnknown = 2012,
     MethodNotAllowed = 2013,
     OperatorTokenInvalid = 2014,
+    BodyMemoryExhausted = 2015,
     // 3xxx refusal by admission
     FirstTokenTargetUnreachable = 3001,
     TotalTargetUnreachable = 3002,
@@ -57,6 +58,7 @@
     UpstreamTimeout = 4004,
     RetryBudgetExhausted = 4005,
     UpstreamOutOfSequence = 4006,
+    UpstreamStatusInvalid = 4007,
     // 5xxx at-most-once calls
     OnceStoreUnavailable = 5001,
     OnceKeyReused = 5002,
--- a/src/guavafield/transport/http/forwarding/engine_attempt.cpp
+++ b/src/guavafield/transport/http/forwarding/engine_attempt.cpp
@@ -176,6 +176,9 @@
     case ExchangeResult::Malformed:
         deliverFailure(ResultCode::UpstreamIncomplete, RetryReason::AnswerIncomplete);
         break;
+    case ExchangeResult::InvalidStatus:
+        deliverFailure(ResultCode::UpstreamStatusInvalid, RetryReason::StatusInvalid);
+        break;
     case ExchangeResult::Ok:
     case ExchangeResult::Stalled:
     case ExchangeResult::Aborted:
--- a/src/guavafield/transport/http/forwarding/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forwarding/forward_attempt.cpp
@@ -23,8 +23,6 @@
 
 // Stray answers that are skipped on a connection that has carried no request before.
 constexpr std::size_t minStrayAnswers = 2;
-// Interim answers announce the final one and are not passed on.
-constexpr int maxInterimAnswers = 8;
 constexpr std::size_t maxStrayBytes = std::size_t{1} << 20U;
 // Connections on which an attempt asks for the process at the other end.
 constexpr int maxConnections = 3;
@@ -36,11 +34,6 @@
     return std::accumulate(events.begin(), events.end(), std::size_t{0}, [](std::size_t sum, const std::string &it) { return sum + it.size(); });
 }
 
-bool isInterim(unsigned status) noexcept
-{
-    return status >= 100 && status < 200;
-}
-
 bool isSuccess(unsigned status) noexcept
 {
     return status >= 200 && status < 300;
@@ -166,17 +159,10 @@
 
 asio::awaitable<bool> ForwardAttempt::readHeader(AnswerFacts &facts)
 {
-    int interim = 0;
     // Each earlier request may be answered once more.
     const auto maxStrays = std::max(internal::minStrayAnswers, m_exchange.earlierRequests());
     for (std::size_t strays = 0; strays <= maxStrays; ++strays) {
         auto result = co_await m_exchange.readHeader();
-        while (result == ExchangeResult::Ok && internal::isInterim(m_exchange.header().result_int()) && interim++ < internal::maxInterimAnswers) {
-            result = co_await m_exchange.readHeader();
-        }
-        if (result == ExchangeResult::Ok && internal::isInterim(m_exchange.header().result_int())) {
-            result = ExchangeResult::Malformed;
-        }
         if (result == ExchangeResult::Ok) {
             facts = m_context->hooks.forward->readAnswer(m_exchange.header(), m_plan.id);
             if (m_plan.relay) {
@@ -423,6 +409,10 @@
     case ExchangeResult::Malformed:
         deliverFailure(failure, "the bytes received are no answer");
         break;
+    case ExchangeResult::InvalidStatus:
+        failure = {ResultCode::UpstreamStatusInvalid, RetryReason::StatusInvalid};
+        deliverFailure(failure, "invalid status " + std::to_string(m_exchange.header().result_int()));
+        break;
     case ExchangeResult::Ok:
     case ExchangeResult::Stalled:
     case ExchangeResult::Aborted:
--- a/src/guavafield/transport/http/forwarding/service_request.cpp
+++ b/src/guavafield/transport/http/forwarding/service_request.cpp
@@ -27,6 +27,8 @@
         return {ResultCode::UpstreamUnreachable, !sent};
     case ExchangeResult::TimedOut:
         return {ResultCode::UpstreamTimeout, !sent};
+    case ExchangeResult::InvalidStatus:
+        return {ResultCode::UpstreamStatusInvalid, false};
     default:
         return {ResultCode::UpstreamIncomplete, !sent};
     }
--- a/src/guavafield/transport/http/headers.hpp
+++ b/src/guavafield/transport/http/headers.hpp
@@ -35,6 +35,12 @@
 /*! @brief Returns whether an answer names another request, e.g. one that was given up or has been answered before. */
 [[nodiscard]] bool answersAnother(const boost::beast::http::fields &answer, std::string_view requestId);
 
+/*! @brief Returns whether a status may end an answer, 200 to 599; others are a fault of whoever sent them. */
+[[nodiscard]] constexpr bool isFinalStatus(unsigned status) noexcept
+{
+    return status >= 200 && status <= 599;
+}
+
 /*! @brief Returns whether an answer's status promises callers that the request was not run and will not be. */
 [[nodiscard]] bool promisesNotRun(unsigned status) noexcept;
 
--- a/src/guavafield/transport/http/upstreams/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstreams/upstream_exchange.cpp
@@ -1,6 +1,8 @@
 // Connecting, sending and piecewise reading with Beast, under one watchdog timer.
 #include <guavafield/transport/http/upstreams/upstream_exchange.hpp>
 
+#include <guavafield/transport/http/headers.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/error.hpp>
@@ -26,6 +28,14 @@
 // Fits into the send buffer of the system, so that sending it cannot wait for the upstream.
 constexpr std::size_t smallRequestBytes = std::size_t{8} * 1024;
 
+// Interim answers announce the final one.
+constexpr int maxInterimAnswers = 8;
+
+bool isInterim(unsigned status) noexcept
+{
+    return status >= 100 && status < 200;
+}
+
 // Whether the status says nothing about whether the upstream knows the target.
 bool isTransient(unsigned status) noexcept
 {
@@ -180,6 +190,19 @@
 }
 
 asio::awaitable<ExchangeResult> UpstreamExchange::readHeader()
+{
+    auto result = co_await readAnyHeader();
+    for (int n = 0; n < maxInterimAnswers && result == ExchangeResult::Ok && isInterim(header().result_int()); ++n) {
+        result = co_await readAnyHeader();
+    }
+    if (result == ExchangeResult::Ok && !isFinalStatus(header().result_int())) {
+        abort();
+        co_return ExchangeResult::InvalidStatus;
+    }
+    co_return result;
+}
+
+asio::awaitable<ExchangeResult> UpstreamExchange::readAnyHeader()
 {
     m_parser.emplace();
     m_parser->header_limit(answerHeaderLimit);
--- a/src/guavafield/transport/http/upstreams/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstreams/upstream_exchange.hpp
@@ -33,6 +33,8 @@
     Broken,
     // The bytes are no answer, or exceed a limit.
     Malformed,
+    // The status of the answer is none that ends one.
+    InvalidStatus,
     // abort() was called.
     Aborted,
 };
@@ -106,7 +108,7 @@
     {
         m_keepAlive = time;
     }
-    /*! @brief Reads the header of the answer. */
+    /*! @brief Reads the header of the answer; interim answers before it are passed over. */
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> readHeader();
     /*!
      * @brief Reads a piece of the body, of any size and possibly empty, and appends it.
@@ -166,6 +168,7 @@
         void interrupt();
     };
 
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> readAnyHeader();
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> connectFor(const UpstreamRequest &request, bool freshConnection);
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> readIdentity(const ProcessQuestion &question, SteadyTime until);
     // Closes the connection when the time is over.
--- a/src/guavafield/transport/platform/platform_channel.cpp
+++ b/src/guavafield/transport/platform/platform_channel.cpp
@@ -1,6 +1,8 @@
 // Turns, kept connections, and the platform's clock.
 #include <guavafield/transport/platform/platform_channel.hpp>
 
+#include <guavafield/transport/http/headers.hpp>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -208,6 +210,9 @@
         m_idle.clear();
         co_return answer;
     }
+    if (!isFinalStatus(parser.get().result_int())) {
+        co_return answer;
+    }
     auto response = parser.release();
     const auto epoch = m_settings.epochHeader.empty() ? 0 : parseEpoch(response[m_settings.epochHeader]);
     answer = {ExchangeEnd::Answered, response.result_int(), std::move(response.body()), epoch};
--- a/test/transport/http/forwarding/faulty_upstream_test.cpp
+++ b/test/transport/http/forwarding/faulty_upstream_test.cpp
@@ -46,9 +46,49 @@
     CPPUNIT_TEST(unframedStreamEndsWithItsConnection);
     CPPUNIT_TEST(unframedAnswerThatIsResetIsNotWhole);
     CPPUNIT_TEST(unframedStreamWithoutAnEventIsNotWhole);
+    CPPUNIT_TEST(statusThatEndsNoAnswerIsAFaultOfTheUpstream);
+    CPPUNIT_TEST(invalidStatusIsRetriedOnlyWhereTheRequestMayBeRepeated);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // A caller must not get an answer whose status is none of HTTP, on no kind of route.
+    void statusThatEndsNoAnswerIsAFaultOfTheUpstream()
+    {
+        for (const std::string status : {"000", "099", "600", "700", "999"}) {
+            for (const std::string path : {"/once/x", "/stream/x", "/resume/x"}) {
+                FakeUpstream upstream([&](FakeCall &call) { call.send("HTTP/1.1 " + status + " x\r\n" + echo(call) + "Content-Length: 4\r\n\r\nbody"); });
+                const auto fixture = makeForwardFixture({&upstream});
+                fixture->start();
+                const auto answer = fixture->call(forwardRequest(path));
+                CPPUNIT_ASSERT_MESSAGE(status + " " + path, answer.has_value());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(status + " " + path, 502U, answer->result_int());
+                CPPUNIT_ASSERT_MESSAGE(status + " " + path, answer->count("X-Guavafield-Response-Seal") == 0);
+            }
+        }
+    }
+
+    // The upstream may have run the request, whatever its status says.
+    void invalidStatusIsRetriedOnlyWhereTheRequestMayBeRepeated()
+    {
+        std::atomic<int> runs{0};
+        const auto behave = [&](FakeCall &call) {
+            if (++runs == 1) {
+                call.send("HTTP/1.1 000 x\r\n" + echo(call) + "Content-Length: 0\r\n\r\n");
+            } else {
+                call.reply(200, "whole", echo(call));
+            }
+        };
+        FakeUpstream first(behave);
+        FakeUpstream second(behave);
+        const auto fixture = makeForwardFixture({&first, &second});
+        fixture->start();
+        CPPUNIT_ASSERT_EQUAL(200U, fixture->call(forwardRequest("/call/x"))->result_int());
+        CPPUNIT_ASSERT_EQUAL(2, runs.load());
+        runs = 0;
+        CPPUNIT_ASSERT_EQUAL(502U, fixture->call(forwardRequest("/once/x", "def456"))->result_int());
+        CPPUNIT_ASSERT_EQUAL(1, runs.load());
+    }
+
     // An upstream that writes an earlier refusal once more, with its id or without one, must not make a request look as if it had not run.
     void repeatedRefusalIsNotTakenForTheAnswer()
     {
