Bound the memory and the connections that clients outside the limits take

Bodies were collected in whatever number came, so that 60 clients whose bodies stop just short of their end took 71 to 99 MB of a machine of 48. Requests are counted at what they cost (their bytes, the copy for an attempt, the buffer) against a quarter of the machine's memory.

Callers' connections are bounded by the descriptors. Where all are taken, the one that has been silent for longest without a whole request is closed for a new one. The number of headers that are received at once is bounded too.

--- a/src/guavafield/protocol/settings/daemon_settings.hpp
+++ b/src/guavafield/protocol/settings/daemon_settings.hpp
@@ -50,6 +50,12 @@
     std::uint64_t responseBytes{64ULL * 1024 * 1024};
     // Of all answers that are being collected, as they are not streamed, and of all events that have not arrived completely.
     std::uint64_t heldAnswerBytes{256ULL * 1024 * 1024};
+    // Of all requests that are being received or run, with their copies for attempts.
+    std::uint64_t heldRequestBytes{256ULL * 1024 * 1024};
+    // Memory of the machine; 0 if it is not known. A quarter of it bounds heldRequestBytes.
+    std::uint64_t memoryMegabytes{0};
+    // File descriptors that the process may have; 0 if it is not known. A part of them bounds the connections.
+    std::size_t descriptors{0};
     std::size_t connections{4096};
     std::size_t requests{2048};
     // From the first byte of a request until it has arrived completely.
--- a/src/guavafield/transport/http/callers/caller_connection.cpp
+++ b/src/guavafield/transport/http/callers/caller_connection.cpp
@@ -101,6 +101,7 @@
 asio::awaitable<void> CallerConnection::run()
 {
     const auto self = shared_from_this();
+    noteArrival();
     while (m_stream->socket().is_open()) {
         const bool arrived = co_await waitForRequest();
         if (!arrived) {
@@ -134,6 +135,29 @@
     });
 }
 
+std::optional<SteadyTime> CallerConnection::silentSince() const noexcept
+{
+    if (m_running.load(std::memory_order_acquire)) {
+        return std::nullopt;
+    }
+    return SteadyTime{SteadyTime::duration{m_arrivedAt.load(std::memory_order_acquire)}};
+}
+
+void CallerConnection::evict()
+{
+    asio::post(m_stream->socket().get_executor(), [self = shared_from_this()] {
+        if (!self->m_running.load(std::memory_order_acquire)) {
+            self->m_context->counters->add(CounterId::ConnectionsEvicted);
+            self->m_stream->close();
+        }
+    });
+}
+
+void CallerConnection::noteArrival() noexcept
+{
+    m_arrivedAt.store(m_context->clock->now().time_since_epoch().count(), std::memory_order_release);
+}
+
 asio::awaitable<bool> CallerConnection::waitForRequest()
 {
     if (m_stream->buffer().size() > 0) {
@@ -152,9 +176,11 @@
     parser.header_limit(limits.headerBytes);
     parser.body_limit(limits.bodyBytes);
     boost::system::error_code ec;
+    noteArrival();
     m_stream->startTimer(limits.headerTime);
-    co_await http::async_read_header(m_stream->socket(), m_stream->buffer(), parser, asio::redirect_error(asio::use_awaitable, ec));
+    ec = co_await readHeader(parser);
     const bool late = m_stream->clearTimer();
+    noteArrival();
     m_received = std::chrono::steady_clock::now();
     const auto id = m_context->makeRequestId();
     const bool headOnly = parser.get().method() == http::verb::head;
@@ -175,9 +201,31 @@
         co_return false;
     }
     co_await handle(parser, answer, id);
+    m_running.store(false, std::memory_order_release);
+    noteArrival();
+    if (m_stream->buffer().size() == 0) {
+        m_stream->buffer().shrink_to_fit();
+    }
     co_return answer.keepAlive() && m_stream->socket().is_open();
 }
 
+asio::awaitable<boost::system::error_code> CallerConnection::readHeader(Parser &parser)
+{
+    boost::system::error_code ec;
+    const internal::PlaceGuard place(m_context->headers);
+    if (!place.held()) {
+        co_return http::make_error_code(http::error::header_limit);
+    }
+    m_headerBytes = co_await http::async_read_header(m_stream->socket(), m_stream->buffer(), parser, asio::redirect_error(asio::use_awaitable, ec));
+    co_return ec;
+}
+
+std::uint64_t CallerConnection::costOf(Parser &parser) const
+{
+    constexpr std::uint64_t copies = 2;
+    return copies * (m_headerBytes + parser.get().body().size()) + m_stream->buffer().capacity();
+}
+
 asio::awaitable<void> CallerConnection::handle(Parser &parser, CallerAnswer &answer, const RequestId &id)
 {
     const internal::PlaceGuard place(m_context->places);
@@ -193,10 +241,19 @@
         co_await refuseUnread(answer, std::move(grant.error));
         co_return;
     }
-    const bool read = co_await readBody(parser, answer);
+    HeldRequest held(
+        m_context->requests,
+        [this] {
+            m_uploadEnded.store(true, std::memory_order_release);
+            asio::post(m_stream->socket().get_executor(), [self = shared_from_this()] { self->m_stream->cancel(); });
+        },
+        m_context->clock->now());
+    const bool read = co_await readBody(parser, answer, held);
+    held.onReceived();
     if (!read) {
         co_return;
     }
+    m_running.store(true, std::memory_order_release);
     if (m_context->refusing.load(std::memory_order_acquire)) {
         // The body may have taken so long that the answer would be cut at the end of the stop.
         grant = {};
@@ -210,12 +267,9 @@
     co_await dispatch(parser, answer, id, std::move(*grant.value));
 }
 
-asio::awaitable<bool> CallerConnection::readBody(Parser &parser, CallerAnswer &answer)
+asio::awaitable<bool> CallerConnection::readBody(Parser &parser, CallerAnswer &answer, HeldRequest &held)
 {
-    if (parser.is_done()) {
-        co_return true;
-    }
-    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    if (!parser.is_done() && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         const bool written = co_await m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
         if (!written) {
             answer.closeAfterwards();
@@ -224,12 +278,28 @@
     }
     m_stream->startTimer(m_context->settings.limits.requestTimeout);
     boost::system::error_code ec;
-    co_await http::async_read(m_stream->socket(), m_stream->buffer(), parser, asio::redirect_error(asio::use_awaitable, ec));
+    m_uploadEnded.store(false, std::memory_order_release);
+    // What a read brings is counted before another connection of this thread reads on.
+    bool room = held.resize(costOf(parser), m_context->clock->now());
+    while (room && !ec && !parser.is_done()) {
+        co_await http::async_read_some(m_stream->socket(), m_stream->buffer(), parser, asio::redirect_error(asio::use_awaitable, ec));
+        noteArrival();
+        room = held.resize(costOf(parser), m_context->clock->now());
+    }
     const bool late = m_stream->clearTimer();
-    if (!ec) {
+    const bool ended = m_uploadEnded.load(std::memory_order_acquire) && !parser.is_done();
+    if (room && !ec && !ended) {
         co_return true;
     }
     answer.closeAfterwards();
+    if (!room || ended) {
+        std::string().swap(parser.get().body());
+        std::ignore = held.resize(0, m_context->clock->now());
+        m_context->counters->add(CounterId::UploadsEnded, ended ? 1 : 0);
+        Error error{ResultCode::BodyMemoryExhausted, {}, {}};
+        co_await refuseUnread(answer, std::move(error));
+        co_return false;
+    }
     if (late || !internal::connectionEnded(ec)) {
         Error error{internal::codeOfReadError(ec, late), ec.message(), {}};
         co_await refuseUnread(answer, std::move(error));
--- a/src/guavafield/transport/http/callers/caller_server.cpp
+++ b/src/guavafield/transport/http/callers/caller_server.cpp
@@ -98,7 +98,7 @@
     const auto strand = socket.get_executor();
     auto connection = std::make_shared<CallerConnection>(m_context, std::move(socket));
     const std::scoped_lock lock(m_mutex);
-    if (m_connections.size() < m_context->settings.limits.connections) {
+    if (m_connections.size() < m_context->connectionLimit() || evictSilent()) {
         m_connections.insert(connection);
         asio::co_spawn(
             strand, [self = shared_from_this(), connection] { return self->serve(connection); }, asio::detached);
@@ -109,12 +109,32 @@
     }
 }
 
+bool CallerServer::evictSilent()
+{
+    std::shared_ptr<CallerConnection> oldest;
+    std::optional<SteadyTime> oldestSince;
+    for (const auto &it : m_connections) {
+        const auto since = m_evicted.contains(it) ? std::nullopt : it->silentSince();
+        if (since && (!oldestSince || *since < *oldestSince)) {
+            oldest = it;
+            oldestSince = since;
+        }
+    }
+    if (!oldest || m_evicted.size() >= internal::maxRefusals) {
+        return false;
+    }
+    m_evicted.insert(oldest);
+    oldest->evict();
+    return true;
+}
+
 asio::awaitable<void> CallerServer::serve(std::shared_ptr<CallerConnection> connection)
 {
     const auto self = shared_from_this();
     co_await connection->run();
     const std::scoped_lock lock(m_mutex);
     m_connections.erase(connection);
+    m_evicted.erase(connection);
 }
 
 asio::awaitable<void> CallerServer::refuse(std::shared_ptr<CallerConnection> connection)
--- a/src/guavafield/transport/http/callers/caller_server.hpp
+++ b/src/guavafield/transport/http/callers/caller_server.hpp
@@ -39,6 +39,8 @@
     [[nodiscard]] boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection> connection);
     [[nodiscard]] boost::asio::awaitable<void> refuse(std::shared_ptr<CallerConnection> connection);
     void take(boost::asio::ip::tcp::socket socket);
+    // Has the connection closed that has been silent for longest without a whole request; returns whether there is one. Needs m_mutex.
+    [[nodiscard]] bool evictSilent();
     // Accepts connections that the system has established already; closing the listener would reset them.
     void takeWaiting();
 
@@ -48,6 +50,8 @@
     mutable std::mutex m_mutex;
     // Guarded by m_mutex.
     std::set<std::shared_ptr<CallerConnection>> m_connections;
+    // Those of them that are being closed to make room.
+    std::set<std::shared_ptr<CallerConnection>> m_evicted;
     // Connections that are being refused.
     std::atomic<std::size_t> m_refusing{0};
 };
--- a/src/guavafield/transport/http/callers/caller_stream.cpp
+++ b/src/guavafield/transport/http/callers/caller_stream.cpp
@@ -150,6 +150,12 @@
     close();
 }
 
+void CallerStream::cancel()
+{
+    boost::system::error_code ec;
+    m_socket.cancel(ec);
+}
+
 void CallerStream::close()
 {
     boost::system::error_code ec;
--- a/src/guavafield/transport/http/callers/caller_stream.hpp
+++ b/src/guavafield/transport/http/callers/caller_stream.hpp
@@ -49,6 +49,8 @@
     /*! @brief Closes gracefully: unread bytes are taken for a short while, since a reset would destroy the answer on its way. */
     [[nodiscard]] boost::asio::awaitable<void> closeGracefully();
     void close();
+    /*! @brief Ends the operations under way. */
+    void cancel();
 
     [[nodiscard]] boost::asio::ip::tcp::socket &socket() noexcept
     {
--- a/src/guavafield/transport/http/path_context.cpp
+++ b/src/guavafield/transport/http/path_context.cpp
@@ -3,10 +3,35 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace guavafield {
 
+namespace internal {
+
+constexpr std::uint64_t mebibyte = std::uint64_t{1024} * 1024;
+// Parts of the machine's memory for requests, and for headers that have not arrived completely.
+constexpr std::uint64_t requestPart = 4;
+constexpr std::uint64_t headerPart = 16;
+constexpr std::size_t minHeadersAtOnce = 64;
+// Descriptors that are kept for files, the listeners, peers, operators and the platform.
+constexpr std::size_t reservedDescriptors = 200;
+
+std::uint64_t requestBytes(const LimitSettings &limits) noexcept
+{
+    const auto part = limits.memoryMegabytes * mebibyte / requestPart;
+    return part == 0 ? limits.heldRequestBytes : std::min(limits.heldRequestBytes, part);
+}
+
+std::size_t headersAtOnce(const LimitSettings &limits) noexcept
+{
+    const auto part = limits.memoryMegabytes * mebibyte / headerPart / limits.headerBytes;
+    return part == 0 ? limits.connections : std::max<std::size_t>(minHeadersAtOnce, part);
+}
+
+} // namespace internal
+
 bool RequestPlaces::take() noexcept
 {
     if (m_taken.fetch_add(1, std::memory_order_acq_rel) < m_limit) {
@@ -51,6 +76,8 @@
     , pool(executor, PoolSettings{})
     , places(daemonSettings.limits.requests)
     , answers(daemonSettings.limits.heldAnswerBytes)
+    , requests(internal::requestBytes(daemonSettings.limits))
+    , headers(internal::headersAtOnce(daemonSettings.limits))
     , driver(std::make_shared<RequestDriver>(
           executor,
           daemonClock,
@@ -83,6 +110,17 @@
     return currentConfiguration()->callerLimits.value_or(CallerLimits{limits.headerBytes, limits.bodyBytes, limits.requestTimeout, limits.keepAliveTimeout});
 }
 
+std::size_t PathContext::connectionLimit() const noexcept
+{
+    const auto &limits = settings.limits;
+    if (limits.descriptors == 0) {
+        return limits.connections;
+    }
+    // As many are left for connections to upstreams.
+    const auto free = limits.descriptors - std::min(limits.descriptors, internal::reservedDescriptors);
+    return std::clamp<std::size_t>(free / 2, 1, limits.connections);
+}
+
 RequestId PathContext::makeRequestId()
 {
     return m_idPrefix + std::to_string(m_nextId.fetch_add(1, std::memory_order_relaxed));
--- a/src/guavafield/transport/http/path_context.hpp
+++ b/src/guavafield/transport/http/path_context.hpp
@@ -13,6 +13,7 @@
 #include <guavafield/transport/http/forwarding/forward_dialect.hpp>
 #include <guavafield/transport/http/path_hooks.hpp>
 #include <guavafield/transport/http/request_driver.hpp>
+#include <guavafield/transport/http/request_memory.hpp>
 #include <guavafield/transport/http/upstreams/connection_pool.hpp>
 #include <guavafield/transport/http/upstreams/engine_probe.hpp>
 #include <guavafield/transport/http/upstreams/service_balance.hpp>
@@ -87,6 +88,8 @@
     [[nodiscard]] std::shared_ptr<const Configuration> currentConfiguration() const;
     /*! @brief Returns the limits of the configuration in force, or those of the settings where it has none. */
     [[nodiscard]] CallerLimits callerLimits() const;
+    /*! @brief Returns how many connections of callers may be open. */
+    [[nodiscard]] std::size_t connectionLimit() const noexcept;
     /*! @brief Returns an id that no other request of the fleet has. */
     [[nodiscard]] RequestId makeRequestId();
     /*! @brief Returns a delay between the base and twice the base, so that refused callers do not return all at once. */
@@ -105,6 +108,9 @@
     EngineIncarnations engines;
     RequestPlaces places;
     AnswerMemory answers;
+    RequestMemory requests;
+    // Callers whose header is being received.
+    RequestPlaces headers;
     ConfigurationAge age;
     // Of the list of upstreams, where a table of the platform has it.
     ConfigurationAge upstreamsAge;
