--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -306,6 +306,7 @@
 {
     const auto now = m_dependencies.clock.now();
     if (auto configuration = m_directory.update(mirror(DirectoryTable::Document), mirror(DirectoryTable::Upstreams), now)) {
+        logEvacuations(*configuration);
         logChanges(*configuration);
         m_applied = configuration;
         m_dependencies.apply(std::move(configuration));
@@ -341,6 +342,29 @@
     asio::co_spawn(m_dependencies.strand, wait, asio::detached);
 }
 
+void DirectoryService::logEvacuations(const Configuration &configuration) const
+{
+    static const std::set<DataCentreId, std::less<>> none;
+    const auto known = knowledge(DirectoryTable::Document);
+    const auto source = " version=" + std::to_string(known.content) + " knowledge_age_ms=" + std::to_string(known.age.count());
+    const auto log = [&](const DataCentreId &dataCentre, std::string text) {
+        text += ", data_centre=" + dataCentre;
+        text += source;
+        logEvent(LogLevel::Info, "fleet:", {}, text);
+    };
+    const auto &before = m_applied ? m_applied->evacuated : none;
+    for (const auto &it : configuration.evacuated) {
+        if (!before.contains(it)) {
+            log(it, "data centre evacuated");
+        }
+    }
+    for (const auto &it : before) {
+        if (!configuration.evacuated.contains(it)) {
+            log(it, "data centre returned to service");
+        }
+    }
+}
+
 void DirectoryService::logChanges(const Configuration &configuration) const
 {
     const auto known = knowledge(DirectoryTable::Upstreams);
@@ -352,20 +376,6 @@
                  {},
                  "upstream " + std::string(state) + ", upstream=" + it.id + " pool=" + it.pool + " data_centre=" + it.dataCentre + " kind=" + kind + source);
     };
-    static const std::set<DataCentreId, std::less<>> noDataCentres;
-    const auto &evacuatedBefore = m_applied ? m_applied->evacuated : noDataCentres;
-    const auto document = knowledge(DirectoryTable::Document);
-    const auto evacuationSource = " version=" + std::to_string(document.content) + " knowledge_age_ms=" + std::to_string(document.age.count());
-    for (const auto &it : configuration.evacuated) {
-        if (!evacuatedBefore.contains(it)) {
-            logEvent(LogLevel::Info, "fleet:", {}, "data centre evacuated, data_centre=" + it + evacuationSource);
-        }
-    }
-    for (const auto &it : evacuatedBefore) {
-        if (!configuration.evacuated.contains(it)) {
-            logEvent(LogLevel::Info, "fleet:", {}, "data centre returned to service, data_centre=" + it + evacuationSource);
-        }
-    }
     static const StringMap<Upstream> none;
     const auto &before = m_applied ? m_applied->upstreams : none;
     for (const auto &[id, it] : configuration.upstreams) {
--- a/src/guavafield/transport/fleet/directory_service.hpp
+++ b/src/guavafield/transport/fleet/directory_service.hpp
@@ -136,6 +136,7 @@
     void update();
     // Updates after a short time in which further pushes may arrive.
     void updateSoon();
+    void logEvacuations(const Configuration &configuration) const;
     void logChanges(const Configuration &configuration) const;
     // Logs a reading of a whole table that is older than what this host knows.
     void noteReading(DirectoryTable table, bool older, RowVersion version);
--- a/src/guavafield/transport/http/request_path.cpp
+++ b/src/guavafield/transport/http/request_path.cpp
@@ -90,6 +90,8 @@
     append("guavafield_requests_in_flight", "Requests in flight", requestsInFlight());
     append("guavafield_requests_waiting", "Requests that wait for an upstream", queued);
     append("guavafield_connections_open", "Open connections of callers", m_server->connections());
+    append("guavafield_request_bytes_held", "Memory of requests that are received or run", m_context->requests.held());
+    append("guavafield_data_centres_evacuated", "Data centres whose upstreams get no requests", m_context->currentConfiguration()->evacuated.size());
     return text + m_context->latencies.format();
 }
 
--- a/test/transport/http/callers/access_test.cpp
+++ b/test/transport/http/callers/access_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(limitsHeaderAndBody);
     CPPUNIT_TEST(limitsTheTimeOfTheRequest);
     CPPUNIT_TEST(limitsConnections);
+    CPPUNIT_TEST(idleConnectionGivesWayToANewOne);
     CPPUNIT_TEST(limitsRequestsInFlight);
     CPPUNIT_TEST(limitsTheTimeOfTheAnswer);
     CPPUNIT_TEST(openRouteRunsForItsTeam);
@@ -96,16 +97,40 @@
     // Guards against unbounded connections.
     void limitsConnections()
     {
+        Signal release;
+        FakeUpstream upstream([&](FakeCall &call) {
+            (void)release.wait();
+            call.reply(200, "{}");
+        });
         PathFixture fixture;
         fixture.settings.limits.connections = 1;
+        fixture.addUpstream("u1", upstream);
         fixture.start();
         auto first = fixture.connect();
-        first.send("GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n");
-        CPPUNIT_ASSERT(first.read().has_value());
+        first.send(chat(false));
+        CPPUNIT_ASSERT(waitUntil([&] { return upstream.calls() == 1; }));
         const auto answer = fixture.call(chat(false));
         CPPUNIT_ASSERT(answer.has_value());
         CPPUNIT_ASSERT_EQUAL(2008U, codeOf(answer->body()));
         CPPUNIT_ASSERT(!(*answer)["Retry-After"].empty());
+        release.set();
+        CPPUNIT_ASSERT(first.read().has_value());
+    }
+
+    // Guards against connections without a request that keep other callers out.
+    void idleConnectionGivesWayToANewOne()
+    {
+        PathFixture fixture;
+        fixture.settings.limits.connections = 1;
+        fixture.start();
+        auto first = fixture.connect();
+        first.send("GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n");
+        CPPUNIT_ASSERT(first.read().has_value());
+        const auto answer = fixture.call("GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n");
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT(codeOf(answer->body()) != 2008U);
+        CPPUNIT_ASSERT(!first.read().has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fixture.counters().value(CounterId::ConnectionsEvicted));
     }
 
     // Guards against unbounded requests in flight, and against a place that is not given back.
--- a/test/transport/http/forwarding/faulty_upstream_test.cpp
+++ b/test/transport/http/forwarding/faulty_upstream_test.cpp
@@ -60,9 +60,11 @@
                 const auto fixture = makeForwardFixture({&upstream});
                 fixture->start();
                 const auto answer = fixture->call(forwardRequest(path));
-                CPPUNIT_ASSERT_MESSAGE(status + " " + path, answer.has_value());
-                CPPUNIT_ASSERT_EQUAL_MESSAGE(status + " " + path, 502U, answer->result_int());
-                CPPUNIT_ASSERT_MESSAGE(status + " " + path, answer->count("X-Guavafield-Response-Seal") == 0);
+                auto message = status;
+                message += " at " + path;
+                CPPUNIT_ASSERT_MESSAGE(message, answer.has_value());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 502U, answer->result_int());
+                CPPUNIT_ASSERT_MESSAGE(message, answer->count("X-Guavafield-Response-Seal") == 0);
             }
         }
     }
