Leave the permits of cold upstreams to urgent requests first, refuse headers over the limit with 503

A permit is for urgent requests at first and for others as it ages, up to half of its life. Too many headers at once were refused with 431, after which callers do not come back; now 503.

--- a/src/guavafield/coordination/request/limits/cold_phase.hpp
+++ b/src/guavafield/coordination/request/limits/cold_phase.hpp
@@ -4,6 +4,7 @@
 #include <guavafield/coordination/request/limits/shared_rate_limit.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <optional>
 
 namespace guavafield {
@@ -29,6 +30,8 @@
 class ColdPhase
 {
 public:
+    static constexpr std::uint8_t lowestPriority = 9;
+
     /*! @brief Begins the phase, or extends it; it is never shortened. */
     void extend(SteadyTime until, double perSecond, std::uint64_t upstream, const FleetTurn &turn, SteadyTime now)
     {
@@ -52,10 +55,16 @@
     {
         return m_permits && now < m_until;
     }
-    /*! @brief Whether this host may send a request now. */
-    [[nodiscard]] bool available(SteadyTime now) const noexcept
+    /*!
+     * @brief Whether this host may send a request now.
+     *
+     * A permit is for urgent requests at first and for others as it ages, so that these do not use up the few permits of a host.
+     * @param priority 0 is the highest, lowestPriority the lowest.
+     */
+    [[nodiscard]] bool available(SteadyTime now, std::uint8_t priority = 0) const noexcept
     {
-        return !active(now) || m_permits->available(now);
+        const auto reservedFor = SharedRateLimit::permitLifetime * std::min(priority, lowestPriority) / (2 * lowestPriority);
+        return !active(now) || m_permits->available(now, reservedFor);
     }
     void use(SteadyTime now) noexcept
     {
--- a/src/guavafield/coordination/request/limits/shared_rate_limit.cpp
+++ b/src/guavafield/coordination/request/limits/shared_rate_limit.cpp
@@ -26,9 +26,9 @@
 {
 }
 
-bool SharedRateLimit::available(SteadyTime now) const noexcept
+bool SharedRateLimit::available(SteadyTime now, Milliseconds heldFor) const noexcept
 {
-    return static_cast<double>(oldest(now)) + m_phase <= position(now);
+    return static_cast<double>(oldest(now)) + m_phase <= position(now - heldFor);
 }
 
 void SharedRateLimit::use(SteadyTime now) noexcept
--- a/src/guavafield/coordination/request/limits/shared_rate_limit.hpp
+++ b/src/guavafield/coordination/request/limits/shared_rate_limit.hpp
@@ -45,8 +45,8 @@
     {
         return m_perSecond;
     }
-    /*! @brief Returns whether this host holds a permit. */
-    [[nodiscard]] bool available(SteadyTime now) const noexcept;
+    /*! @brief Returns whether this host holds a permit, for at least the given time. */
+    [[nodiscard]] bool available(SteadyTime now, Milliseconds heldFor = Milliseconds{0}) const noexcept;
     /*! @brief Uses the oldest permit; without one, the next permit is used in advance. */
     void use(SteadyTime now) noexcept;
 
--- a/src/guavafield/coordination/request/placement/placement.cpp
+++ b/src/guavafield/coordination/request/placement/placement.cpp
@@ -221,7 +221,7 @@
     double lowestCost = std::numeric_limits<double>::infinity();
     upstreams.forEach([&](UpstreamState &it) {
         const bool probe = probeAllowed && internal::probeDue(it, now);
-        const bool takes = (it.usable() || probe) && it.withinRate(now) && it.hasRoom(now) && !entry.hasTried(it.idHash);
+        const bool takes = (it.usable() || probe) && it.withinRate(now, entry.info.enginePriority) && it.hasRoom(now) && !entry.hasTried(it.idHash);
         if (!takes || !mayRunOn(entry, it) || !mayBeginOn(entry, it, allReplaced)) {
             return;
         }
--- a/src/guavafield/coordination/request/placement/stream_binding.cpp
+++ b/src/guavafield/coordination/request/placement/stream_binding.cpp
@@ -69,8 +69,9 @@
 bool anotherTakesNow(const RequestEntry &entry, const PoolUpstreams &upstreams, SteadyTime now) noexcept
 {
     bool found = false;
-    upstreams.forEach(
-        [&](const UpstreamState &it) { found |= mayRunOn(entry, it) && it.usable() && it.withinRate(now) && it.hasRoom(now) && !entry.hasTried(it.idHash); });
+    upstreams.forEach([&](const UpstreamState &it) {
+        found |= mayRunOn(entry, it) && it.usable() && it.withinRate(now, entry.info.enginePriority) && it.hasRoom(now) && !entry.hasTried(it.idHash);
+    });
     return found;
 }
 
--- a/src/guavafield/coordination/request/scheduler/scheduler_self_queueing.cpp
+++ b/src/guavafield/coordination/request/scheduler/scheduler_self_queueing.cpp
@@ -149,7 +149,7 @@
     bool other = false;
     pool.upstreams.forEach([&](const UpstreamState &it) {
         if (mayRunOn(entry, it)) {
-            limited |= it.usable() && (!it.withinRate(now) || !it.hasRoom(now));
+            limited |= it.usable() && (!it.withinRate(now, entry.info.enginePriority) || !it.hasRoom(now));
             evacuated |= it.evacuated;
             other |= !it.evacuated && !it.leaving();
         }
--- a/src/guavafield/coordination/request/upstream_state.hpp
+++ b/src/guavafield/coordination/request/upstream_state.hpp
@@ -109,10 +109,10 @@
     {
         return replacedIncarnation != 0 && upstream.incarnation == replacedIncarnation;
     }
-    /*! @brief Whether its rate limit and its cold phase allow this host a request now. */
-    [[nodiscard]] bool withinRate(SteadyTime now) const noexcept
+    /*! @brief Whether its rate limit and its cold phase allow this host a request of a priority now; 0 is the highest. */
+    [[nodiscard]] bool withinRate(SteadyTime now, std::uint8_t priority = 0) const noexcept
     {
-        return (!rateLimit || rateLimit->available(now)) && cold.available(now);
+        return (!rateLimit || rateLimit->available(now)) && cold.available(now, priority);
     }
     /*! @brief Whether this host may send it a request now, if rejections bring it down. */
     [[nodiscard]] bool hasRoom(SteadyTime now) const noexcept
--- a/src/guavafield/transport/http/callers/caller_connection.cpp
+++ b/src/guavafield/transport/http/callers/caller_connection.cpp
@@ -175,12 +175,16 @@
     const auto limits = m_context->callerLimits();
     parser.header_limit(limits.headerBytes);
     parser.body_limit(limits.bodyBytes);
-    boost::system::error_code ec;
     noteArrival();
     m_stream->startTimer(limits.headerTime);
-    ec = co_await readHeader(parser);
+    const auto header = co_await readHeader(parser);
     const bool late = m_stream->clearTimer();
     noteArrival();
+    if (!header) {
+        co_await refuse(ResultCode::TooManyConnections);
+        co_return false;
+    }
+    const auto ec = *header;
     m_received = std::chrono::steady_clock::now();
     const auto id = m_context->makeRequestId();
     const bool headOnly = parser.get().method() == http::verb::head;
@@ -209,13 +213,13 @@
     co_return answer.keepAlive() && m_stream->socket().is_open();
 }
 
-asio::awaitable<boost::system::error_code> CallerConnection::readHeader(Parser &parser)
+asio::awaitable<std::optional<boost::system::error_code>> CallerConnection::readHeader(Parser &parser)
 {
-    boost::system::error_code ec;
     const internal::PlaceGuard place(m_context->headers);
     if (!place.held()) {
-        co_return http::make_error_code(http::error::header_limit);
+        co_return std::nullopt;
     }
+    boost::system::error_code ec;
     m_headerBytes = co_await http::async_read_header(m_stream->socket(), m_stream->buffer(), parser, asio::redirect_error(asio::use_awaitable, ec));
     co_return ec;
 }
--- a/src/guavafield/transport/http/callers/caller_connection.hpp
+++ b/src/guavafield/transport/http/callers/caller_connection.hpp
@@ -53,7 +53,8 @@
     [[nodiscard]] boost::asio::awaitable<bool> readBody(Parser &parser, CallerAnswer &answer, HeldRequest &held);
     // Returns what the request costs in memory: its bytes, their copy for an attempt, and the buffer.
     [[nodiscard]] std::uint64_t costOf(Parser &parser) const;
-    [[nodiscard]] boost::asio::awaitable<boost::system::error_code> readHeader(Parser &parser);
+    // Empty if too many headers are being received.
+    [[nodiscard]] boost::asio::awaitable<std::optional<boost::system::error_code>> readHeader(Parser &parser);
     void noteArrival() noexcept;
     // Refuses a request whose body has not been read.
     [[nodiscard]] Awaitable refuseUnread(CallerAnswer &answer, Error error);
--- a/test/coordination/request/limits/cold_phase_test.cpp
+++ b/test/coordination/request/limits/cold_phase_test.cpp
@@ -121,6 +121,7 @@
     CPPUNIT_TEST(hostsTogetherSendAColdUpstreamNoMoreThanItBears);
     CPPUNIT_TEST(coldRateIsUsedWhereThereIsDemand);
     CPPUNIT_TEST(phaseIsExtendedAndNeverShortened);
+    CPPUNIT_TEST(freshPermitIsForUrgentRequests);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -167,6 +168,25 @@
         }
     }
 
+    // Guards against less urgent requests that use up the permits of a host, so that its urgent ones are refused.
+    void freshPermitIsForUrgentRequests()
+    {
+        const SteadyTime begin{std::chrono::hours{1}};
+        ColdPhase phase;
+        phase.extend(begin + std::chrono::seconds{10}, 1, upstreamHash, {2, 0, {}}, begin);
+        auto now = begin;
+        while (!phase.available(now, 0)) {
+            now += Milliseconds{1};
+        }
+        CPPUNIT_ASSERT(!phase.available(now, 1) && !phase.available(now, ColdPhase::lowestPriority));
+        now += SharedRateLimit::permitLifetime / 4;
+        CPPUNIT_ASSERT(phase.available(now, 1) && !phase.available(now, ColdPhase::lowestPriority));
+        now += SharedRateLimit::permitLifetime / 4;
+        CPPUNIT_ASSERT(phase.available(now, ColdPhase::lowestPriority));
+        phase.use(now);
+        CPPUNIT_ASSERT(!phase.available(now, 0));
+    }
+
     void phaseIsExtendedAndNeverShortened()
     {
         const SteadyTime now{std::chrono::hours{1}};
