Count a connection as silent from its acceptance

A connection that was accepted but had not begun to run counted as silent for longest, so that the next one to be accepted at the limit closed it. The time is set when the connection is made.

--- a/src/guavafield/transport/http/callers/caller_connection.cpp
+++ b/src/guavafield/transport/http/callers/caller_connection.cpp
@@ -96,12 +96,12 @@
     , m_stream(
           std::make_shared<CallerStream>(std::move(socket), m_context->settings.limits.writeTimeout, maxUnparsedBytes + m_context->callerLimits().headerBytes))
 {
+    noteArrival();
 }
 
 asio::awaitable<void> CallerConnection::run()
 {
     const auto self = shared_from_this();
-    noteArrival();
     while (m_stream->socket().is_open()) {
         const bool arrived = co_await waitForRequest();
         if (!arrived) {
