--- a/test/platform/request_dialect_test.cpp
+++ b/test/platform/request_dialect_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(partIdsOfAnyLengthAreTaken);
     CPPUNIT_TEST(textThatIsNoPartIdIsRefused);
     CPPUNIT_TEST(rejectionsThatAnUpstreamBearsAreRead);
+    CPPUNIT_TEST(loadIsReadFromAListThatHasGrown);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -57,6 +58,25 @@
         }
     }
 
+    // A figure that is added to the list, or that cannot be read, must not lose those before it.
+    void loadIsReadFromAListThatHasGrown()
+    {
+        const auto read = [](std::string_view value) {
+            boost::beast::http::response_header<> header;
+            header.set("X-Guavafield-Server-Load", value);
+            return platform::requestDialect().readAnswer(header, "id").load;
+        };
+        for (const auto *it : {"3,1,8", "3, 1, 8, 250", "3,1,8,250,7,x", "3,1,8,fast", "3,1,8,-1", "3,1,8,0"}) {
+            const auto load = read(it);
+            CPPUNIT_ASSERT_MESSAGE(it, load && load->running == 3 && load->waiting == 1 && load->slots == 8);
+        }
+        CPPUNIT_ASSERT(!read("3,1,8")->slowdown && !read("3,1,8,fast")->slowdown && !read("3,1,8,0")->slowdown);
+        CPPUNIT_ASSERT(read("3,1,8,250,7,x")->slowdown == 2.5);
+        for (const auto *it : {"", "3", "3,1", "3,1,x", "3,,8,100"}) {
+            CPPUNIT_ASSERT_MESSAGE(it, !read(it));
+        }
+    }
+
 private:
     static Outcome<ForwardEnvelope> parse(std::string_view parts)
     {
