Take the cold time that a relayed answer names

A host that relays its requests noted from the answer that an upstream leaves or limits its rate, but not that its caches are cold. Found by reading; no test plays it yet.

--- a/src/guavafield/transport/http/forwarding/forward_attempt.cpp
+++ b/src/guavafield/transport/http/forwarding/forward_attempt.cpp
@@ -257,6 +257,9 @@
     if (facts.leaving && m_context->driver->onDrainAnnounced(upstream)) {
         logEvent(LogLevel::Info, "http:", m_plan.id, "upstream announces that it leaves, upstream=" + upstream + " through=" + m_plan.upstream);
     }
+    if (facts.coldFor) {
+        m_context->driver->onCold(upstream, *facts.coldFor);
+    }
     if (facts.rejectionLimit && *facts.rejectionLimit != unlimitedRate) {
         noteRejectionLimit(upstream, facts);
     }
