--- a/src/guavafield/coordination/fleet/address_book.cpp
+++ b/src/guavafield/coordination/fleet/address_book.cpp
@@ -10,7 +10,7 @@
 // A host without a report for this long gets no further reports until it sends one.
 constexpr Milliseconds addressTimeout{10'000};
 // A host may be cut off from this one for so long while it serves its callers.
-constexpr Milliseconds memoryTime{60'000};
+constexpr Milliseconds rememberedFor{60'000};
 
 } // namespace internal
 
@@ -55,7 +55,7 @@
 {
     std::vector<HostId> result;
     for (const auto &[host, entry] : m_entries) {
-        if (now - entry.lastUpdate < internal::memoryTime) {
+        if (now - entry.lastUpdate < internal::rememberedFor) {
             result.push_back(host);
         }
     }
--- a/src/guavafield/coordination/fleet/fleet_directory.cpp
+++ b/src/guavafield/coordination/fleet/fleet_directory.cpp
@@ -65,7 +65,7 @@
         return listed;
     }
     for (const auto &row : mirror.rows()) {
-        // The key says all; a value that cannot be read does not let requests in.
+        // The value is not read, so that one that is malformed does not return the data centre to service.
         if (row.key.starts_with(m_codec.evacuationPrefix)) {
             listed.insert(row.key.substr(m_codec.evacuationPrefix.size()));
         }
