--- a/review/6/deployment.py
+++ b/review/6/deployment.py
@@ -222,8 +222,9 @@
     def reset(connection):
         try:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            # Wakes the thread that reads; closing the descriptor itself then resets the connection, whoever else holds the object.
             connection.shutdown(socket.SHUT_RD)
-            connection.close()
+            os.close(connection.detach())
         except OSError:
             pass
 
