--- a/review/6/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""Case 6: a prompt part that crashes servers, and sound requests that share another part with it.
+"""Case 8: a prompt part that crashes servers, and sound requests that share another part with it.
 
 Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 sends no request with the deadly part.
 """
