Take no part of an answer for the whole after a reset

Callers got the part of an answer before a reset as a complete answer, or as a stream that ended regularly: an upstream answered a long upload at once without a length, sent part of the body and reset the connection while the upload was still being sent.

Cause: the request is sent beside the reading of its answer, and the system reports a reset to one operation only. The sending took the error and noted only that the connection is not to be used again; the reading then met a plain end of the connection, which ends an answer without a length.

UpstreamExchange::readSome() now takes the end of the connection for the end of the answer only once the request has been sent without an error. Where the end comes first, it waits for the outcome of the sending, at most for a silence. All readers of upstreams' answers use it, so streams, errors and relayed requests follow. Answers that mark their end are not concerned.

--- a/src/guavafield/transport/http/upstreams/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstreams/upstream_exchange.cpp
@@ -53,7 +53,7 @@
 using namespace internal;
 
 UpstreamExchange::UpstreamExchange(ConnectionPool &pool, const asio::any_io_executor &strand, ExchangeTarget target, ExchangeTimes times)
-    : m_pool(&pool), m_target(std::move(target)), m_times(times), m_timer(strand), m_state(std::make_shared<State>())
+    : m_pool(&pool), m_target(std::move(target)), m_times(times), m_timer(strand), m_state(std::make_shared<State>(strand))
 {
 }
 
@@ -180,10 +180,10 @@
     asio::co_spawn(
         executor,
         [&request, owner = std::move(owner), state = m_state]() -> asio::awaitable<void> {
-            // An error shows in the reading of the answer as well, which may still have arrived.
-            boost::system::error_code ec;
-            co_await http::async_write(state->connection->socket, request, asio::redirect_error(asio::use_awaitable, ec));
-            state->sending = static_cast<bool>(ec);
+            // An error does not end the reading of the answer, which may have arrived as a whole.
+            co_await http::async_write(state->connection->socket, request, asio::redirect_error(asio::use_awaitable, state->sendingError));
+            state->sending = false;
+            state->sendingEnded.cancel();
         },
         asio::detached);
     co_return ExchangeResult::Ok;
@@ -237,9 +237,24 @@
     }
     target.data = nullptr;
     target.size = 0;
+    const bool endsWithConnection = result == ExchangeResult::Ok && ended() && !m_endMarked;
+    if (endsWithConnection) {
+        co_return co_await awaitRequestSent();
+    }
     co_return result;
 }
 
+// The system reports a reset to one operation only. Where that was the sending, the reading meets what looks like a regular end of the connection.
+asio::awaitable<ExchangeResult> UpstreamExchange::awaitRequestSent()
+{
+    if (m_state->sending) {
+        startTimer(m_times.silence);
+        boost::system::error_code ignored;
+        co_await m_state->sendingEnded.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return resultOf(m_state->sendingError, ExchangeResult::Broken);
+}
+
 void UpstreamExchange::abort()
 {
     m_aborted = true;
@@ -249,7 +264,8 @@
 void UpstreamExchange::finish()
 {
     m_timer.cancel();
-    const bool reusable = m_state->connection && !m_state->sending && m_parser && complete() && m_parser->keep_alive() && !m_aborted;
+    const bool sent = !m_state->sending && !m_state->sendingError;
+    const bool reusable = m_state->connection && sent && m_parser && complete() && m_parser->keep_alive() && !m_aborted;
     if (reusable) {
         m_state->connection->keepAlive = m_keepAlive ? m_keepAlive : m_state->connection->keepAlive;
         m_state->connection->keepFor(m_parser->get());
--- a/src/guavafield/transport/http/upstreams/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstreams/upstream_exchange.hpp
@@ -112,6 +112,8 @@
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> readHeader();
     /*!
      * @brief Reads a piece of the body, of any size and possibly empty, and appends it.
+     *
+     * The end of the connection ends an answer only if the request has been sent without an error; see awaitRequestSent().
      * @param until Ends the wait with Stalled, after which it may be called again.
      */
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> readSome(std::string &body, std::optional<SteadyTime> until = std::nullopt);
@@ -156,13 +158,19 @@
     // Shared with the timer's handler, which may run after the exchange has ended.
     struct State
     {
+        explicit State(const boost::asio::any_io_executor &strand) : sendingEnded(strand, SteadyTime::max()) { }
+
         std::unique_ptr<UpstreamConnection> connection;
         // Number of the operation under way; an expiry of an earlier one is ignored.
         std::uint64_t operation{0};
         bool timedOut{false};
         bool stalled{false};
-        // The request is still being sent.
+        // The request is still being sent, beside the reading of its answer.
         bool sending{false};
+        // What ended the sending before its end; empty while it goes on.
+        boost::system::error_code sendingError;
+        // Cancelled when the sending ends.
+        boost::asio::steady_timer sendingEnded;
 
         void close();
         void interrupt();
@@ -171,6 +179,8 @@
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> readAnyHeader();
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> connectFor(const UpstreamRequest &request, bool freshConnection);
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> readIdentity(const ProcessQuestion &question, SteadyTime until);
+    // Waits for the end of the sending, with the limit of a silence; Broken if the request was not sent as a whole.
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> awaitRequestSent();
     // Closes the connection when the time is over.
     void startTimer(Milliseconds time);
     // Ends the operation under way when the time is over.
--- a/test/support/http/fake_upstream.cpp
+++ b/test/support/http/fake_upstream.cpp
@@ -5,11 +5,11 @@
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <tuple>
 
@@ -92,6 +92,17 @@
     return ::poll(&entry, 1, static_cast<int>(time.count())) > 0;
 }
 
+std::size_t FakeCall::receive(std::size_t bytes)
+{
+    std::array<char, 16384> piece{};
+    boost::system::error_code ec;
+    std::size_t received = 0;
+    while (!ec && received < bytes) {
+        received += m_socket.read_some(asio::buffer(piece.data(), std::min(piece.size(), bytes - received)), ec);
+    }
+    return received;
+}
+
 bool FakeCall::waitForClose()
 {
     std::array<char, 1024> scratch{};
@@ -115,6 +126,12 @@
     }
 }
 
+void FakeCall::endSending()
+{
+    boost::system::error_code ec;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+}
+
 void FakeCall::drop()
 {
     boost::system::error_code ec;
@@ -135,12 +152,17 @@
     return R"({"id":"x","index":)" + number + R"(,"choices":[{"index":0,"delta":{"content":"t)" + number + R"( "},"finish_reason":null}]})";
 }
 
-FakeUpstream::FakeUpstream(Handler handler)
+FakeUpstream::FakeUpstream(Handler handler, FakeReceiving receiving)
     : m_handler(std::move(handler))
+    , m_receiving(receiving)
     , m_acceptor(m_io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
     , m_port(m_acceptor.local_endpoint().port())
-    , m_acceptThread([this] { accept(); })
 {
+    if (m_receiving.bufferBytes > 0) {
+        // Accepted sockets have the option of their listener.
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(m_receiving.bufferBytes));
+    }
+    m_acceptThread = std::thread([this] { accept(); });
 }
 
 FakeUpstream::~FakeUpstream()
@@ -252,8 +274,9 @@
 void FakeUpstream::serve(const Socket &socket)
 {
     boost::beast::flat_buffer buffer;
-    http::request_parser<http::string_body> parser;
+    Parser parser;
     parser.eager(true);
+    parser.body_limit(boost::none);
     std::array<char, 16384> piece{};
     boost::system::error_code ec;
     while (true) {
@@ -273,17 +296,26 @@
         if (ec) {
             break;
         }
-        if (parser.is_done()) {
-            FakeCall call(*socket, parser.release());
+        if (isReady(parser)) {
+            FakeCall call(*socket, parser.get());
             handle(call);
+            if (!parser.is_done()) {
+                break;
+            }
             std::destroy_at(&parser);
             std::construct_at(&parser);
             parser.eager(true);
+            parser.body_limit(boost::none);
         }
     }
     FakeCall(*socket, {}).drop();
 }
 
+bool FakeUpstream::isReady(const Parser &parser) const
+{
+    return parser.is_done() || (m_receiving.headerOnly && parser.is_header_done());
+}
+
 void FakeUpstream::handle(FakeCall &call)
 {
     if (call.path() == "/control/load") {
--- a/test/support/http/fake_upstream.hpp
+++ b/test/support/http/fake_upstream.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <atomic>
@@ -63,10 +64,14 @@
     bool endStream();
     /*! @brief Waits until bytes can be sent; false if the other side takes none for this time. */
     [[nodiscard]] bool writable(std::chrono::milliseconds time);
+    /*! @brief Reads this many bytes of the request's body, or less if the other side closes the connection; returns their number. */
+    std::size_t receive(std::size_t bytes);
     /*! @brief Waits until the other side closes the connection. */
     bool waitForClose();
     /*! @brief Has the system drop all packets that arrive on the connection, unacknowledged, as if they were lost; or ends that. */
     void losePackets(bool lose);
+    /*! @brief Ends the sending direction, as a server does that has sent an answer without a length and reads the rest of the request. */
+    void endSending();
     /*! @brief Closes the connection. */
     void drop();
     /*! @brief Resets the connection. */
@@ -80,6 +85,15 @@
 /*! @brief Returns the data of the chunk of token n; its text is "t<n> ". */
 [[nodiscard]] std::string tokenChunk(unsigned n);
 
+/*! @brief How a fake upstream receives requests. */
+struct FakeReceiving
+{
+    // The handler is called after the header; it reads the body with FakeCall::receive(), and the connection ends with it.
+    bool headerOnly{false};
+    // Of each connection, so that it does not depend on the machine how much of a request is in flight; 0 for the system's default.
+    int bufferBytes{0};
+};
+
 /*! @brief Accepts connections on a port of the system's choice until it is destroyed. */
 class FakeUpstream
 {
@@ -87,7 +101,7 @@
     using Handler = std::function<void(FakeCall &)>;
 
     /*! @param handler Called for each request but those of control paths; from many threads. */
-    explicit FakeUpstream(Handler handler);
+    explicit FakeUpstream(Handler handler, FakeReceiving receiving = {});
     ~FakeUpstream();
     FakeUpstream(const FakeUpstream &) = delete;
     FakeUpstream &operator=(const FakeUpstream &) = delete;
@@ -112,13 +126,16 @@
 
 private:
     using Socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void accept();
     void serve(const Socket &socket);
+    [[nodiscard]] bool isReady(const Parser &parser) const;
     void handle(FakeCall &call);
     void report(FakeCall &call);
 
     Handler m_handler;
+    FakeReceiving m_receiving;
     boost::asio::io_context m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port;
--- a/test/support/http/forward_fixture.cpp
+++ b/test/support/http/forward_fixture.cpp
@@ -43,11 +43,12 @@
     return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
 }
 
-std::string forwardRequest(std::string_view path, std::string_view id, std::string_view headers)
+std::string forwardRequest(std::string_view path, std::string_view id, std::string_view headers, std::string_view body)
 {
     std::string text = "POST " + std::string(path) + " HTTP/1.1\r\nHost: app.example\r\nX-Guavafield-Request-Id: " + std::string(id) + "\r\n";
     text += headers;
-    return text + "Authorization: Token " + std::string(testKey) + "\r\nContent-Length: 5\r\n\r\nhello";
+    text += "Authorization: Token " + std::string(testKey) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    return text.append(body);
 }
 
 std::string chunk(std::string_view bytes)
--- a/test/support/http/forward_fixture.hpp
+++ b/test/support/http/forward_fixture.hpp
@@ -18,8 +18,8 @@
 [[nodiscard]] std::string echo(const FakeCall &call);
 /*! @brief Returns the text of event n. */
 [[nodiscard]] std::string event(int id);
-/*! @brief Returns the text of a POST request with the test's key and the body "hello"; each header ends its line. */
-[[nodiscard]] std::string forwardRequest(std::string_view path, std::string_view id = "abc123", std::string_view headers = {});
+/*! @brief Returns the text of a POST request with the test's key; each header ends its line. */
+[[nodiscard]] std::string forwardRequest(std::string_view path, std::string_view id = "abc123", std::string_view headers = {}, std::string_view body = "hello");
 /*! @brief Returns bytes as one chunk of a body. */
 [[nodiscard]] std::string chunk(std::string_view bytes);
 /*! @brief Sends the header of a stream. */
--- /dev/null
+++ b/test/transport/http/upstreams/unfinished_upload_test.cpp
@@ -0,0 +1,201 @@
+// Tests of answers that arrive while their request is still being sent.
+#include "support/http/fake_upstream.hpp"
+
+#include <guavafield/transport/http/upstreams/upstream_exchange.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <tuple>
+
+namespace guavafield::test {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// Larger than what the socket buffers of both sides hold.
+constexpr std::size_t uploadBytes = std::size_t{64} * 1024 * 1024;
+constexpr std::size_t receivedBytes = 20'000;
+constexpr FakeReceiving slowReceiver{true, 16 * 1024};
+constexpr Milliseconds longSilence{20'000};
+constexpr Milliseconds shortSilence{200};
+
+const std::string unframedHead = "HTTP/1.1 200 OK\r\n\r\n";
+const std::string framedHead = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n";
+
+// What an exchange read, and whether its request was still being sent when the first part of the answer had arrived.
+struct Reading
+{
+    ExchangeResult result{ExchangeResult::Ok};
+    std::string body;
+    bool complete{false};
+    bool uploadUnfinished{false};
+};
+
+class LongUpload
+{
+public:
+    LongUpload(const FakeUpstream &upstream, Milliseconds silence)
+        : m_strand(asio::make_strand(m_io))
+        , m_pool(m_strand, {})
+        , m_exchange(m_pool, m_strand, {{"u1", {asio::ip::address_v4::loopback(), upstream.port()}}, "id1"}, {longSilence, silence})
+        , m_request(boost::beast::http::verb::post, "/x", 11, std::string(uploadBytes, 'x'))
+    {
+        m_request.prepare_payload();
+    }
+
+    /*!
+     * @brief Sends the request and reads the answer to its end.
+     * @param onPart Called once four bytes of the body have been read.
+     */
+    [[nodiscard]] Reading run(const std::function<void()> &onPart)
+    {
+        asio::co_spawn(
+            m_strand, [this, &onPart] { return exchange(onPart); }, asio::detached);
+        m_io.run();
+        return m_reading;
+    }
+
+private:
+    asio::awaitable<void> exchange(const std::function<void()> &onPart)
+    {
+        // The sending of the request holds its owner for as long as it goes on.
+        auto owner = std::make_shared<int>();
+        const std::weak_ptr<int> sending = owner;
+        m_reading.result = co_await m_exchange.sendConcurrently(m_request, std::move(owner));
+        if (m_reading.result == ExchangeResult::Ok) {
+            m_reading.result = co_await m_exchange.readHeader();
+        }
+        bool partRead = false;
+        while (m_reading.result == ExchangeResult::Ok && !m_exchange.ended()) {
+            m_reading.result = co_await m_exchange.readSome(m_reading.body);
+            if (!partRead && m_reading.body.size() >= 4) {
+                partRead = true;
+                m_reading.uploadUnfinished = !sending.expired();
+                onPart();
+            }
+        }
+        m_reading.complete = m_reading.result == ExchangeResult::Ok && m_exchange.ended();
+        m_exchange.finish();
+    }
+
+    asio::io_context m_io;
+    asio::any_io_executor m_strand;
+    ConnectionPool m_pool;
+    UpstreamExchange m_exchange;
+    UpstreamRequest m_request;
+    Reading m_reading;
+};
+
+} // namespace
+
+class UnfinishedUploadTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UnfinishedUploadTest);
+    CPPUNIT_TEST(partOfAnAnswerBeforeAResetIsNotComplete);
+    CPPUNIT_TEST(partOfAnAnswerBeforeAnEndAndAResetIsNotComplete);
+    CPPUNIT_TEST(answerThatEndsWithItsConnectionIsCompleteOnceTheRequestIsSent);
+    CPPUNIT_TEST(answerWithALengthIsCompleteBeforeTheRequestIsSent);
+    CPPUNIT_TEST(answerIsNotCompleteWhenTheRestOfTheRequestIsNotTaken);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a reset that only the sending of the request notices, so that the reading takes it for the regular end of the connection.
+    void partOfAnAnswerBeforeAResetIsNotComplete()
+    {
+        expectBroken([](FakeCall &call) { call.reset(); });
+    }
+
+    // Guards against the end of a process that had received all that had arrived: its system resets the connection when more arrives.
+    void partOfAnAnswerBeforeAnEndAndAResetIsNotComplete()
+    {
+        expectBroken([](FakeCall &call) {
+            call.endSending();
+            call.reset();
+        });
+    }
+
+    // Guards against a whole answer that is lost since it came before the end of its request.
+    void answerThatEndsWithItsConnectionIsCompleteOnceTheRequestIsSent()
+    {
+        Signal partRead;
+        FakeUpstream upstream(
+            [&](FakeCall &call) {
+                call.receive(receivedBytes);
+                call.send(unframedHead + "part");
+                std::ignore = partRead.wait();
+                call.send("rest");
+                call.endSending();
+                call.receive(uploadBytes);
+            },
+            slowReceiver);
+        const auto reading = LongUpload(upstream, longSilence).run([&] { partRead.set(); });
+        CPPUNIT_ASSERT(reading.uploadUnfinished);
+        CPPUNIT_ASSERT(reading.complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("partrest"), reading.body);
+    }
+
+    // Guards against a wait for the sending of the request where the answer itself says that it is whole.
+    void answerWithALengthIsCompleteBeforeTheRequestIsSent()
+    {
+        Signal answerRead;
+        FakeUpstream upstream(
+            [&](FakeCall &call) {
+                call.receive(receivedBytes);
+                call.send(framedHead + "partrest");
+                std::ignore = answerRead.wait();
+                call.reset();
+            },
+            slowReceiver);
+        const auto reading = LongUpload(upstream, longSilence).run([&] { answerRead.set(); });
+        CPPUNIT_ASSERT(reading.uploadUnfinished);
+        CPPUNIT_ASSERT(reading.complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("partrest"), reading.body);
+    }
+
+    // Guards against a wait without end for an upstream that ends its answer and reads no more of the request.
+    void answerIsNotCompleteWhenTheRestOfTheRequestIsNotTaken()
+    {
+        Signal over;
+        FakeUpstream upstream(
+            [&](FakeCall &call) {
+                call.receive(receivedBytes);
+                call.send(unframedHead + "part");
+                call.endSending();
+                std::ignore = over.wait();
+            },
+            slowReceiver);
+        const auto reading = LongUpload(upstream, shortSilence).run([] {});
+        over.set();
+        CPPUNIT_ASSERT(reading.uploadUnfinished);
+        CPPUNIT_ASSERT(reading.result == ExchangeResult::TimedOut);
+    }
+
+private:
+    static void expectBroken(const std::function<void(FakeCall &)> &end)
+    {
+        Signal partRead;
+        FakeUpstream upstream(
+            [&](FakeCall &call) {
+                call.receive(receivedBytes);
+                call.send(unframedHead + "part");
+                std::ignore = partRead.wait();
+                end(call);
+            },
+            slowReceiver);
+        const auto reading = LongUpload(upstream, longSilence).run([&] { partRead.set(); });
+        CPPUNIT_ASSERT(reading.uploadUnfinished);
+        CPPUNIT_ASSERT(reading.result == ExchangeResult::Broken);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UnfinishedUploadTest);
+
+} // namespace guavafield::test
