Send a request to its end though its answer stalls

Upstreams waited for the rest of a long upload that never came: while they paused in a stream they had begun early, the host gave up the wait for the next event, and with it the upload. The attempt then ended with its time.

Cause: the timer for a stalled answer cancelled all operations of the socket, the sending of the request among them. It now cancels the reading alone, through the cancellation slot of that operation.

--- a/src/guavafield/transport/http/upstreams/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstreams/upstream_exchange.cpp
@@ -3,6 +3,8 @@
 
 #include <guavafield/transport/http/headers.hpp>
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_type.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/error.hpp>
@@ -227,7 +229,8 @@
         startTimer(m_times.silence);
     }
     boost::system::error_code ec;
-    co_await http::async_read_some(m_state->connection->socket, m_state->connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
+    auto token = asio::bind_cancellation_slot(m_state->reading.slot(), asio::redirect_error(asio::use_awaitable, ec));
+    co_await http::async_read_some(m_state->connection->socket, m_state->connection->buffer, *m_parser, std::move(token));
     if (ec == http::error::need_buffer) {
         ec = {};
     }
@@ -292,7 +295,7 @@
     m_timer.expires_at(until);
     m_timer.async_wait([state = m_state, operation](const boost::system::error_code &ec) {
         if (!ec && state->operation == operation) {
-            state->interrupt();
+            state->interruptReading();
         }
     });
 }
@@ -317,13 +320,10 @@
     return ec ? failure : ExchangeResult::Ok;
 }
 
-void UpstreamExchange::State::interrupt()
+void UpstreamExchange::State::interruptReading()
 {
-    if (connection) {
-        stalled = true;
-        boost::system::error_code ec;
-        connection->socket.cancel(ec);
-    }
+    stalled = true;
+    reading.emit(asio::cancellation_type::terminal);
 }
 
 void UpstreamExchange::State::close()
--- a/src/guavafield/transport/http/upstreams/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstreams/upstream_exchange.hpp
@@ -5,6 +5,7 @@
 #include <guavafield/transport/http/upstreams/process_question.hpp>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -172,8 +173,11 @@
         // Cancelled when the sending ends.
         boost::asio::steady_timer sendingEnded;
 
+        // Cancels the reading alone; the sending of the request goes on.
+        boost::asio::cancellation_signal reading;
+
         void close();
-        void interrupt();
+        void interruptReading();
     };
 
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> readAnyHeader();
@@ -183,7 +187,7 @@
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> awaitRequestSent();
     // Closes the connection when the time is over.
     void startTimer(Milliseconds time);
-    // Ends the operation under way when the time is over.
+    // Ends the reading under way when the time is over.
     void startStallTimer(SteadyTime until);
     [[nodiscard]] ExchangeResult resultOf(const boost::system::error_code &ec, ExchangeResult failure);
 
--- a/test/transport/http/upstreams/unfinished_upload_test.cpp
+++ b/test/transport/http/upstreams/unfinished_upload_test.cpp
@@ -9,6 +9,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -37,6 +39,7 @@
     std::string body;
     bool complete{false};
     bool uploadUnfinished{false};
+    bool stalled{false};
 };
 
 class LongUpload
@@ -62,6 +65,11 @@
         m_io.run();
         return m_reading;
     }
+    /*! @brief Has run() wait for more of the body before its callback, until the wait is ended as stalled. */
+    void stallAfterPart()
+    {
+        m_stallsAfterPart = true;
+    }
 
 private:
     asio::awaitable<void> exchange(const std::function<void()> &onPart)
@@ -79,6 +87,9 @@
             if (!partRead && m_reading.body.size() >= 4) {
                 partRead = true;
                 m_reading.uploadUnfinished = !sending.expired();
+                if (m_stallsAfterPart) {
+                    co_await stall();
+                }
                 onPart();
             }
         }
@@ -86,12 +97,19 @@
         m_exchange.finish();
     }
 
+    asio::awaitable<void> stall()
+    {
+        const auto result = co_await m_exchange.readSome(m_reading.body, std::chrono::steady_clock::now() + shortSilence);
+        m_reading.stalled = result == ExchangeResult::Stalled;
+    }
+
     asio::io_context m_io;
     asio::any_io_executor m_strand;
     ConnectionPool m_pool;
     UpstreamExchange m_exchange;
     UpstreamRequest m_request;
     Reading m_reading;
+    bool m_stallsAfterPart{false};
 };
 
 } // namespace
@@ -104,6 +122,7 @@
     CPPUNIT_TEST(answerThatEndsWithItsConnectionIsCompleteOnceTheRequestIsSent);
     CPPUNIT_TEST(answerWithALengthIsCompleteBeforeTheRequestIsSent);
     CPPUNIT_TEST(answerIsNotCompleteWhenTheRestOfTheRequestIsNotTaken);
+    CPPUNIT_TEST(requestIsSentToItsEndThoughTheAnswerStalls);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -178,6 +197,30 @@
         CPPUNIT_ASSERT(reading.result == ExchangeResult::TimedOut);
     }
 
+    // Guards against a wait for the answer whose end also ends the sending of the request.
+    void requestIsSentToItsEndThoughTheAnswerStalls()
+    {
+        Signal stalled;
+        std::atomic<std::size_t> received{0};
+        FakeUpstream upstream(
+            [&](FakeCall &call) {
+                call.send(unframedHead + "part");
+                std::ignore = stalled.wait();
+                received = call.request().body().size();
+                received += call.receive(uploadBytes - received);
+                call.send("rest");
+            },
+            slowReceiver);
+        LongUpload upload(upstream, longSilence);
+        upload.stallAfterPart();
+        const auto reading = upload.run([&] { stalled.set(); });
+        CPPUNIT_ASSERT(reading.uploadUnfinished);
+        CPPUNIT_ASSERT(reading.stalled);
+        CPPUNIT_ASSERT(reading.complete);
+        CPPUNIT_ASSERT_EQUAL(std::string("partrest"), reading.body);
+        CPPUNIT_ASSERT_EQUAL(uploadBytes, received.load());
+    }
+
 private:
     static void expectBroken(const std::function<void(FakeCall &)> &end)
     {
