Reject answers whose header has folded lines

Callers got an answer in whose header a line began with a blank: the line was passed on as part of the value before it, and where it named the length of the body, they got a body that was not the upstream's.

Cause: Beast takes a line that begins with a blank or a tab for the continuation of the one before it (obs-fold, RFC 9112, 5.2), where the sender may have meant a field. The parser hands out values only, so that the line cannot be told from them.

readAnswerHeader() looks at the bytes before the parser takes them, and ends with bad_field. It serves all that read answers: exchanges with upstreams (answers whole and in events, interim ones, relayed requests, services, engines, questions and polls), calls to the platform and guavafieldctl. RFC 9112, 5.2 lets a proxy discard such an answer. Bytes of values are not concerned.

--- a/apps/guavafieldctl/operator_client.cpp
+++ b/apps/guavafieldctl/operator_client.cpp
@@ -2,6 +2,7 @@
 #include "apps/guavafieldctl/operator_client.hpp"
 
 #include <guavafield/state/result.hpp>
+#include <guavafield/transport/http/answer_header.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -58,6 +59,9 @@
     boost::beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxResponseBytes);
+    if (const auto ec = co_await readAnswerHeader(stream, buffer, parser)) {
+        throw boost::system::system_error(ec);
+    }
     co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
     co_return parser.release();
 }
--- a/src/guavafield/transport/http/upstreams/upstream_exchange.cpp
+++ b/src/guavafield/transport/http/upstreams/upstream_exchange.cpp
@@ -1,6 +1,7 @@
 // Connecting, sending and piecewise reading with Beast, under one watchdog timer.
 #include <guavafield/transport/http/upstreams/upstream_exchange.hpp>
 
+#include <guavafield/transport/http/answer_header.hpp>
 #include <guavafield/transport/http/headers.hpp>
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -211,8 +212,7 @@
     m_parser->body_limit(boost::none);
     m_parser->skip(m_target.connection.headOnly);
     startTimer(m_times.silence);
-    boost::system::error_code ec;
-    co_await http::async_read_header(m_state->connection->socket, m_state->connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, ec));
+    const auto ec = co_await readAnswerHeader(m_state->connection->socket, m_state->connection->buffer, *m_parser);
     const auto result = resultOf(ec, ExchangeResult::Broken);
     m_endMarked = result == ExchangeResult::Ok && !m_parser->need_eof();
     co_return result;
--- a/src/guavafield/transport/platform/platform_channel.cpp
+++ b/src/guavafield/transport/platform/platform_channel.cpp
@@ -1,6 +1,7 @@
 // Turns, kept connections, and the platform's clock.
 #include <guavafield/transport/platform/platform_channel.hpp>
 
+#include <guavafield/transport/http/answer_header.hpp>
 #include <guavafield/transport/http/headers.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -204,7 +205,10 @@
     beast::flat_buffer buffer{maxUnparsedBytes};
     http::response_parser<http::string_body> parser;
     parser.body_limit(m_settings.maxAnswerBytes);
-    co_await http::async_read(connection->stream, buffer, parser, token);
+    ec = co_await readAnswerHeader(connection->stream, buffer, parser);
+    if (!ec) {
+        co_await http::async_read(connection->stream, buffer, parser, token);
+    }
     if (ec) {
         // Others that were opened as early may have gone silent as well.
         m_idle.clear();
--- a/test/support/platform_server.hpp
+++ b/test/support/platform_server.hpp
@@ -35,6 +35,10 @@
     Answer503,
     // Answers with a body that is not JSON.
     Garbage,
+    // Executes the request and answers with a status that HTTP does not have.
+    InvalidStatus,
+    // Executes the request and answers with a header in which a line continues the one before it.
+    FoldedHeader,
     // Executes the request and never answers.
     Hang,
 };
@@ -133,6 +137,11 @@
         } else if (kind != PlatformFault::DropRequest) {
             execute(request, response);
         }
+        if (kind == PlatformFault::InvalidStatus) {
+            response.result(0);
+        } else if (kind == PlatformFault::FoldedHeader) {
+            response.set("X-First", "1\r\n X-Second: 2");
+        }
         response.prepare_payload();
         return response;
     }
--- a/test/transport/platform/platform_client_test.cpp
+++ b/test/transport/platform/platform_client_test.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(readsAndScans);
     CPPUNIT_TEST(refusalHasNoEffect);
     CPPUNIT_TEST(lostAnswerIsUnknown);
+    CPPUNIT_TEST(answerWithAnInvalidStatusIsUnknown);
+    CPPUNIT_TEST(answerWithAFoldedHeaderIsUnknown);
     CPPUNIT_TEST(timeoutAfterSendingIsUnknown);
     CPPUNIT_TEST(unreachableIsRejected);
     CPPUNIT_TEST(closedIdleConnectionIsNoFailure);
@@ -100,6 +102,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_server->targets.size());
     }
 
+    void answerWithAnInvalidStatusIsUnknown()
+    {
+        expectUnknown(PlatformFault::InvalidStatus);
+    }
+
+    // Guards against rows or an outcome from an answer whose body the platform may have framed otherwise.
+    void answerWithAFoldedHeaderIsUnknown()
+    {
+        expectUnknown(PlatformFault::FoldedHeader);
+    }
+
     // Guards against a caller that waits for ever, or takes a late answer for a refusal.
     void timeoutAfterSendingIsUnknown()
     {
@@ -192,6 +205,13 @@
         m_server->fault = fault;
         m_server->faults = 1;
     }
+    void expectUnknown(PlatformFault fault)
+    {
+        inject(fault);
+        CPPUNIT_ASSERT(transact(insert("a")) == 2);
+        inject(fault);
+        CPPUNIT_ASSERT(std::holds_alternative<ReadFailed>(test::await(*m_io, m_client->read({{"t", "a"}}))));
+    }
     /*! @brief Returns the index of the reply: committed, conflict, unknown, rejected. */
     std::size_t transact(const Transaction &transaction)
     {
