Take the header of a service's answer before its body

Callers of plain services got the fields of a trailer as fields of the header, folded lines among them: `X-Second: 2 Content-Length: 400`.

Cause: the parser adds the trailer of a chunked answer to its header, and the header was copied after the body had been read. It is now copied before, as forwarded answers do. Trailers are passed on to no caller.

--- a/src/guavafield/transport/http/forwarding/service_request.cpp
+++ b/src/guavafield/transport/http/forwarding/service_request.cpp
@@ -41,16 +41,17 @@
         exchange.abort();
         co_return ExchangeResult::Broken;
     }
+    if (result == ExchangeResult::Ok) {
+        answer.status = exchange.header().result_int();
+        // Taken before the body, since the parser adds the fields of a trailer to the header.
+        answer.headers = answerHeaders(exchange.header());
+    }
     while (result == ExchangeResult::Ok && !exchange.ended() && reservation.resize(answer.body.size())) {
         result = co_await exchange.readSome(answer.body);
     }
     if (result == ExchangeResult::Ok && !exchange.complete()) {
         result = ExchangeResult::Broken;
     }
-    if (result == ExchangeResult::Ok) {
-        answer.status = exchange.header().result_int();
-        answer.headers = answerHeaders(exchange.header());
-    }
     co_return result;
 }
 
--- a/test/transport/http/forwarding/failure_test.cpp
+++ b/test/transport/http/forwarding/failure_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(answerToAnotherRequestIsNotPassedOn);
     CPPUNIT_TEST(lateAnswerIsNotPassedOn);
     CPPUNIT_TEST(lateCopyOfAServiceAnswerReachesNobody);
+    CPPUNIT_TEST(trailerOfAServiceAnswerIsNotPassedOnInItsHeader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,6 +190,23 @@
         }
     }
 
+    // Guards against fields behind the body, where folded lines are not rejected, that callers get as fields of the header.
+    void trailerOfAServiceAnswerIsNotPassedOnInItsHeader()
+    {
+        FakeUpstream upstream([](FakeCall &call) {
+            call.send("HTTP/1.1 200 OK\r\nX-First: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Second: 2\r\n Content-Length: 400\r\n\r\n");
+        });
+        PathFixture fixture;
+        fixture.addUpstream("s1", upstream, false);
+        fixture.addService("/rounds/", {"s1"});
+        fixture.start();
+        const auto answer = fixture.call(post("/rounds/x", "x"));
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), answer->body());
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), std::string((*answer)["X-First"]));
+        CPPUNIT_ASSERT(answer->count("X-Second") == 0);
+    }
+
     // Guards P8: bytes that arrive on an idle connection after an answer belong to nobody.
     void lateAnswerIsNotPassedOn()
     {
