Take an answer with an invalid status for no sign of an upstream

A host went on sending requests to an upstream that it did not reach: a proxy that had lost the upstream broke off requests, but answered questions with the status 000.

Cause: the connection prober counted any header as an answer of the upstream, while requests take a status outside 200 to 599 for a fault. UpstreamExchange::answered() now asks for a valid status as well.

--- a/src/guavafield/transport/http/upstreams/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstreams/upstream_exchange.hpp
@@ -1,6 +1,7 @@
 // One request to an upstream and its answer.
 #pragma once
 
+#include <guavafield/transport/http/headers.hpp>
 #include <guavafield/transport/http/upstreams/connection_pool.hpp>
 #include <guavafield/transport/http/upstreams/process_question.hpp>
 
@@ -70,10 +71,10 @@
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> connect(bool headOnly, bool freshConnection);
     /*! @brief Takes a connection that has just been opened. */
     void adopt(std::unique_ptr<UpstreamConnection> connection);
-    /*! @brief Returns whether the header of an answer was read, be it to the question of identify(). */
+    /*! @brief Returns whether the header of an answer with a valid status was read, be it to the question of identify(). */
     [[nodiscard]] bool answered() const
     {
-        return m_parser && m_parser->is_header_done();
+        return m_parser && m_parser->is_header_done() && isFinalStatus(header().result_int());
     }
     /*! @brief Asks the process at the other end which one it is, unless the connection knows; see process(). */
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> identify(const ProcessQuestion &question, Milliseconds limit);
--- a/test/support/http/fake_upstream.cpp
+++ b/test/support/http/fake_upstream.cpp
@@ -207,6 +207,11 @@
     m_closesOnReport.store(true);
 }
 
+void FakeUpstream::answerReport(std::string bytes)
+{
+    m_reportAnswer = std::move(bytes);
+}
+
 void FakeUpstream::stallOnReport()
 {
     m_stallsOnReport.store(true);
@@ -227,6 +232,10 @@
         call.waitForClose();
         return;
     }
+    if (!m_reportAnswer.empty()) {
+        call.send(m_reportAnswer);
+        return;
+    }
     if (m_closesOnReport.load()) {
         call.drop();
         return;
--- a/test/support/http/fake_upstream.hpp
+++ b/test/support/http/fake_upstream.hpp
@@ -121,6 +121,8 @@
     void closeOnReport();
     /*! @brief Sends an answer with these headers before that to the first such request; to be called before the first one. */
     void repeatBeforeReport(std::string headers);
+    /*! @brief Sends these bytes as the answer to such requests; to be called before the first one. */
+    void answerReport(std::string bytes);
     /*! @brief Leaves such requests without an answer from now on. */
     void stallOnReport();
 
@@ -146,6 +148,8 @@
     std::atomic<unsigned> m_reportCopies{1};
     std::atomic<bool> m_closesOnReport{false};
     std::atomic<bool> m_stallsOnReport{false};
+    // Empty unless set by answerReport().
+    std::string m_reportAnswer;
     std::string m_repeatedHeaders;
     std::atomic<bool> m_repeatsBeforeReport{false};
     mutable std::mutex m_mutex;
--- a/test/transport/http/forwarding/host_relay_test.cpp
+++ b/test/transport/http/forwarding/host_relay_test.cpp
@@ -42,16 +42,30 @@
     std::unique_ptr<PathFixture> m_fixture;
 };
 
-// A host whose only upstream is behind a proxy that has lost it: connections open, and then break or stay silent.
+// What becomes of a connection to a proxy that has lost the upstream behind it.
+enum class LostUpstream : std::uint8_t {
+    Breaks,
+    StaysSilent,
+    // Requests break, questions get an answer without a valid status.
+    AnswersInvalidStatus,
+};
+
+// A host whose only upstream is behind such a proxy.
 class ProxiedHost
 {
 public:
-    ProxiedHost(FakeUpstream &other, bool silent) : m_upstream([silent](FakeCall &call) { lose(call, silent); }), m_fixture(makeForwardFixture({&m_upstream}))
+    ProxiedHost(FakeUpstream &other, LostUpstream kind) : m_upstream([kind](FakeCall &call) { lose(call, kind); }), m_fixture(makeForwardFixture({&m_upstream}))
     {
-        if (silent) {
-            m_upstream.stallOnReport();
-        } else {
+        switch (kind) {
+        case LostUpstream::Breaks:
             m_upstream.closeOnReport();
+            break;
+        case LostUpstream::StaysSilent:
+            m_upstream.stallOnReport();
+            break;
+        case LostUpstream::AnswersInvalidStatus:
+            m_upstream.answerReport("HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n");
+            break;
         }
         m_fixture->start();
         m_fixture->path().driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
@@ -72,9 +86,9 @@
     }
 
 private:
-    static void lose(FakeCall &call, bool silent)
+    static void lose(FakeCall &call, LostUpstream kind)
     {
-        if (silent) {
+        if (kind == LostUpstream::StaysSilent) {
             call.waitForClose();
         } else {
             call.drop();
@@ -109,6 +123,7 @@
     CPPUNIT_TEST(relayedRequestHasNoMoreAttemptsThanTheRelayingHostLeaves);
     CPPUNIT_TEST(connectionsThatOpenAndBreakAreNoReach);
     CPPUNIT_TEST(connectionsThatOpenAndStaySilentAreNoReach);
+    CPPUNIT_TEST(answersWithAnInvalidStatusAreNoReach);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -276,19 +291,24 @@
     // Guards against a host that serves nobody, as each connection that opens counts as an upstream that is reached.
     void connectionsThatOpenAndBreakAreNoReach()
     {
-        expectRelayed(false);
+        expectRelayed(LostUpstream::Breaks);
     }
 
     void connectionsThatOpenAndStaySilentAreNoReach()
     {
-        expectRelayed(true);
+        expectRelayed(LostUpstream::StaysSilent);
+    }
+
+    void answersWithAnInvalidStatusAreNoReach()
+    {
+        expectRelayed(LostUpstream::AnswersInvalidStatus);
     }
 
 private:
-    static void expectRelayed(bool silent)
+    static void expectRelayed(LostUpstream kind)
     {
         FakeUpstream other([](FakeCall &call) { call.reply(200, "served", echo(call) + "Guavafield-Relay-Upstream: u7\r\n"); });
-        ProxiedHost host(other, silent);
+        ProxiedHost host(other, kind);
         // What finds the cut is lost.
         (void)host->call(forwardRequest("/call/x", "first", "X-Guavafield-Deadline-Ms: 1000\r\n"));
         CPPUNIT_ASSERT(waitUntil([&] { return !host.reachesItsPool(); }));
--- a/test/transport/http/upstreams/process_identity_test.cpp
+++ b/test/transport/http/upstreams/process_identity_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(lateCopyOfAReportIsNoAnswer);
     CPPUNIT_TEST(lateCopyOfAnAnswerIsNoReport);
     CPPUNIT_TEST(processThatDoesNotAnswerGetsNoStream);
+    CPPUNIT_TEST(processWithABrokenAnswerGetsNoStream);
     CPPUNIT_TEST(streamOfANamedProcessIsCertainWhateverEntryFollows);
     CPPUNIT_TEST(streamThatBeganAtAnUnlistedProcessIsToldAsUncertain);
     CPPUNIT_TEST(requestsThatAreNotResumedAskNothing);
@@ -192,6 +193,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, silent.calls());
     }
 
+    // Guards against a process that is taken for the named one by an answer which is none.
+    void processWithABrokenAnswerGetsNoStream()
+    {
+        const std::string named = R"({"born":5})";
+        const auto length = "Content-Length: " + std::to_string(named.size()) + "\r\n";
+        for (const auto &header : {"HTTP/1.1 000 x\r\n" + length, "HTTP/1.1 200 OK\r\nX-First: 1\r\n X-Second: 2\r\n" + length}) {
+            FakeUpstream broken([](FakeCall &call) { sendEvents(call, 1); });
+            FakeUpstream listed([](FakeCall &call) { sendEvents(call, 1); });
+            broken.answerReport(header + "\r\n" + named);
+            listed.nameIncarnation(oldProcess);
+            auto fixture = makeFixture({&broken, &listed});
+            fixture->start();
+            for (int n = 0; n < 4; ++n) {
+                const auto reply = fixture->call(forwardRequest("/resume/x", "a" + std::to_string(n)));
+                CPPUNIT_ASSERT_MESSAGE(header, reply.has_value());
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(header, 200U, reply->result_int());
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(header, std::size_t{0}, broken.calls());
+        }
+    }
+
     void streamOfANamedProcessIsCertainWhateverEntryFollows()
     {
         Signal replaced;
