--- a/test/transport/http/forwarding/host_relay_test.cpp
+++ b/test/transport/http/forwarding/host_relay_test.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Larger than what the socket buffers of both sides hold.
+constexpr std::size_t uploadBytes = std::size_t{24} * 1024 * 1024;
+
 // A host whose only upstream refuses connections, and other hosts that say that they reach theirs.
 class CutHost
 {
@@ -17,6 +20,7 @@
     explicit CutHost(const std::vector<FakeUpstream *> &others) : m_upstream([](FakeCall &call) { call.drop(); }), m_fixture(makeForwardFixture({&m_upstream}))
     {
         m_upstream.crash();
+        m_fixture->settings.limits.bodyBytes = 2 * uploadBytes;
         m_fixture->start();
         m_fixture->path().driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
             for (std::size_t n = 0; n < others.size(); ++n) {
@@ -112,6 +116,7 @@
     CPPUNIT_TEST(requestsAreServedByAnotherHostWhenNoUpstreamIsReached);
     CPPUNIT_TEST(requestThatMayNotBeRepeatedIsNotCalledNotRunWhenItsRelayBreaks);
     CPPUNIT_TEST(requestWhoseRelayBrokeRunsNowhereElse);
+    CPPUNIT_TEST(partOfARelayedAnswerIsNotDelivered);
     CPPUNIT_TEST(refusalOfTheOtherHostReachesTheCaller);
     CPPUNIT_TEST(requestThatOneHostRefusesIsServedByAnother);
     CPPUNIT_TEST(requestWhoseHostCannotBeReachedIsServedByAnother);
@@ -170,6 +175,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.calls() + second.calls());
     }
 
+    // Guards against the part of an answer before a reset that a caller gets as the whole, as the request was still being sent.
+    void partOfARelayedAnswerIsNotDelivered()
+    {
+        FakeUpstream other(
+            [](FakeCall &call) {
+                call.send("HTTP/1.1 200 OK\r\n" + echo(call) + "\r\npart");
+                call.reset();
+            },
+            FakeReceiving{true, 16 * 1024});
+        CutHost host({&other});
+        const auto reply = host->call(forwardRequest("/once/x", "abc123", {}, std::string(uploadBytes, 'x')));
+        CPPUNIT_ASSERT(reply.has_value());
+        CPPUNIT_ASSERT_EQUAL(502U, reply->result_int());
+    }
+
     void refusalOfTheOtherHostReachesTheCaller()
     {
         FakeUpstream other(refuse);
