Tests of early answers: share the receiving upstream and one exchange

The three programs named the same buffer size and body length each, and the cases of UnfinishedUploadTest repeated their upstream.

--- a/test/support/http/fake_upstream.hpp
+++ b/test/support/http/fake_upstream.hpp
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <cstddef>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -94,6 +95,11 @@
     int bufferBytes{0};
 };
 
+/*! @brief For upstreams that answer a request before they have received it. */
+inline constexpr FakeReceiving receiveHeaderOnly{true, 16 * 1024};
+/*! @brief Length of a body that the socket buffers of both sides do not hold if an upstream of receiveHeaderOnly stops receiving. */
+inline constexpr std::size_t longBodyBytes = std::size_t{32} * 1024 * 1024;
+
 /*! @brief Accepts connections on a port of the system's choice until it is destroyed. */
 class FakeUpstream
 {
--- a/test/transport/http/forwarding/early_answer_test.cpp
+++ b/test/transport/http/forwarding/early_answer_test.cpp
@@ -13,10 +13,7 @@
 
 namespace {
 
-// Larger than what the socket buffers of both sides hold.
-constexpr std::size_t uploadBytes = std::size_t{24} * 1024 * 1024;
 constexpr std::size_t receivedBytes = 20'000;
-constexpr FakeReceiving slowReceiver{true, 16 * 1024};
 constexpr std::string_view lastChunk = "0\r\n\r\n";
 
 std::string unframedHead(const FakeCall &call, unsigned status)
@@ -38,20 +35,20 @@
     call.receive(receivedBytes);
     call.send(answer);
     call.endSending();
-    call.receive(uploadBytes);
+    call.receive(longBodyBytes);
 }
 
 std::unique_ptr<PathFixture> makeUploadFixture(const std::vector<FakeUpstream *> &upstreams)
 {
     auto fixture = makeForwardFixture(upstreams);
-    fixture->settings.limits.bodyBytes = 2 * uploadBytes;
+    fixture->settings.limits.bodyBytes = 2 * longBodyBytes;
     fixture->start();
     return fixture;
 }
 
 std::string upload(std::string_view path)
 {
-    return forwardRequest(path, "abc123", {}, std::string(uploadBytes, 'x'));
+    return forwardRequest(path, "abc123", {}, std::string(longBodyBytes, 'x'));
 }
 
 } // namespace
@@ -84,7 +81,7 @@
     // Guards against a stream that ends regularly, as its last event before the reset was whole.
     void partOfAStreamIsNotEnded()
     {
-        FakeUpstream upstream([](FakeCall &call) { answerAndReset(call, unframedHead(call, 200) + event(1) + event(2)); }, slowReceiver);
+        FakeUpstream upstream([](FakeCall &call) { answerAndReset(call, unframedHead(call, 200) + event(1) + event(2)); }, receiveHeaderOnly);
         const auto fixture = makeUploadFixture({&upstream});
         auto client = fixture->connect();
         client.send(upload("/stream/x"));
@@ -103,8 +100,8 @@
                 answerAndEnd(call, unframedHead(call, 200) + event(3));
             }
         };
-        FakeUpstream first(handler, slowReceiver);
-        FakeUpstream second(handler, slowReceiver);
+        FakeUpstream first(handler, receiveHeaderOnly);
+        FakeUpstream second(handler, receiveHeaderOnly);
         const auto fixture = makeUploadFixture({&first, &second});
         const auto answer = fixture->call(upload("/resume/x"));
         CPPUNIT_ASSERT(answer.has_value());
@@ -115,7 +112,7 @@
     // Guards against answers without a length that are lost since they came before the end of their request.
     void wholeAnswerIsDelivered()
     {
-        FakeUpstream upstream([](FakeCall &call) { answerAndEnd(call, unframedHead(call, 200) + event(1) + event(2)); }, slowReceiver);
+        FakeUpstream upstream([](FakeCall &call) { answerAndEnd(call, unframedHead(call, 200) + event(1) + event(2)); }, receiveHeaderOnly);
         const auto fixture = makeUploadFixture({&upstream});
         for (const std::string path : {"/once/x", "/call/x", "/stream/x", "/resume/x"}) {
             const auto answer = fixture->call(upload(path));
@@ -134,7 +131,7 @@
                     call.reply(status, "whole", echo(call));
                     call.reset();
                 },
-                slowReceiver);
+                receiveHeaderOnly);
             const auto fixture = makeUploadFixture({&upstream});
             const auto answer = fixture->call(upload("/once/x"));
             CPPUNIT_ASSERT(answer.has_value());
@@ -151,7 +148,7 @@
                 const auto head = "HTTP/1.1 503 x\r\nX-Guavafield-Request-Id: " + idOf(call) + "\r\nX-Guavafield-Not-Executed: 1\r\n\r\n";
                 answerAndReset(call, head + "fu");
             },
-            slowReceiver);
+            receiveHeaderOnly);
         const auto fixture = makeUploadFixture({&upstream});
         const auto answer = fixture->call(upload("/once/x"));
         CPPUNIT_ASSERT(answer.has_value());
@@ -164,8 +161,8 @@
     {
         for (const std::string path : {"/once/x", "/call/x"}) {
             const auto handler = [status](FakeCall &call) { answerAndReset(call, unframedHead(call, status) + "part"); };
-            FakeUpstream first(handler, slowReceiver);
-            FakeUpstream second(handler, slowReceiver);
+            FakeUpstream first(handler, receiveHeaderOnly);
+            FakeUpstream second(handler, receiveHeaderOnly);
             const auto fixture = makeUploadFixture({&first, &second});
             const auto answer = fixture->call(upload(path));
             CPPUNIT_ASSERT_MESSAGE(path, answer.has_value());
--- a/test/transport/http/forwarding/host_relay_test.cpp
+++ b/test/transport/http/forwarding/host_relay_test.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-// Larger than what the socket buffers of both sides hold.
-constexpr std::size_t uploadBytes = std::size_t{24} * 1024 * 1024;
-
 // A host whose only upstream refuses connections, and other hosts that say that they reach theirs.
 class CutHost
 {
@@ -20,7 +17,7 @@
     explicit CutHost(const std::vector<FakeUpstream *> &others) : m_upstream([](FakeCall &call) { call.drop(); }), m_fixture(makeForwardFixture({&m_upstream}))
     {
         m_upstream.crash();
-        m_fixture->settings.limits.bodyBytes = 2 * uploadBytes;
+        m_fixture->settings.limits.bodyBytes = 2 * longBodyBytes;
         m_fixture->start();
         m_fixture->path().driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
             for (std::size_t n = 0; n < others.size(); ++n) {
@@ -183,9 +180,9 @@
                 call.send("HTTP/1.1 200 OK\r\n" + echo(call) + "\r\npart");
                 call.reset();
             },
-            FakeReceiving{true, 16 * 1024});
+            receiveHeaderOnly);
         CutHost host({&other});
-        const auto reply = host->call(forwardRequest("/once/x", "abc123", {}, std::string(uploadBytes, 'x')));
+        const auto reply = host->call(forwardRequest("/once/x", "abc123", {}, std::string(longBodyBytes, 'x')));
         CPPUNIT_ASSERT(reply.has_value());
         CPPUNIT_ASSERT_EQUAL(502U, reply->result_int());
     }
--- a/test/transport/http/upstreams/unfinished_upload_test.cpp
+++ b/test/transport/http/upstreams/unfinished_upload_test.cpp
@@ -22,10 +22,7 @@
 
 namespace asio = boost::asio;
 
-// Larger than what the socket buffers of both sides hold.
-constexpr std::size_t uploadBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t receivedBytes = 20'000;
-constexpr FakeReceiving slowReceiver{true, 16 * 1024};
 constexpr Milliseconds longSilence{20'000};
 constexpr Milliseconds shortSilence{200};
 
@@ -42,6 +39,7 @@
     bool stalled{false};
 };
 
+// An exchange whose request is longer than an upstream of receiveHeaderOnly takes.
 class LongUpload
 {
 public:
@@ -49,7 +47,7 @@
         : m_strand(asio::make_strand(m_io))
         , m_pool(m_strand, {})
         , m_exchange(m_pool, m_strand, {{"u1", {asio::ip::address_v4::loopback(), upstream.port()}}, "id1"}, {longSilence, silence})
-        , m_request(boost::beast::http::verb::post, "/x", 11, std::string(uploadBytes, 'x'))
+        , m_request(boost::beast::http::verb::post, "/x", 11, std::string(longBodyBytes, 'x'))
     {
         m_request.prepare_payload();
     }
@@ -129,34 +127,28 @@
     // Guards against a reset that only the sending of the request notices, so that the reading takes it for the regular end of the connection.
     void partOfAnAnswerBeforeAResetIsNotComplete()
     {
-        expectBroken([](FakeCall &call) { call.reset(); });
+        const auto reading = exchange(unframedHead + "part", [](FakeCall &call) { call.reset(); });
+        CPPUNIT_ASSERT(reading.result == ExchangeResult::Broken);
     }
 
     // Guards against the end of a process that had received all that had arrived: its system resets the connection when more arrives.
     void partOfAnAnswerBeforeAnEndAndAResetIsNotComplete()
     {
-        expectBroken([](FakeCall &call) {
+        const auto reading = exchange(unframedHead + "part", [](FakeCall &call) {
             call.endSending();
             call.reset();
         });
+        CPPUNIT_ASSERT(reading.result == ExchangeResult::Broken);
     }
 
     // Guards against a whole answer that is lost since it came before the end of its request.
     void answerThatEndsWithItsConnectionIsCompleteOnceTheRequestIsSent()
     {
-        Signal partRead;
-        FakeUpstream upstream(
-            [&](FakeCall &call) {
-                call.receive(receivedBytes);
-                call.send(unframedHead + "part");
-                std::ignore = partRead.wait();
-                call.send("rest");
-                call.endSending();
-                call.receive(uploadBytes);
-            },
-            slowReceiver);
-        const auto reading = LongUpload(upstream, longSilence).run([&] { partRead.set(); });
-        CPPUNIT_ASSERT(reading.uploadUnfinished);
+        const auto reading = exchange(unframedHead + "part", [](FakeCall &call) {
+            call.send("rest");
+            call.endSending();
+            call.receive(longBodyBytes);
+        });
         CPPUNIT_ASSERT(reading.complete);
         CPPUNIT_ASSERT_EQUAL(std::string("partrest"), reading.body);
     }
@@ -164,17 +156,7 @@
     // Guards against a wait for the sending of the request where the answer itself says that it is whole.
     void answerWithALengthIsCompleteBeforeTheRequestIsSent()
     {
-        Signal answerRead;
-        FakeUpstream upstream(
-            [&](FakeCall &call) {
-                call.receive(receivedBytes);
-                call.send(framedHead + "partrest");
-                std::ignore = answerRead.wait();
-                call.reset();
-            },
-            slowReceiver);
-        const auto reading = LongUpload(upstream, longSilence).run([&] { answerRead.set(); });
-        CPPUNIT_ASSERT(reading.uploadUnfinished);
+        const auto reading = exchange(framedHead + "partrest", [](FakeCall &call) { call.reset(); });
         CPPUNIT_ASSERT(reading.complete);
         CPPUNIT_ASSERT_EQUAL(std::string("partrest"), reading.body);
     }
@@ -185,12 +167,11 @@
         Signal over;
         FakeUpstream upstream(
             [&](FakeCall &call) {
-                call.receive(receivedBytes);
                 call.send(unframedHead + "part");
                 call.endSending();
                 std::ignore = over.wait();
             },
-            slowReceiver);
+            receiveHeaderOnly);
         const auto reading = LongUpload(upstream, shortSilence).run([] {});
         over.set();
         CPPUNIT_ASSERT(reading.uploadUnfinished);
@@ -207,10 +188,10 @@
                 call.send(unframedHead + "part");
                 std::ignore = stalled.wait();
                 received = call.request().body().size();
-                received += call.receive(uploadBytes - received);
+                received += call.receive(longBodyBytes - received);
                 call.send("rest");
             },
-            slowReceiver);
+            receiveHeaderOnly);
         LongUpload upload(upstream, longSilence);
         upload.stallAfterPart();
         const auto reading = upload.run([&] { stalled.set(); });
@@ -218,24 +199,25 @@
         CPPUNIT_ASSERT(reading.stalled);
         CPPUNIT_ASSERT(reading.complete);
         CPPUNIT_ASSERT_EQUAL(std::string("partrest"), reading.body);
-        CPPUNIT_ASSERT_EQUAL(uploadBytes, received.load());
+        CPPUNIT_ASSERT_EQUAL(longBodyBytes, received.load());
     }
 
 private:
-    static void expectBroken(const std::function<void(FakeCall &)> &end)
+    // Reads an answer of which these bytes come before the request has been sent; the upstream goes on when its first part has been read.
+    static Reading exchange(const std::string &bytes, const FakeUpstream::Handler &goOn)
     {
         Signal partRead;
         FakeUpstream upstream(
             [&](FakeCall &call) {
                 call.receive(receivedBytes);
-                call.send(unframedHead + "part");
+                call.send(bytes);
                 std::ignore = partRead.wait();
-                end(call);
+                goOn(call);
             },
-            slowReceiver);
+            receiveHeaderOnly);
         const auto reading = LongUpload(upstream, longSilence).run([&] { partRead.set(); });
         CPPUNIT_ASSERT(reading.uploadUnfinished);
-        CPPUNIT_ASSERT(reading.result == ExchangeResult::Broken);
+        return reading;
     }
 };
 
