--- a/src/guavafield/transport/http/answer_header.cpp
+++ b/src/guavafield/transport/http/answer_header.cpp
@@ -5,7 +5,7 @@
 
 bool hasFoldedLine(std::string_view received) noexcept
 {
-    // Lines are taken from the buffer as they are read, so that it may begin with the empty line that ends the header.
+    // The parser takes whole lines out of the buffer, so that it may begin with the empty line that ends the header.
     if (received.starts_with("\r\n")) {
         return false;
     }
--- a/src/guavafield/transport/http/answer_header.hpp
+++ b/src/guavafield/transport/http/answer_header.hpp
@@ -42,8 +42,8 @@
 /*!
  * @brief Reads the header of an answer, as boost::beast::http::async_read_header() does, but takes folded lines for a fault.
  *
- * Beast appends such a line to the value before it, also where the sender meant a field of its own, e.g. the length of the body. RFC 9112, 5.2 lets a
- * proxy discard the answer.
+ * Beast appends such a line to the value before it, also where the sender meant a field of its own, e.g. the length of the body. A proxy may discard
+ * the answer (RFC 9112, 5.2).
  * @return The error that ended the reading, if any; that of a connection which ended before the header is asio::error::eof.
  */
 template <typename Stream, typename Body>
--- a/src/guavafield/transport/http/upstreams/upstream_exchange.hpp
+++ b/src/guavafield/transport/http/upstreams/upstream_exchange.hpp
@@ -169,11 +169,10 @@
         bool stalled{false};
         // The request is still being sent, beside the reading of its answer.
         bool sending{false};
-        // What ended the sending before its end; empty while it goes on.
+        // Why the request was not sent as a whole; empty while the sending goes on.
         boost::system::error_code sendingError;
         // Cancelled when the sending ends.
         boost::asio::steady_timer sendingEnded;
-
         // Cancels the reading alone; the sending of the request goes on.
         boost::asio::cancellation_signal reading;
 
