--- a/test/transport/http/answer_header_test.cpp
+++ b/test/transport/http/answer_header_test.cpp
@@ -102,6 +102,7 @@
         }
     }
 
+    // Guards against a header that is taken for whole where its connection ends.
     void endOfTheConnectionIsReported()
     {
         const std::string text = "HTTP/1.1 200 OK\r\nX-First: 1\r\n\r\n";
--- a/test/transport/http/forwarding/early_answer_test.cpp
+++ b/test/transport/http/forwarding/early_answer_test.cpp
@@ -72,6 +72,7 @@
         expectFailure(200);
     }
 
+    // Guards against the same part of an upstream's own error.
     void partOfAnErrorIsNotDelivered()
     {
         expectFailure(404);
@@ -90,6 +91,7 @@
         CPPUNIT_ASSERT_MESSAGE(all, all.find("502") != std::string::npos || all.find("e2") != std::string::npos);
     }
 
+    // Guards against a stream that is not taken up elsewhere, as its part looked whole.
     void partOfAStreamIsResumed()
     {
         std::atomic<int> calls{0};
@@ -123,6 +125,7 @@
         }
     }
 
+    // Guards against a whole answer that is lost to the reset behind it.
     void wholeAnswerWithALengthIsDeliveredDespiteAReset()
     {
         for (const auto status : {200U, 413U}) {
--- a/test/transport/http/forwarding/host_relay_test.cpp
+++ b/test/transport/http/forwarding/host_relay_test.cpp
@@ -316,6 +316,7 @@
         expectRelayed(LostUpstream::StaysSilent);
     }
 
+    // Guards against an upstream that counts as reached by answers which are none.
     void answersWithAnInvalidStatusAreNoReach()
     {
         expectRelayed(LostUpstream::AnswersInvalidStatus);
--- a/test/transport/http/forwarding/malformed_header_test.cpp
+++ b/test/transport/http/forwarding/malformed_header_test.cpp
@@ -73,6 +73,7 @@
         }
     }
 
+    // Guards against an interim answer whose header is not checked, since it is not passed on.
     void interimAnswerWithAMalformedFieldEndsTheAnswer()
     {
         FakeUpstream upstream([&](FakeCall &call) {
--- a/test/transport/platform/platform_client_test.cpp
+++ b/test/transport/platform/platform_client_test.cpp
@@ -102,6 +102,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_server->targets.size());
     }
 
+    // Guards against an outcome that is taken from a status which HTTP does not have.
     void answerWithAnInvalidStatusIsUnknown()
     {
         expectUnknown(PlatformFault::InvalidStatus);
