Relay tests: the hosts' reports do not expire during a test

Cause: the test reports its other host once, before it uploads 32 MiB. The report counts for 4 s, and under ThreadSanitizer on a slow machine the upload takes longer than that, so that no host is left to relay to (code 3005). The product is right: hosts report every second, and a silent one gets no requests.

The reports of these tests now count for ten minutes, in one function that both kinds of test hosts use; that reports expire is checked by RelayTargetsTest. No check was changed.

--- a/test/transport/http/forwarding/host_relay_test.cpp
+++ b/test/transport/http/forwarding/host_relay_test.cpp
@@ -10,6 +10,21 @@
 
 namespace {
 
+// The one report of a host that a test makes counts to the end of the test: under a sanitizer a long upload alone takes seconds.
+constexpr Milliseconds reportTtl = std::chrono::minutes{10};
+
+// Reports another host that can serve all requests.
+void reportHost(PathFixture &fixture, const std::string &host, const FakeUpstream &other)
+{
+    RelayCandidate candidate;
+    candidate.dataCentre = "dc";
+    candidate.callers = toPeerAddress(boost::asio::ip::make_address("127.0.0.1"), other.port());
+    fixture.path().driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
+        scheduler.relayTargets().setReportTtl(reportTtl);
+        scheduler.relayTargets().onReport(host, std::move(candidate), now);
+    });
+}
+
 // A host whose only upstream refuses connections, and other hosts that say that they reach theirs.
 class CutHost
 {
@@ -19,14 +34,9 @@
         m_upstream.crash();
         m_fixture->settings.limits.bodyBytes = 2 * longBodyBytes;
         m_fixture->start();
-        m_fixture->path().driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
-            for (std::size_t n = 0; n < others.size(); ++n) {
-                RelayCandidate candidate;
-                candidate.dataCentre = "dc";
-                candidate.callers = toPeerAddress(boost::asio::ip::make_address("127.0.0.1"), others[n]->port());
-                scheduler.relayTargets().onReport("h" + std::to_string(n + 2), std::move(candidate), now);
-            }
-        });
+        for (std::size_t n = 0; n < others.size(); ++n) {
+            reportHost(*m_fixture, "h" + std::to_string(n + 2), *others[n]);
+        }
     }
 
     [[nodiscard]] PathFixture &operator*()
@@ -69,12 +79,7 @@
             break;
         }
         m_fixture->start();
-        m_fixture->path().driver().withScheduler([&](RequestScheduler &scheduler, SteadyTime now) {
-            RelayCandidate candidate;
-            candidate.dataCentre = "dc";
-            candidate.callers = toPeerAddress(boost::asio::ip::make_address("127.0.0.1"), other.port());
-            scheduler.relayTargets().onReport("h2", std::move(candidate), now);
-        });
+        reportHost(*m_fixture, "h2", other);
     }
 
     [[nodiscard]] PathFixture *operator->()
