Split DirectoryService by subject

What peers tell and fetch, what the reading host pushes, and the log lines about a new configuration have sources of their own. No code is changed.

--- a/src/guavafield/transport/fleet/directory_service.cpp
+++ b/src/guavafield/transport/fleet/directory_service.cpp
@@ -1,8 +1,9 @@
-// Reading of feeds, fetching from peers, and the choice of the host that reads.
+// Reading of feeds and the choice of the host that reads.
 #include <guavafield/transport/fleet/directory_service.hpp>
 
 #include <guavafield/coordination/request/placement/placement.hpp>
 #include <guavafield/transport/durable/sleep.hpp>
+#include <guavafield/transport/fleet/directory_timing.hpp>
 #include <guavafield/transport/log/event_loop.hpp>
 #include <guavafield/transport/log/log.hpp>
 
@@ -10,7 +11,6 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace guavafield {
@@ -21,29 +21,11 @@
 
 // How long a call waits for a change; bounds how old the knowledge gets while nothing changes.
 constexpr Milliseconds feedWait{600};
-// A host whose knowledge is older reads for itself.
-constexpr Milliseconds staleAfter{1'000};
 // In a large fleet only the first hosts in the order of readers do so at that age, so that the others hear of their readings in time.
 constexpr Milliseconds staleAfterLargeFleet{1'500};
 constexpr std::ptrdiff_t firstReaders = 3;
 // A peer that was not heard for this long does not read for others.
 constexpr Milliseconds peerHeard{1'000};
-// A peer that was not heard for this long does not count among the readers.
-constexpr Milliseconds peerRemembered{3'000};
-// Changes of upstreams are repeated in reports for this long, in case one was lost, and only while they are few.
-constexpr Milliseconds changesRepeated{700};
-constexpr Milliseconds changesRepeatedLargeFleet{300};
-constexpr std::size_t maxChangesBytes = 900;
-// More changes at once are read by each host itself. A reader on a slow link that pushed them would delay its own reading and the reports that
-// tell the others that it reads.
-constexpr std::size_t maxPushedRows = 400;
-constexpr std::size_t maxPushedBytes = 1'500'000;
-constexpr std::size_t maxPushedBytesSlowLink = 250'000;
-// A host that lacks a change waits this long for it to be pushed before it reads by itself.
-constexpr Milliseconds pushWait{400};
-// Age of the knowledge in all parts of the changes but the last: what follows is not in them, so that they say nothing about the present.
-constexpr std::chrono::hours notConfirmed{24};
-constexpr std::size_t rowOverheadBytes = 24;
 // A reader serves the changes to so many peers by itself.
 constexpr std::size_t hostsServedByOne = 16;
 constexpr Milliseconds idleStep{50};
@@ -59,12 +41,6 @@
 constexpr Milliseconds tryInterval{1'500};
 // Hosts with slow links leave the reading to others for this long after their start, while the hosts learn of each other.
 constexpr Milliseconds slowLinkReaderDelay{2'500};
-// A document is served to all hosts of a large fleet only while that takes no longer than reading it from the platform.
-constexpr std::size_t maxServedBytes = 12'000'000;
-// Spreads the requests of a large fleet for one document.
-constexpr Milliseconds maxFetchDelay{300};
-// What an answer says was true a little before it arrived.
-constexpr Milliseconds answerDelay{20};
 
 // The first of the hosts reads for the others; those with fast links come first.
 std::pair<bool, std::uint64_t> readerOrder(bool slowLink, std::string_view host)
@@ -90,21 +66,6 @@
     return mirror(table).knowledge(m_dependencies.clock.now());
 }
 
-std::string DirectoryService::format(DirectoryTable table, RowVersion after)
-{
-    auto &text = m_texts[static_cast<std::size_t>(table)];
-    const auto now = m_dependencies.clock.now();
-    // After a change all peers ask for the same rows.
-    if (text.content != mirror(table).content() || text.after != after || text.rows.empty()) {
-        text = FormattedRows{mirror(table).content(), after, formatRows(mirror(table), after)};
-    }
-    if (largeFleet() && table == DirectoryTable::Document && text.rows.size() * m_hosts > internal::maxServedBytes) {
-        // Not a table; the peer reads it from the platform.
-        return {};
-    }
-    return formatTable(mirror(table), text.rows, now);
-}
-
 bool DirectoryService::reads() const
 {
     // A host that cannot reach the platform would slow the others down with reports that tell them nothing.
@@ -234,74 +195,11 @@
     logEvent(LogLevel::Warning, "fleet:", {}, text);
 }
 
-void DirectoryService::announceChange(DirectoryTable table, RowVersion before)
-{
-    if (table == DirectoryTable::Upstreams) {
-        const auto now = m_dependencies.clock.now();
-        m_recent.emplace_back(now, before);
-        while (now - m_recent.front().first > changesRepeated()) {
-            m_recent.pop_front();
-        }
-    }
-    // Followers repeat nothing, or each change would be sent by every host to every other.
-    if (reads()) {
-        m_dependencies.announce();
-    }
-}
-
 bool DirectoryService::largeFleet() const noexcept
 {
     return m_hosts > internal::hostsServedByOne;
 }
 
-Milliseconds DirectoryService::changesRepeated() const noexcept
-{
-    return largeFleet() ? internal::changesRepeatedLargeFleet : internal::changesRepeated;
-}
-
-std::vector<HostReport> DirectoryService::changeReports() const
-{
-    const auto now = m_dependencies.clock.now();
-    if (!reads() || m_recent.empty() || now - m_recent.back().first > changesRepeated()) {
-        return {};
-    }
-    const auto base = m_recent.front().second;
-    auto changes = mirror(DirectoryTable::Upstreams).changesAfter(base).value_or(std::vector<MirroredRow>());
-    if (changes.size() > internal::maxPushedRows) {
-        return {};
-    }
-    const auto rowBytes = [](const MirroredRow &it) { return it.key.size() + (it.value ? it.value->size() : 0) + internal::rowOverheadBytes; };
-    std::size_t allBytes = 0;
-    for (const auto &it : changes) {
-        allBytes += rowBytes(it);
-    }
-    // A large fleet is reached through relays.
-    const auto copies = largeFleet() ? static_cast<std::size_t>(std::ceil(std::sqrt(m_hosts))) : m_hosts;
-    if (allBytes * copies > (m_dependencies.slowLink ? internal::maxPushedBytesSlowLink : internal::maxPushedBytes)) {
-        return {};
-    }
-    std::ranges::sort(changes, {}, &MirroredRow::version);
-    auto known = mirror(DirectoryTable::Upstreams).knowledge(now);
-    std::vector<HostReport> result;
-    std::size_t bytes = 0;
-    for (auto &it : changes) {
-        const auto size = rowBytes(it);
-        if (result.empty() || bytes + size > internal::maxChangesBytes) {
-            auto &part = result.emplace_back();
-            part.changesOnly = true;
-            part.changesAfter = result.size() == 1 ? base : result[result.size() - 2].upstreams->content;
-            bytes = 0;
-        }
-        bytes += size;
-        result.back().upstreams = TableKnowledge{it.version, it.version, internal::notConfirmed};
-        result.back().changes.push_back(std::move(it));
-    }
-    if (!result.empty()) {
-        result.back().upstreams = known;
-    }
-    return result;
-}
-
 void DirectoryService::update()
 {
     const auto now = m_dependencies.clock.now();
@@ -342,59 +240,6 @@
     asio::co_spawn(m_dependencies.strand, wait, asio::detached);
 }
 
-void DirectoryService::logEvacuations(const Configuration &configuration) const
-{
-    static const std::set<DataCentreId, std::less<>> none;
-    const auto known = knowledge(DirectoryTable::Document);
-    const auto source = " version=" + std::to_string(known.content) + " knowledge_age_ms=" + std::to_string(known.age.count());
-    const auto log = [&](const DataCentreId &dataCentre, std::string text) {
-        text += ", data_centre=" + dataCentre;
-        text += source;
-        logEvent(LogLevel::Info, "fleet:", {}, text);
-    };
-    const auto &before = m_applied ? m_applied->evacuated : none;
-    for (const auto &it : configuration.evacuated) {
-        if (!before.contains(it)) {
-            log(it, "data centre evacuated");
-        }
-    }
-    for (const auto &it : before) {
-        if (!configuration.evacuated.contains(it)) {
-            log(it, "data centre returned to service");
-        }
-    }
-}
-
-void DirectoryService::logChanges(const Configuration &configuration) const
-{
-    const auto known = knowledge(DirectoryTable::Upstreams);
-    const auto source = " version=" + std::to_string(known.content) + " knowledge_age_ms=" + std::to_string(known.age.count());
-    const auto log = [&](const Upstream &it, std::string_view state) {
-        const auto kind = std::string(describe(it.kind));
-        logEvent(LogLevel::Info,
-                 "fleet:",
-                 {},
-                 "upstream " + std::string(state) + ", upstream=" + it.id + " pool=" + it.pool + " data_centre=" + it.dataCentre + " kind=" + kind + source);
-    };
-    static const StringMap<Upstream> none;
-    const auto &before = m_applied ? m_applied->upstreams : none;
-    for (const auto &[id, it] : configuration.upstreams) {
-        const auto earlier = before.find(id);
-        if (earlier == before.end()) {
-            log(it, it.leaving ? "found leaving" : "found");
-        } else if (it.incarnation != earlier->second.incarnation) {
-            log(it, "restarted");
-        } else if (it.leaving && !earlier->second.leaving) {
-            log(it, "leaving");
-        }
-    }
-    for (const auto &[id, it] : before) {
-        if (!configuration.upstreams.contains(id)) {
-            log(it, "gone");
-        }
-    }
-}
-
 asio::awaitable<void> DirectoryService::watchOutages()
 {
     while (!m_stopped) {
@@ -406,86 +251,4 @@
     }
 }
 
-void DirectoryService::onReport(const Member &from, const HostReport &report)
-{
-    const auto now = m_dependencies.clock.now();
-    const auto isFresh = [](const std::optional<TableKnowledge> &it) { return it && it->age < internal::staleAfter; };
-    if (!report.changesOnly) {
-        m_peers[from.id] = Peer{now, !report.withoutPlatform && isFresh(report.document) && isFresh(report.upstreams), report.slowLink};
-    }
-    if (report.withoutPlatform) {
-        m_directory.onReadFailed(now);
-    }
-    std::erase_if(m_peers, [now](const auto &it) { return now - it.second.heard > internal::peerRemembered; });
-    auto &upstreams = mirror(DirectoryTable::Upstreams);
-    const bool pushed = upstreams.hasBeenRead() && !report.changes.empty() && report.upstreams && upstreams.complete() >= report.changesAfter
-        && report.upstreams->content > upstreams.complete();
-    if (pushed) {
-        const auto confirmed = now - report.upstreams->age - internal::answerDelay;
-        const auto before = upstreams.content();
-        const bool changed = upstreams.apply(report.changes, report.upstreams->complete, confirmed);
-        upstreams.advanceContent(report.upstreams->content);
-        updateSoon();
-        if (changed) {
-            announceChange(DirectoryTable::Upstreams, before);
-        }
-    }
-    if (!report.changesOnly) {
-        consider(from, DirectoryTable::Document, report.document);
-        consider(from, DirectoryTable::Upstreams, report.upstreams);
-    }
-}
-
-void DirectoryService::consider(const Member &from, DirectoryTable table, const std::optional<TableKnowledge> &knowledge)
-{
-    if (!knowledge || knowledge->age > std::chrono::hours{1}) {
-        return;
-    }
-    auto &own = mirror(table);
-    if (!own.hasBeenRead() || knowledge->content > own.complete()) {
-        auto &lack = m_lacks[static_cast<std::size_t>(table)];
-        const auto now = m_dependencies.clock.now();
-        // Changes of upstreams are pushed in a large fleet; the document is fetched from a peer in any.
-        if (largeFleet() && m_available[static_cast<std::size_t>(table)] && (table == DirectoryTable::Upstreams || !own.hasBeenRead())) {
-            if (!lack || own.complete() >= lack->content) {
-                lack = Lack{now, knowledge->content};
-            }
-            if (now - lack->since >= internal::pushWait) {
-                m_behind[static_cast<std::size_t>(table)] = true;
-                lack.reset();
-            }
-        } else if (!std::exchange(m_fetching[static_cast<std::size_t>(table)], true)) {
-            asio::co_spawn(
-                m_dependencies.strand, [self = shared_from_this(), from, table] { return self->fetchFrom(from, table); }, asio::detached);
-        }
-    } else {
-        // The peer's latest change is one of those that this host has, and there was none after it.
-        own.confirm(knowledge->complete, m_dependencies.clock.now() - knowledge->age - internal::answerDelay);
-        if (!m_updateScheduled) {
-            update();
-        }
-    }
-}
-
-asio::awaitable<void> DirectoryService::fetchFrom(Member peer, DirectoryTable table)
-{
-    if (largeFleet()) {
-        // The same for a host each time, and different for each host.
-        const auto delay = stableIdHash(m_dependencies.host) % static_cast<std::uint64_t>(internal::maxFetchDelay.count());
-        co_await sleepFor(Milliseconds{static_cast<Milliseconds::rep>(delay)});
-    }
-    const auto after = mirror(table).hasBeenRead() ? mirror(table).content() : 0;
-    const auto text = co_await m_dependencies.fetch(peer.address, table, after);
-    m_fetching[static_cast<std::size_t>(table)] = false;
-    const auto parsed = text ? capture([&] { return parseTable(*text.value); }) : Outcome<TableText>{std::nullopt, text.error};
-    if (!parsed) {
-        logEvent(LogLevel::Warning, "fleet:", {}, "table not fetched, peer=" + peer.id + " cause=\"" + parsed.error.message + "\"");
-        m_behind[static_cast<std::size_t>(table)] = true;
-        co_return;
-    }
-    const auto confirmed = m_dependencies.clock.now() - parsed.value->age - internal::answerDelay;
-    take(table, TablePage{parsed.value->rows, parsed.value->complete}, confirmed, parsed.value->whole || after == 0);
-    mirror(table).advanceContent(parsed.value->content);
-}
-
 } // namespace guavafield
