Split CrashEvidence: what is observed, the log of crashes, the log of survivals

The types are in crash_observation, crashes with their suspects in CrashLog, the last survivals in SurvivalLog.

--- a/src/guavafield/coordination/request/health/crash_evidence.cpp
+++ b/src/guavafield/coordination/request/health/crash_evidence.cpp
@@ -37,10 +37,6 @@
 // Verdicts that are as young as this rest on what a widespread failure left.
 constexpr Milliseconds rashVerdict{4'000};
 // Bounds of memory and of reports.
-constexpr std::size_t maxCrashes = 128;
-constexpr std::size_t maxSuspects = 32;
-constexpr std::size_t maxParts = 16;
-constexpr std::size_t maxSurvivals = 8'192;
 constexpr std::size_t maxVerdicts = 256;
 constexpr std::size_t maxReportedCrashes = 6;
 // All crashes of a report fit into one datagram.
@@ -55,11 +51,6 @@
     return std::chrono::ceil<Milliseconds>(std::max(now - at, SteadyTime::duration::zero()));
 }
 
-bool holds(const CrashSuspect &suspect, std::uint64_t feature)
-{
-    return suspect.request == feature || std::ranges::find(suspect.parts, feature) != suspect.parts.end();
-}
-
 std::size_t countMoments(std::vector<SteadyTime> times)
 {
     std::ranges::sort(times);
@@ -119,57 +110,26 @@
 
 } // namespace internal
 
-CrashSuspect crashSuspectOf(const RequestInfo &request)
-{
-    CrashSuspect suspect;
-    for (std::size_t n = 0; n < sizeof(suspect.request); ++n) {
-        suspect.request = suspect.request << 8U | request.fingerprint[n];
-    }
-    const auto n = std::min(request.sharedParts.size(), internal::maxParts);
-    suspect.parts.assign(request.sharedParts.begin(), request.sharedParts.begin() + static_cast<std::ptrdiff_t>(n));
-    return suspect;
-}
-
-bool CrashEvidence::add(Crashes &crashes, const CrashId &crash, SteadyTime at, const CrashSuspect &suspect)
-{
-    const auto [it, added] = crashes.try_emplace(crash, Crash{at, {}});
-    auto &known = it->second;
-    known.at = std::min(known.at, at);
-    const bool isNew = known.suspects.size() < internal::maxSuspects && std::ranges::find(known.suspects, suspect) == known.suspects.end();
-    if (isNew) {
-        known.suspects.push_back(suspect);
-    }
-    if (added && crashes.size() > internal::maxCrashes) {
-        crashes.erase(std::ranges::min_element(crashes, {}, [](const auto &entry) { return entry.second.at; }));
-    }
-    return isNew;
-}
-
-void CrashEvidence::expire(Crashes &crashes, SteadyTime now)
-{
-    std::erase_if(crashes, [now](const auto &it) { return now - it.second.at > internal::crashMemory; });
-}
-
 void CrashEvidence::onCrash(const CrashId &crash, const CrashSuspect &suspect, std::size_t upstreams, SteadyTime now)
 {
     if (now < m_widespreadUntil) {
         m_widespreadUntil = now + internal::widespreadTime;
         return;
     }
-    add(m_ownCrashes, crash, now, suspect);
-    add(m_crashes, crash, now, suspect);
+    m_ownCrashes.add(crash, suspect, now);
+    m_crashes.add(crash, suspect, now);
     dropWidespreadFailure(upstreams, now);
     evaluate(now);
 }
 
 void CrashEvidence::dropWidespreadFailure(std::size_t upstreams, SteadyTime now)
 {
-    const auto recent = [now](const auto &it) { return now - it.second.at <= internal::widespreadTime; };
+    const auto isRecent = [now](const LoggedCrash &it) { return now - it.at <= internal::widespreadTime; };
     std::size_t broken = 0;
     auto first = now;
-    for (const auto &it : m_ownCrashes) {
-        broken += recent(it) ? 1 : 0;
-        first = recent(it) ? std::min(first, it.second.at) : first;
+    for (const auto &[id, crash] : m_ownCrashes) {
+        broken += isRecent(crash) ? 1 : 0;
+        first = isRecent(crash) ? std::min(first, crash.at) : first;
     }
     const auto limit = std::max(internal::minWidespread, static_cast<std::size_t>(internal::widespreadFraction * static_cast<double>(upstreams)));
     const bool reachesUpstreams = m_lastOwnSurvival > first + internal::receivedEarlier;
@@ -177,12 +137,12 @@
         return;
     }
     m_widespreadUntil = now + internal::widespreadTime;
-    for (const auto &[crash, own] : m_ownCrashes) {
-        if (now - own.at <= internal::widespreadTime) {
-            m_crashes.erase(crash);
+    for (const auto &[id, crash] : m_ownCrashes) {
+        if (isRecent(crash)) {
+            m_crashes.erase(id);
         }
     }
-    std::erase_if(m_ownCrashes, recent);
+    m_ownCrashes.eraseIf([&isRecent](const CrashId & /*id*/, const LoggedCrash &it) { return isRecent(it); });
     std::erase_if(m_verdicts, [now](const auto &it) { return now - it.second <= internal::rashVerdict; });
 }
 
@@ -191,24 +151,19 @@
     m_lastOwnSurvival = now;
     m_widespreadUntil = {};
     for (const auto it : suspect.parts) {
-        m_ownSurvivals[it] = now;
+        m_ownSurvivals.add(it, now);
         addSurvival(it, now);
     }
     // Most requests are never suspected, so that they need not be remembered.
     if (isSuspected(suspect.request)) {
-        m_ownSurvivals[suspect.request] = now;
+        m_ownSurvivals.add(suspect.request, now);
         addSurvival(suspect.request, now);
     }
-    if (m_ownSurvivals.size() > internal::maxSurvivals) {
-        std::erase_if(m_ownSurvivals, [now](const auto &it) { return now - it.second > internal::crashMemory / 2; });
-        std::erase_if(m_survivals, [now](const auto &it) { return now - it.second > internal::crashMemory / 2; });
-    }
 }
 
 void CrashEvidence::addSurvival(std::uint64_t feature, SteadyTime at)
 {
-    auto &last = m_survivals[feature];
-    last = std::max(last, at);
+    m_survivals.add(feature, at);
     const auto verdict = m_verdicts.find(feature);
     if (verdict != m_verdicts.end() && verdict->second < at) {
         m_verdicts.erase(verdict);
@@ -239,7 +194,7 @@
     for (const auto it : lifted) {
         if (!m_verdicts.contains(it)) {
             // The other hosts learn it like any other survival.
-            m_ownSurvivals[it] = now;
+            m_ownSurvivals.add(it, now);
             m_acquitted[it] = now;
             addSurvival(it, now);
         }
@@ -249,7 +204,7 @@
 bool CrashEvidence::isSuspected(std::uint64_t feature) const
 {
     return m_verdicts.contains(feature) || std::ranges::any_of(m_crashes, [feature](const auto &it) {
-               return std::ranges::any_of(it.second.suspects, [feature](const auto &suspect) { return internal::holds(suspect, feature); });
+               return std::ranges::any_of(it.second.suspects, [feature](const auto &suspect) { return suspect.holds(feature); });
            });
 }
 
@@ -258,14 +213,14 @@
     std::optional<Milliseconds> result;
     for (const auto &[feature, at] : m_verdicts) {
         const auto left = std::chrono::ceil<Milliseconds>(at + retention - now);
-        if (left.count() > 0 && internal::holds(suspect, feature)) {
+        if (left.count() > 0 && suspect.holds(feature)) {
             result = std::max(result.value_or(left), left);
         }
     }
     return result;
 }
 
-std::vector<const CrashSuspect *> CrashEvidence::openSuspects(const Crash &crash) const
+std::vector<const CrashSuspect *> CrashEvidence::openSuspects(const LoggedCrash &crash) const
 {
     std::vector<const CrashSuspect *> all;
     std::vector<const CrashSuspect *> convicted;
@@ -281,12 +236,6 @@
     return convicted.empty() ? all : convicted;
 }
 
-bool CrashEvidence::survivedSince(std::uint64_t feature, SteadyTime at) const
-{
-    const auto it = m_survivals.find(feature);
-    return it != m_survivals.end() && it->second >= at;
-}
-
 CrashEvidence::BlameMap CrashEvidence::blameOfParts() const
 {
     BlameMap result;
@@ -295,7 +244,7 @@
         for (const auto *suspect : openSuspects(crash)) {
             for (std::size_t n = 0; n < suspect->parts.size(); ++n) {
                 const auto part = suspect->parts[n];
-                if (survivedSince(part, crash.at)) {
+                if (m_survivals.since(part, crash.at)) {
                     continue;
                 }
                 auto &blame = result[part];
@@ -316,7 +265,7 @@
     BlameMap result;
     for (const auto &[id, crash] : m_crashes) {
         for (const auto *suspect : openSuspects(crash)) {
-            if (!survivedSince(suspect->request, crash.at)) {
+            if (!m_survivals.since(suspect->request, crash.at)) {
                 auto &blame = result[suspect->request];
                 blame.times.push_back(crash.at);
                 blame.beforeAnswer += suspect->answerBegan ? 0 : 1;
@@ -340,8 +289,9 @@
 
 void CrashEvidence::evaluate(SteadyTime now)
 {
-    expire(m_crashes, now);
-    expire(m_ownCrashes, now);
+    const auto isOld = [now](const CrashId & /*id*/, const LoggedCrash &it) { return now - it.at > internal::crashMemory; };
+    m_crashes.eraseIf(isOld);
+    m_ownCrashes.eraseIf(isOld);
     std::erase_if(m_verdicts, [now](const auto &it) { return now - it.second > retention; });
     std::erase_if(m_acquitted, [now](const auto &it) { return now - it.second > internal::reportedFor; });
     while (convictPart(now)) { }
@@ -422,9 +372,9 @@
         result.verdicts.push_back({feature, internal::since(at, now)});
     }
     for (const auto feature : open) {
-        const auto it = m_ownSurvivals.find(feature);
-        if (it != m_ownSurvivals.end() && now - it->second <= internal::reportedFor) {
-            result.survivals.push_back({feature, internal::since(it->second, now)});
+        const auto at = m_ownSurvivals.last(feature);
+        if (at && now - *at <= internal::reportedFor) {
+            result.survivals.push_back({feature, internal::since(*at, now)});
         }
     }
     internal::limitNewest(result.survivals, internal::maxReportedSurvivals);
@@ -439,14 +389,14 @@
     }
     for (const auto &it : peer.verdicts) {
         const auto at = now - it.age;
-        if (it.age < retention && !m_verdicts.contains(it.feature) && !survivedSince(it.feature, at)) {
+        if (it.age < retention && !m_verdicts.contains(it.feature) && !m_survivals.since(it.feature, at)) {
             convict(it.feature, 0, at);
         }
     }
     bool changed = false;
     for (const auto &it : peer.crashes) {
         for (const auto &suspect : it.suspects) {
-            changed |= it.age <= internal::crashMemory && add(m_crashes, it.crash, now - it.age, suspect);
+            changed |= it.age <= internal::crashMemory && m_crashes.add(it.crash, suspect, now - it.age);
         }
     }
     if (changed) {
--- a/src/guavafield/coordination/request/health/crash_evidence.hpp
+++ b/src/guavafield/coordination/request/health/crash_evidence.hpp
@@ -1,91 +1,19 @@
 // Finds out which prompt part or which request crashes the upstreams that run it, from the crashes that all hosts see.
 #pragma once
 
-#include <guavafield/coordination/request/request_info.hpp>
-#include <guavafield/state/types.hpp>
+#include <guavafield/coordination/request/health/crash_log.hpp>
+#include <guavafield/coordination/request/health/crash_observation.hpp>
+#include <guavafield/coordination/request/health/survival_log.hpp>
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
-#include <span>
-#include <tuple>
-#include <unordered_map>
 #include <vector>
 
 namespace guavafield {
 
-/*! @brief A request whose answer an upstream had not begun, or had just begun, when it crashed. */
-struct CrashSuspect
-{
-    // Identifies the request, its retries and its repeats by the caller.
-    std::uint64_t request{0};
-    // Parts of its prompt that other requests may share, most general first.
-    std::vector<std::uint64_t> parts;
-    // The answer had begun.
-    bool answerBegan{false};
-
-    friend bool operator==(const CrashSuspect &, const CrashSuspect &) = default;
-};
-
-/*! @brief Returns what identifies a request and its shared parts as a suspect. */
-[[nodiscard]] CrashSuspect crashSuspectOf(const RequestInfo &request);
-
-/*! @brief Identifies the crash of an upstream; the same on all hosts. */
-struct CrashId
-{
-    // stableIdHash() of the upstream.
-    std::uint64_t upstream{0};
-    // Of the process that ended.
-    Incarnation incarnation{0};
-
-    friend bool operator<(const CrashId &left, const CrashId &right) noexcept
-    {
-        return std::tie(left.upstream, left.incarnation) < std::tie(right.upstream, right.incarnation);
-    }
-    friend bool operator==(const CrashId &, const CrashId &) = default;
-};
-
-/*! @brief Suspects of one crash on one host. */
-struct CrashObservation
-{
-    CrashId crash;
-    // Time since the crash.
-    Milliseconds age{0};
-    std::vector<CrashSuspect> suspects;
-};
-
-/*! @brief An answer to a request with this part, or to this request, got past its beginning; the part or the request has been suspected. */
-struct SurvivalObservation
-{
-    std::uint64_t feature{0};
-    Milliseconds age{0};
-};
-
-/*! @brief A part or a request that is refused. */
-struct CrashVerdict
-{
-    std::uint64_t feature{0};
-    Milliseconds age{0};
-};
-
-/*! @brief A new verdict, for the log. */
-struct CrashConviction
-{
-    std::uint64_t feature{0};
-    // Crashes that spoke against it on this host; 0 if another host convicted it.
-    std::size_t crashes{0};
-};
-
-/*! @brief What one host tells the others. Complete as far as it goes: a later one includes all that still matters of earlier ones. */
-struct CrashKnowledge
-{
-    std::vector<CrashObservation> crashes;
-    std::vector<SurvivalObservation> survivals;
-    std::vector<CrashVerdict> verdicts;
-};
-
 /*!
  * @brief Compares the suspects of several crashes.
  *
@@ -127,11 +55,6 @@
     [[nodiscard]] std::vector<CrashConviction> takeConvicted();
 
 private:
-    struct Crash
-    {
-        SteadyTime at{};
-        std::vector<CrashSuspect> suspects;
-    };
     // What is held against a part or a request.
     struct Blame
     {
@@ -145,18 +68,13 @@
         // Another shared part follows it in some prompt.
         bool isGeneral{false};
     };
-    using Crashes = std::map<CrashId, Crash>;
     using BlameMap = std::map<std::uint64_t, Blame>;
 
-    // Returns whether the suspect is new.
-    static bool add(Crashes &crashes, const CrashId &crash, SteadyTime at, const CrashSuspect &suspect);
-    static void expire(Crashes &crashes, SteadyTime now);
     void dropWidespreadFailure(std::size_t upstreams, SteadyTime now);
     void addSurvival(std::uint64_t feature, SteadyTime at);
     [[nodiscard]] bool isSuspected(std::uint64_t feature) const;
     // Returns the suspects that the verdicts leave: none if a convicted part explains the crash, else the convicted requests, else all.
-    [[nodiscard]] std::vector<const CrashSuspect *> openSuspects(const Crash &crash) const;
-    [[nodiscard]] bool survivedSince(std::uint64_t feature, SteadyTime at) const;
+    [[nodiscard]] std::vector<const CrashSuspect *> openSuspects(const LoggedCrash &crash) const;
     [[nodiscard]] BlameMap blameOfParts() const;
     [[nodiscard]] BlameMap blameOfRequests() const;
     // Returns whether the blame rests on a good part of all crashes since the first of its own. What stands beside others' crashes by chance does not.
@@ -167,16 +85,16 @@
     void convict(std::uint64_t feature, std::size_t crashes, SteadyTime at);
 
     // Of all hosts.
-    Crashes m_crashes;
+    CrashLog m_crashes;
     // Those of m_crashes that this host has seen, with its own suspects.
-    Crashes m_ownCrashes;
+    CrashLog m_ownCrashes;
     // Crashes on this host say nothing until then, or until an answer survives.
     SteadyTime m_widespreadUntil{};
     // Of any answer on this host.
     SteadyTime m_lastOwnSurvival{};
-    // Last time at which an answer with a part, or that to a suspected request, survived on any host and on this one.
-    std::unordered_map<std::uint64_t, SteadyTime> m_survivals;
-    std::unordered_map<std::uint64_t, SteadyTime> m_ownSurvivals;
+    // Of answers on any host and on this one, with their parts and, where they have been suspected, the requests themselves.
+    SurvivalLog m_survivals;
+    SurvivalLog m_ownSurvivals;
     // When a part or a request was convicted.
     std::map<std::uint64_t, SteadyTime> m_verdicts;
     // Features whose verdicts were taken back lately; reported as survivals.
--- /dev/null
+++ b/src/guavafield/coordination/request/health/crash_observation.hpp
@@ -0,0 +1,87 @@
+// What a host sees of crashes of upstreams, and what it tells the other hosts about them.
+#pragma once
+
+#include <guavafield/coordination/request/request_info.hpp>
+#include <guavafield/state/types.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <tuple>
+#include <vector>
+
+namespace guavafield {
+
+/*! @brief A request whose answer an upstream had not begun, or had just begun, when it crashed. */
+struct CrashSuspect
+{
+    // Identifies the request, its retries and its repeats by the caller.
+    std::uint64_t request{0};
+    // Parts of its prompt that other requests may share, most general first.
+    std::vector<std::uint64_t> parts;
+    // The answer had begun.
+    bool answerBegan{false};
+
+    /*! @brief Returns whether the feature is one of the parts or the request itself. */
+    [[nodiscard]] bool holds(std::uint64_t feature) const;
+
+    friend bool operator==(const CrashSuspect &, const CrashSuspect &) = default;
+};
+
+/*! @brief Returns what identifies a request and its shared parts as a suspect. */
+[[nodiscard]] CrashSuspect crashSuspectOf(const RequestInfo &request);
+
+/*! @brief Identifies the crash of an upstream; the same on all hosts. */
+struct CrashId
+{
+    // stableIdHash() of the upstream.
+    std::uint64_t upstream{0};
+    // Of the process that ended.
+    Incarnation incarnation{0};
+
+    friend bool operator<(const CrashId &left, const CrashId &right) noexcept
+    {
+        return std::tie(left.upstream, left.incarnation) < std::tie(right.upstream, right.incarnation);
+    }
+    friend bool operator==(const CrashId &, const CrashId &) = default;
+};
+
+/*! @brief Suspects of one crash on one host. */
+struct CrashObservation
+{
+    CrashId crash;
+    // Time since the crash.
+    Milliseconds age{0};
+    std::vector<CrashSuspect> suspects;
+};
+
+/*! @brief An answer to a request with this part, or to this request, got past its beginning; the part or the request has been suspected. */
+struct SurvivalObservation
+{
+    std::uint64_t feature{0};
+    Milliseconds age{0};
+};
+
+/*! @brief A part or a request that is refused. */
+struct CrashVerdict
+{
+    std::uint64_t feature{0};
+    Milliseconds age{0};
+};
+
+/*! @brief A new verdict, for the log. */
+struct CrashConviction
+{
+    std::uint64_t feature{0};
+    // Crashes that spoke against it on this host; 0 if another host convicted it.
+    std::size_t crashes{0};
+};
+
+/*! @brief What one host tells the others. Complete as far as it goes: a later one includes all that still matters of earlier ones. */
+struct CrashKnowledge
+{
+    std::vector<CrashObservation> crashes;
+    std::vector<SurvivalObservation> survivals;
+    std::vector<CrashVerdict> verdicts;
+};
+
+} // namespace guavafield
