End verdicts whose crashes a later verdict explains

Cause: the host that gets the deadly requests takes its crashes for a failure of its network, so that the others first hear of the sound suspects alone.

Change: a verdict ends when a later one explains at least half of its crashes and crashes went on, at two moments, under the later one alone. Two parts that are deadly each on their own crash different upstreams, so that neither explains the other. Older verdicts of other hosts on the released parts are not taken again.

--- a/src/guavafield/coordination/request/health/crash_evidence.cpp
+++ b/src/guavafield/coordination/request/health/crash_evidence.cpp
@@ -30,6 +30,8 @@
 constexpr double companionFraction = 0.6;
 // The same for a part of which no answer is known beside one with which answers have survived; several such parts may be at fault.
 constexpr double unknownCompanionFraction = 0.3;
+// Of the crashes that a verdict rests on, a later one has to explain so many to end it.
+constexpr double explainedFraction = 0.5;
 // A cause has a part in at least one of so many crashes.
 constexpr std::size_t crashesPerExplained = 6;
 // More crashes at one moment are one failure of the network.
@@ -336,10 +338,63 @@
     const auto isOld = [now](const CrashId & /*id*/, const LoggedCrash &it) { return now - it.at > internal::crashMemory; };
     m_crashes.eraseIf(isOld);
     m_ownCrashes.eraseIf(isOld);
-    m_verdicts.eraseIf([now](const auto &it) { return now - it.at > retention; });
+    const auto isOver = [now](const RefusedCombination &it) { return now - it.at > retention; };
+    m_verdicts.eraseIf(isOver);
+    m_released.eraseIf(isOver);
     std::erase_if(m_acquitted, [now](const auto &it) { return now - it.second > internal::reportedFor; });
     while (convictPart(now)) { }
     convictRequests(now);
+    releaseExplained(now);
+}
+
+std::set<CrashId> CrashEvidence::crashesUnder(std::span<const std::uint64_t> features) const
+{
+    std::set<CrashId> result;
+    for (const auto &[id, crash] : m_crashes) {
+        const bool isSuspect = std::ranges::any_of(crash.suspects, [features](const auto &it) { return it.holdsAll(features); });
+        const bool survived = std::ranges::any_of(features, [&](auto it) { return m_survivals.since(it, crash.at); });
+        if (isSuspect && !survived) {
+            result.insert(id);
+        }
+    }
+    return result;
+}
+
+bool CrashEvidence::isExplained(const RefusedCombination &verdict) const
+{
+    const auto own = crashesUnder(verdict.features);
+    return !own.empty() && std::ranges::any_of(m_verdicts, [&](const RefusedCombination &other) {
+        if (other.at <= verdict.at) {
+            return false;
+        }
+        std::size_t shared = 0;
+        std::vector<SteadyTime> later;
+        for (const auto &it : crashesUnder(other.features)) {
+            const auto at = m_crashes.at(it);
+            if (own.contains(it)) {
+                ++shared;
+            } else if (at > verdict.at) {
+                later.push_back(at);
+            }
+        }
+        return static_cast<double>(shared) >= internal::explainedFraction * static_cast<double>(own.size())
+            && internal::countMoments(std::move(later)) >= internal::momentsToNarrow;
+    });
+}
+
+void CrashEvidence::releaseExplained(SteadyTime now)
+{
+    const std::vector<RefusedCombination> verdicts(m_verdicts.begin(), m_verdicts.end());
+    for (const auto &it : verdicts) {
+        if (!isExplained(it)) {
+            continue;
+        }
+        m_verdicts.eraseIf([&it](const auto &entry) { return entry.features == it.features; });
+        m_released.add({it.features, now});
+        for (const auto feature : it.features) {
+            m_decisions.emplace_back(CrashAcquittal{feature});
+        }
+    }
 }
 
 bool CrashEvidence::hasHistory(std::uint64_t part) const
@@ -500,7 +555,8 @@
         return refuted;
     });
     // What this host has found out itself about these features is more exact than what a host of an earlier version names.
-    if (verdict.age < retention && !features.empty() && !m_verdicts.covers(features)) {
+    const bool isKnown = m_verdicts.covers(features) || m_released.covers(features, at);
+    if (verdict.age < retention && !features.empty() && !isKnown && !isExplained({features, at})) {
         convict(std::move(features), 0, at);
     }
 }
--- a/src/guavafield/coordination/request/health/crash_evidence.hpp
+++ b/src/guavafield/coordination/request/health/crash_evidence.hpp
@@ -26,7 +26,8 @@
  * that come with it in these crashes may be at fault in its place, so the verdict names them all, and a request is refused only if it holds all of
  * them. Requests with some of them go on: an answer that survives takes its parts out of the verdict, and crashes under such requests narrow it to what
  * they have in common. What a verdict explains is not held against the other suspects of the same crashes. A request is convicted by crashes that no
- * part explains. A verdict ends when answers have survived with each of its parts, or an answer to the request itself. Not thread-safe.
+ * part explains. A verdict ends when answers have survived with each of its parts, or an answer to the request itself, or when a later verdict explains
+ * its crashes and those that went on after it. Not thread-safe.
  */
 class CrashEvidence
 {
@@ -103,6 +104,12 @@
     [[nodiscard]] bool convictPart(SteadyTime now);
     void convictRequests(SteadyTime now);
     void convict(std::vector<std::uint64_t> features, std::size_t crashes, SteadyTime at);
+    // Returns the crashes with a suspect that holds all the features, and since which no answer has survived with one of them.
+    [[nodiscard]] std::set<CrashId> crashesUnder(std::span<const std::uint64_t> features) const;
+    // Returns whether the crashes that a verdict rests on have a later verdict's features in common as well, and crashes went on under these alone.
+    [[nodiscard]] bool isExplained(const RefusedCombination &verdict) const;
+    // Ends the verdicts that later ones explain.
+    void releaseExplained(SteadyTime now);
     // Takes a verdict of another host.
     void takeVerdict(const CrashVerdict &verdict, SteadyTime now);
 
@@ -118,6 +125,8 @@
     SurvivalLog m_survivals;
     SurvivalLog m_ownSurvivals;
     CrashVerdicts m_verdicts;
+    // Combinations whose verdicts a later one explains, and when they were released; older verdicts of other hosts on them are not taken again.
+    CrashVerdicts m_released;
     // Features that were lately taken out of verdicts of this host or another; their survivals are reported.
     std::map<std::uint64_t, SteadyTime> m_acquitted;
     std::vector<CrashDecision> m_decisions;
--- a/src/guavafield/coordination/request/health/crash_log.hpp
+++ b/src/guavafield/coordination/request/health/crash_log.hpp
@@ -34,6 +34,11 @@
         std::erase_if(m_entries, [&predicate](const auto &it) { return predicate(it.first, it.second); });
     }
 
+    /*! @brief Returns the time of a crash that is stored. */
+    [[nodiscard]] SteadyTime at(const CrashId &crash) const
+    {
+        return m_entries.at(crash).at;
+    }
     [[nodiscard]] std::size_t size() const noexcept
     {
         return m_entries.size();
--- a/test/coordination/request/health/shared_part_test.cpp
+++ b/test/coordination/request/health/shared_part_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(twoDeadlyPartsDoNotAccuseTheirSharedPart);
     CPPUNIT_TEST(hostThatStartsLateServesSoundRequests);
     CPPUNIT_TEST(ordinaryCrashesBesideDoNotAccuseTheSharedPart);
+    CPPUNIT_TEST(verdictThatALaterOneExplainsEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -164,6 +165,39 @@
         settings.ordinaryCrashInterval = Milliseconds{7'000};
         checkSoundRequestsBegin(settings, "ordinary crashes");
     }
+
+    // Guards against a sound part that stays refused, on all hosts, after the part is found that explains its crashes as well.
+    void verdictThatALaterOneExplainsEnds()
+    {
+        constexpr std::size_t upstreams = 40;
+        constexpr Milliseconds pause{700};
+        const CrashSuspect sound{900, {soundFirstPart}};
+        const CrashSuspect deadly{901, {deadlyPart}};
+        SteadyTime now{std::chrono::hours{1}};
+        CrashEvidence evidence;
+        CrashEvidence other;
+        // At first this host hears only of the sound requests that run where the upstreams crash.
+        CrashKnowledge heardLate;
+        for (std::uint64_t n = 0; n < 4; ++n, now += pause) {
+            evidence.onCrash({n, 1}, {100 + n, {soundFirstPart, otherSharedPart + n}}, upstreams, now);
+            heardLate.crashes.push_back({{n, 1}, pause * static_cast<int>(4 - n), {{200 + n, {deadlyPart, firstUniquePart + n}}}});
+        }
+        CPPUNIT_ASSERT(evidence.refusedFor(sound, now).has_value());
+        const auto early = evidence.knowledge(now);
+        evidence.merge(heardLate, now);
+        // The crashes go on under requests with the deadly part alone.
+        for (std::uint64_t n = 4; n < 8; ++n, now += pause) {
+            evidence.onCrash({n, 1}, {200 + n, {deadlyPart, firstUniquePart + n}}, upstreams, now);
+        }
+        CPPUNIT_ASSERT(evidence.refusedFor(deadly, now).has_value());
+        CPPUNIT_ASSERT(!evidence.refusedFor(sound, now).has_value());
+        // A host that has heard of the verdict alone must not bring it back, also when the crashes are forgotten.
+        other.merge(early, now);
+        now += std::chrono::minutes{2};
+        evidence.merge(other.knowledge(now), now);
+        CPPUNIT_ASSERT(!evidence.refusedFor(sound, now).has_value());
+        CPPUNIT_ASSERT(evidence.refusedFor(deadly, now).has_value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SharedPartTest);
