Released parts count as survived, so that old crashes do not convict them again

A verdict that ended because a later one explains its crashes could come back at the next crash, from the crashes that the later one does not share; the new verdict would be the younger one and stay. Its features now count as survived at the release, unless another verdict names them, which also replaces the list of released verdicts.

--- a/apps/guavafieldd/machines_platform_reports.cpp
+++ b/apps/guavafieldd/machines_platform_reports.cpp
@@ -50,7 +50,7 @@
     std::string operator()(const CrashAcquittal &acquittal) const
     {
         std::ostringstream text;
-        text << "feature cleared of crashes by an answer, feature=" << std::hex << acquittal.feature;
+        text << "feature cleared of crashes, feature=" << std::hex << acquittal.feature;
         return text.str();
     }
 };
--- a/src/guavafield/coordination/request/health/crash_evidence.cpp
+++ b/src/guavafield/coordination/request/health/crash_evidence.cpp
@@ -135,9 +135,7 @@
     const auto isOld = [now](const CrashId & /*id*/, const LoggedCrash &it) { return now - it.at > internal::crashMemory; };
     m_crashes.eraseIf(isOld);
     m_ownCrashes.eraseIf(isOld);
-    const auto isOver = [now](const RefusedCombination &it) { return now - it.at > retention; };
-    m_verdicts.eraseIf(isOver);
-    m_released.eraseIf(isOver);
+    m_verdicts.eraseIf([now](const auto &it) { return now - it.at > retention; });
     std::erase_if(m_acquitted, [now](const auto &it) { return now - it.second > internal::reportedFor; });
     while (convictPart(now)) { }
     convictRequests(now);
--- a/src/guavafield/coordination/request/health/crash_evidence.hpp
+++ b/src/guavafield/coordination/request/health/crash_evidence.hpp
@@ -125,8 +125,6 @@
     SurvivalLog m_survivals;
     SurvivalLog m_ownSurvivals;
     CrashVerdicts m_verdicts;
-    // Combinations whose verdicts a later one explains, and when they were released; older verdicts of other hosts on them are not taken again.
-    CrashVerdicts m_released;
     // Features that were lately taken out of verdicts of this host or another; their survivals are reported.
     std::map<std::uint64_t, SteadyTime> m_acquitted;
     std::vector<CrashDecision> m_decisions;
--- a/src/guavafield/coordination/request/health/crash_evidence_convictions.cpp
+++ b/src/guavafield/coordination/request/health/crash_evidence_convictions.cpp
@@ -24,7 +24,7 @@
 // The same for a part of which no answer is known beside one with which answers have survived; several such parts may be at fault.
 constexpr double unknownCompanionFraction = 0.3;
 // Of the crashes that a verdict rests on, a later one has to explain so many to end it.
-constexpr double explainedFraction = 0.5;
+constexpr double explainedFraction = 0.3;
 // A cause has a part in at least one of so many crashes.
 constexpr std::size_t crashesPerExplained = 6;
 // More crashes at one moment are one failure of the network.
@@ -287,9 +287,12 @@
             continue;
         }
         m_verdicts.eraseIf([&it](const auto &entry) { return entry.features == it.features; });
-        m_released.add({it.features, now});
         for (const auto feature : it.features) {
-            m_decisions.emplace_back(CrashAcquittal{feature});
+            // The crashes until now are not held against it any more, and older verdicts of other hosts on it are not taken.
+            if (!m_verdicts.names(feature)) {
+                m_survivals.add(feature, now);
+                m_decisions.emplace_back(CrashAcquittal{feature});
+            }
         }
     }
 }
--- a/src/guavafield/coordination/request/health/crash_evidence_reports.cpp
+++ b/src/guavafield/coordination/request/health/crash_evidence_reports.cpp
@@ -128,8 +128,7 @@
         return refuted;
     });
     // What this host has found out itself about these features is more exact than what a host of an earlier version names.
-    const bool isKnown = m_verdicts.covers(features) || m_released.covers(features, at);
-    if (verdict.age < retention && !features.empty() && !isKnown && !isExplained({features, at})) {
+    if (verdict.age < retention && !features.empty() && !m_verdicts.covers(features) && !isExplained({features, at})) {
         convict(std::move(features), 0, at);
     }
 }
--- a/src/guavafield/coordination/request/health/crash_observation.hpp
+++ b/src/guavafield/coordination/request/health/crash_observation.hpp
@@ -83,7 +83,7 @@
     std::size_t crashesKnown{0};
 };
 
-/*! @brief A feature that proved to be sound and was taken out of the verdicts that named it, for the log. */
+/*! @brief A feature that no verdict names any more, as an answer with it survived or a later verdict explains its crashes; for the log. */
 struct CrashAcquittal
 {
     std::uint64_t feature{0};
--- a/src/guavafield/coordination/request/health/crash_verdicts.cpp
+++ b/src/guavafield/coordination/request/health/crash_verdicts.cpp
@@ -48,10 +48,10 @@
     return std::ranges::any_of(m_entries, [features = std::array{feature, other}](const auto &it) { return internal::holdsAll(it.features, features); });
 }
 
-bool CrashVerdicts::covers(std::span<const std::uint64_t> features, SteadyTime since) const
+bool CrashVerdicts::covers(std::span<const std::uint64_t> features) const
 {
-    return std::ranges::any_of(
-        m_entries, [&](const auto &it) { return it.at >= since && (internal::holdsAll(features, it.features) || internal::holdsAll(it.features, features)); });
+    return std::ranges::any_of(m_entries,
+                               [features](const auto &it) { return internal::holdsAll(features, it.features) || internal::holdsAll(it.features, features); });
 }
 
 bool CrashVerdicts::refuses(std::span<const std::uint64_t> parts) const
--- a/src/guavafield/coordination/request/health/crash_verdicts.hpp
+++ b/src/guavafield/coordination/request/health/crash_verdicts.hpp
@@ -45,8 +45,8 @@
     [[nodiscard]] bool names(std::uint64_t feature) const;
     /*! @brief Returns whether one verdict names both features. */
     [[nodiscard]] bool nameTogether(std::uint64_t feature, std::uint64_t other) const;
-    /*! @brief Returns whether a verdict of that time or later names some of the features and no others, or all of them. */
-    [[nodiscard]] bool covers(std::span<const std::uint64_t> features, SteadyTime since = SteadyTime::min()) const;
+    /*! @brief Returns whether a verdict names some of the features and no others, or all of them. */
+    [[nodiscard]] bool covers(std::span<const std::uint64_t> features) const;
     /*! @brief Returns whether a verdict refuses requests with these parts. */
     [[nodiscard]] bool refuses(std::span<const std::uint64_t> parts) const;
     /*! @brief Returns the time of the newest verdict that refuses the request; empty if none does. */
