--- a/src/guavafield/coordination/request/health/crash_evidence_convictions.cpp
+++ b/src/guavafield/coordination/request/health/crash_evidence_convictions.cpp
@@ -249,7 +249,7 @@
     std::set<CrashId> result;
     for (const auto &[id, crash] : m_crashes) {
         const bool isSuspect = std::ranges::any_of(crash.suspects, [features](const auto &it) { return it.holdsAll(features); });
-        const bool survived = std::ranges::any_of(features, [&](auto it) { return m_survivals.since(it, crash.at); });
+        const bool survived = std::ranges::any_of(features, [this, at = crash.at](auto it) { return m_survivals.since(it, at); });
         if (isSuspect && !survived) {
             result.insert(id);
         }
