Bound the features of all verdicts in a report to what single ones took

Cause: reports named up to 24 features; encoded, eight verdicts of three features take 130 bytes more than eight of one (401 and 271 bytes of a report that holds nothing else, of 1,380 allowed), and a report over the limit is dropped whole.

--- a/src/guavafield/coordination/request/health/crash_evidence_reports.cpp
+++ b/src/guavafield/coordination/request/health/crash_evidence_reports.cpp
@@ -16,7 +16,8 @@
 constexpr std::size_t wordsOfSuspect = 4;
 constexpr std::size_t maxReportedSurvivals = 16;
 constexpr std::size_t maxReportedVerdicts = 8;
-constexpr std::size_t maxReportedFeatures = 24;
+// Of all verdicts, which share their datagram with the rest of the host's report.
+constexpr std::size_t maxReportedFeatures = 8;
 
 Milliseconds since(SteadyTime at, SteadyTime now) noexcept
 {
--- a/test/coordination/request/health/crash_evidence_test.cpp
+++ b/test/coordination/request/health/crash_evidence_test.cpp
@@ -292,6 +292,11 @@
         }
         CPPUNIT_ASSERT(words > 0 && words <= 90);
         CPPUNIT_ASSERT(knowledge.verdicts.size() <= 8 && knowledge.survivals.size() <= 16);
+        std::size_t features = 0;
+        for (const auto &it : knowledge.verdicts) {
+            features += it.features.size();
+        }
+        CPPUNIT_ASSERT(features > 0 && features <= 8);
     }
 
 private:
